--- /dev/null
+++ b/cmd/cranberrydrumd/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/scheduler/placement/types.go
@@ -0,0 +1,75 @@
+// Package placement decides which gangs start on which accelerators, and
+// which running jobs make room for them.
+package placement
+
+import (
+	"time"
+
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// Rules are the parts of the configuration that placement needs, for one
+// failure domain.
+type Rules struct {
+	Domain     string
+	Customers  []structs.Customer
+	Guarantees []structs.Guarantee
+	Quotas     []structs.Quota
+	Policy     structs.Policy
+}
+
+// Queued is a job that waits for a gang of accelerators.
+type Queued struct {
+	ID   string
+	Spec structs.JobSpec
+	// Since is when the job was first queued.
+	Since time.Duration
+	// Estimate is the expected run time, learned from measured ones; 0 if unknown.
+	Estimate time.Duration
+	// Avoid lists workers on which the job has failed.
+	Avoid []string
+}
+
+// Running is a job that holds accelerators, from its reservation until the
+// last of its tasks has stopped.
+type Running struct {
+	ID      string
+	Spec    structs.JobSpec
+	Members []structs.Member
+	// Started is when the run began and Checkpointed when its last checkpoint ended.
+	Started      time.Duration
+	Checkpointed time.Duration
+	// Estimate is the expected run time, learned from measured ones; 0 if unknown.
+	Estimate time.Duration
+	// Stopping marks a job that was already told to make room.
+	Stopping bool
+}
+
+// Plan is the result of one scheduling round. It is a proposal: the applier
+// checks each part against the replicated state and drops what no longer fits.
+type Plan struct {
+	Starts   []Start
+	Preempts []Preempt
+	Waiting  []Waiting
+}
+
+// Start places a whole gang.
+type Start struct {
+	Job     string
+	Members []structs.Member
+}
+
+// Preempt stops a running job to make room for another.
+type Preempt struct {
+	Job string
+	For string
+	// Checkpoint asks for a checkpoint first, bounded by Grace.
+	Checkpoint bool
+	Grace      time.Duration
+}
+
+// Waiting says why a job was not placed.
+type Waiting struct {
+	Job    string
+	Reason string
+}
