--- /dev/null
+++ b/daemon/metrics/metrics.go
@@ -0,0 +1,175 @@
+// Package metrics defines the Prometheus metrics of a host.
+package metrics
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+const namespace = "cranberrydrum"
+
+// Metrics are the counters, gauges and histograms of one host.
+type Metrics struct {
+	Registry *prometheus.Registry
+
+	requests      *prometheus.CounterVec
+	refusals      *prometheus.CounterVec
+	retries       *prometheus.CounterVec
+	attempts      *prometheus.CounterVec
+	duration      *prometheus.HistogramVec
+	wait          *prometheus.HistogramVec
+	frames        *prometheus.CounterVec
+	frameBytes    *prometheus.CounterVec
+	dropped       *prometheus.CounterVec
+	closed        *prometheus.CounterVec
+	spillBytes    *prometheus.CounterVec
+	configVersion prometheus.Gauge
+	fragmentation *prometheus.GaugeVec
+	leader        *prometheus.GaugeVec
+	term          *prometheus.GaugeVec
+	queued        *prometheus.GaugeVec
+	roundSeconds  prometheus.Histogram
+	keys          *prometheus.GaugeVec
+}
+
+// secondsBuckets covers a route check (5 ms) up to a straggler (80 s).
+var secondsBuckets = prometheus.ExponentialBuckets(0.005, 2, 15)
+
+// New returns the metrics of one host in a registry of their own.
+func New() *Metrics {
+	m := &Metrics{Registry: prometheus.NewRegistry()}
+	m.requests = m.counter("requests_total", "Requests answered with the backend server's response.", "service", "class")
+	m.refusals = m.counter("refusals_total", "Requests refused, by code and outcome.", "code", "outcome")
+	m.retries = m.counter("retries_total", "Attempts after the first one, by the reason of the previous failure.", "service", "reason")
+	m.attempts = m.counter("attempts_total", "Attempts sent to backend servers, by result.", "service", "result")
+	m.duration = m.histogram("request_seconds", "Time from arrival to answer.", "service", "class")
+	m.wait = m.histogram("queue_wait_seconds", "Time from arrival to the first attempt.", "service", "class")
+	m.frames = m.counter("peer_frames_total", "Frames exchanged with other hosts.", "peer", "kind", "direction")
+	m.frameBytes = m.counter("peer_bytes_total", "Bytes exchanged with other hosts.", "peer", "kind", "direction")
+	m.dropped = m.counter("peer_dropped_total", "Frames dropped, by reason.", "kind", "reason")
+	m.closed = m.counter("peer_connections_closed_total", "Connections to other hosts that ended, by reason.", "reason")
+	m.spillBytes = m.counter("region_link_bytes_total", "Bytes sent to other regions, by purpose.", "purpose")
+	m.fragmentation = m.gauges("fragmentation_ratio", "Share of free accelerators that the largest waiting gang cannot use.", "domain")
+	m.leader = m.gauges("group_leader", "1 if this host leads the replicated log.", "group")
+	m.term = m.gauges("group_term", "Term of the replicated log.", "group")
+	m.queued = m.gauges("queue_length", "Requests waiting on this host.", "service", "class")
+	m.keys = m.gauges("request_keys", "Request keys recorded in the log of the failure domain.", "state")
+	m.configVersion = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: namespace,
+		Name:      "config_version",
+		Help:      "Version of the configuration in force on this host.",
+	})
+	m.roundSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace,
+		Name:      "scheduling_round_seconds",
+		Help:      "Duration of scheduling rounds.",
+		Buckets:   prometheus.ExponentialBuckets(0.00005, 2, 14),
+	})
+	m.Registry.MustRegister(m.configVersion, m.roundSeconds)
+	return m
+}
+
+func (m *Metrics) counter(name, help string, labels ...string) *prometheus.CounterVec {
+	c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	m.Registry.MustRegister(c)
+	return c
+}
+
+func (m *Metrics) gauges(name, help string, labels ...string) *prometheus.GaugeVec {
+	g := prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	m.Registry.MustRegister(g)
+	return g
+}
+
+func (m *Metrics) histogram(name, help string, labels ...string) *prometheus.HistogramVec {
+	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace,
+		Name:      name,
+		Help:      help,
+		Buckets:   secondsBuckets,
+	}, labels)
+	m.Registry.MustRegister(h)
+	return h
+}
+
+// Answered counts a request that was answered.
+func (m *Metrics) Answered(service string, class structs.Class, took time.Duration) {
+	m.requests.WithLabelValues(service, string(class)).Inc()
+	m.duration.WithLabelValues(service, string(class)).Observe(took.Seconds())
+}
+
+// Refused counts a refusal.
+func (m *Metrics) Refused(r *structs.Refusal) {
+	m.refusals.WithLabelValues(string(r.Code), string(r.Outcome)).Inc()
+}
+
+// Waited records the time that a request spent in the queue.
+func (m *Metrics) Waited(service string, class structs.Class, wait time.Duration) {
+	m.wait.WithLabelValues(service, string(class)).Observe(wait.Seconds())
+}
+
+// Retried counts an attempt after the first one.
+func (m *Metrics) Retried(service, reason string) {
+	m.retries.WithLabelValues(service, reason).Inc()
+}
+
+// Attempted counts a finished attempt.
+func (m *Metrics) Attempted(service, result string) {
+	m.attempts.WithLabelValues(service, result).Inc()
+}
+
+// FrameSent counts a frame sent to another host.
+func (m *Metrics) FrameSent(peer, kind string, bytes int) { m.frame(peer, kind, "sent", bytes) }
+
+// FrameReceived counts a frame received from another host.
+func (m *Metrics) FrameReceived(peer, kind string, bytes int) { m.frame(peer, kind, "received", bytes) }
+
+func (m *Metrics) frame(peer, kind, direction string, bytes int) {
+	m.frames.WithLabelValues(peer, kind, direction).Inc()
+	m.frameBytes.WithLabelValues(peer, kind, direction).Add(float64(bytes))
+}
+
+// FrameDropped counts a frame that was not delivered.
+func (m *Metrics) FrameDropped(kind, reason string) { m.dropped.WithLabelValues(kind, reason).Inc() }
+
+// ConnectionClosed counts a connection to another host that ended.
+func (m *Metrics) ConnectionClosed(reason string) { m.closed.WithLabelValues(reason).Inc() }
+
+// RegionLinkBytes counts bytes sent to another region.
+func (m *Metrics) RegionLinkBytes(purpose string, bytes int) {
+	m.spillBytes.WithLabelValues(purpose).Add(float64(bytes))
+}
+
+// SetConfigVersion sets the version of the configuration in force.
+func (m *Metrics) SetConfigVersion(version uint64) { m.configVersion.Set(float64(version)) }
+
+// SetGroup sets the role of this host in a replicated log.
+func (m *Metrics) SetGroup(group string, leads bool, term uint64) {
+	value := 0.0
+	if leads {
+		value = 1
+	}
+	m.leader.WithLabelValues(group).Set(value)
+	m.term.WithLabelValues(group).Set(float64(term))
+}
+
+// SetFragmentation sets the fragmentation of a failure domain, 0 to 1.
+func (m *Metrics) SetFragmentation(domain string, ratio float64) {
+	m.fragmentation.WithLabelValues(domain).Set(ratio)
+}
+
+// SetQueued sets the number of waiting requests.
+func (m *Metrics) SetQueued(service string, class structs.Class, length int) {
+	m.queued.WithLabelValues(service, string(class)).Set(float64(length))
+}
+
+// SetKeys sets the number of recorded request keys in a state.
+func (m *Metrics) SetKeys(state string, count int) {
+	m.keys.WithLabelValues(state).Set(float64(count))
+}
+
+// Round records the duration of a scheduling round.
+func (m *Metrics) Round(took time.Duration) { m.roundSeconds.Observe(took.Seconds()) }
--- /dev/null
+++ b/daemon/standin/executor.go
@@ -0,0 +1,302 @@
+package standin
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Headers that an executor understands.
+const (
+	// HeaderWorkMS overrides the service time of one request, in milliseconds.
+	HeaderWorkMS = "X-Work-Ms"
+	// HeaderKey carries the request key of a non-idempotent request.
+	HeaderKey = "Idempotency-Key"
+)
+
+// ExecutorConfig describes a stand-in executor.
+type ExecutorConfig struct {
+	ID      string
+	Service string
+	Domain  string
+	// Hosts are the base URLs of the entry hosts that it announces to.
+	Hosts       []string
+	Token       string
+	Slots       int
+	Connections int
+	// ServiceTime is the mean time of a request without HeaderWorkMS.
+	ServiceTime time.Duration
+	// StragglerShare of the requests take StragglerFactor times as long.
+	StragglerShare   float64
+	StragglerFactor  float64
+	AnnounceInterval time.Duration
+	Seed             uint64
+}
+
+// ExecutorStats is what an executor has seen.
+type ExecutorStats struct {
+	Requests int
+	// MaxRunning and MaxConnections are the highest numbers seen at one time.
+	MaxRunning     int
+	MaxConnections int
+	// RunsByKey counts the executions of each request key.
+	RunsByKey map[string]int
+	// LastNew is when the last request arrived.
+	LastNew time.Time
+}
+
+// Executor is a backend server with a bounded number of slots. It announces
+// itself and answers POST /run with the request's body.
+type Executor struct {
+	cfg      ExecutorConfig
+	server   *fasthttp.Server
+	listener net.Listener
+	client   *fasthttp.Client
+	stop     chan struct{}
+	wg       sync.WaitGroup
+	born     uint64
+
+	mu       sync.Mutex
+	stats    ExecutorStats
+	running  int
+	open     int
+	rng      *rand.Rand
+	silent   map[uint64]bool
+	hang     bool
+	cutOff   bool
+	draining bool
+	mute     bool
+	connIDs  map[uint64]struct{}
+}
+
+// NewExecutor starts an executor on a free loopback port and announces it.
+func NewExecutor(cfg ExecutorConfig) (*Executor, error) {
+	if cfg.AnnounceInterval <= 0 {
+		cfg.AnnounceInterval = time.Second
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, &SetupError{What: "executor", Cause: err}
+	}
+	e := &Executor{
+		cfg:      cfg,
+		listener: listener,
+		client:   &fasthttp.Client{ReadTimeout: announceTimeout, WriteTimeout: announceTimeout, MaxIdemponentCallAttempts: 1},
+		stop:     make(chan struct{}),
+		born:     uint64(time.Now().UnixNano()),
+		rng:      rand.New(rand.NewPCG(cfg.Seed, 1)),
+		silent:   map[uint64]bool{},
+		connIDs:  map[uint64]struct{}{},
+	}
+	e.stats.RunsByKey = map[string]int{}
+	e.server = &fasthttp.Server{Handler: e.handle, ConnState: e.connState, NoDefaultServerHeader: true, MaxRequestBodySize: 4 << 20}
+	e.wg.Add(2)
+	go func() { defer e.wg.Done(); _ = e.server.Serve(listener) }()
+	go e.announceLoop()
+	return e, nil
+}
+
+const announceTimeout = 2 * time.Second
+
+// Address returns where the executor listens.
+func (e *Executor) Address() string { return e.listener.Addr().String() }
+
+// Stats returns a copy of what the executor has seen.
+func (e *Executor) Stats() ExecutorStats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	stats := e.stats
+	stats.RunsByKey = make(map[string]int, len(e.stats.RunsByKey))
+	for key, runs := range e.stats.RunsByKey {
+		stats.RunsByKey[key] = runs
+	}
+	return stats
+}
+
+// SilenceOpenConnections makes the connections that are open now go silent for
+// good. New connections work.
+func (e *Executor) SilenceOpenConnections() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id := range e.connIDs {
+		e.silent[id] = true
+	}
+}
+
+// SetHang makes every request hang without an answer.
+func (e *Executor) SetHang(on bool) { e.set(&e.hang, on) }
+
+// SetCutOff makes every answer end before its stated length.
+func (e *Executor) SetCutOff(on bool) { e.set(&e.cutOff, on) }
+
+// SetMute stops the announcements, as if the executor had lost its network.
+func (e *Executor) SetMute(on bool) { e.set(&e.mute, on) }
+
+func (e *Executor) set(flag *bool, on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	*flag = on
+}
+
+// Drain announces that the executor takes no new work.
+func (e *Executor) Drain() error {
+	e.set(&e.draining, true)
+	return e.announce("/v1/backends/drain")
+}
+
+// Close leaves and stops the executor.
+func (e *Executor) Close() {
+	e.set(&e.draining, true)
+	_ = e.announce("/v1/backends/leave")
+	e.Kill()
+}
+
+// Kill stops the executor without a word to the system.
+func (e *Executor) Kill() {
+	close(e.stop)
+	_ = e.listener.Close()
+	e.server.CloseOnShutdown = true
+	done := make(chan struct{})
+	go func() { _ = e.server.Shutdown(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(killWait):
+	}
+}
+
+const killWait = 200 * time.Millisecond
+
+func (e *Executor) connState(_ net.Conn, state fasthttp.ConnState) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch state {
+	case fasthttp.StateNew:
+		e.open++
+		e.stats.MaxConnections = max(e.stats.MaxConnections, e.open)
+	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		e.open--
+	}
+}
+
+func (e *Executor) handle(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != "/run" {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	work, hang, cutOff := e.begin(ctx)
+	if hang {
+		<-e.stop
+		return
+	}
+	select {
+	case <-time.After(work):
+	case <-e.stop:
+	}
+	e.end()
+	ctx.Response.Header.Set("X-Executor", e.cfg.ID)
+	if cutOff {
+		e.answerCutOff(ctx)
+		return
+	}
+	ctx.SetBody(append([]byte(nil), ctx.PostBody()...))
+}
+
+// begin counts a request and decides how it is served.
+func (e *Executor) begin(ctx *fasthttp.RequestCtx) (work time.Duration, hang, cutOff bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.connIDs[ctx.ConnID()] = struct{}{}
+	if e.hang || e.silent[ctx.ConnID()] {
+		return 0, true, false
+	}
+	e.stats.Requests++
+	e.stats.LastNew = time.Now()
+	if key := string(ctx.Request.Header.Peek(HeaderKey)); key != "" {
+		e.stats.RunsByKey[key]++
+	}
+	e.running++
+	e.stats.MaxRunning = max(e.stats.MaxRunning, e.running)
+	return e.workTime(string(ctx.Request.Header.Peek(HeaderWorkMS))), false, e.cutOff
+}
+
+func (e *Executor) workTime(header string) time.Duration {
+	if ms, err := strconv.ParseFloat(header, 64); err == nil {
+		return time.Duration(ms * float64(time.Millisecond))
+	}
+	work := time.Duration(e.rng.ExpFloat64() * float64(e.cfg.ServiceTime))
+	if e.rng.Float64() < e.cfg.StragglerShare {
+		work = time.Duration(float64(work) * e.cfg.StragglerFactor)
+	}
+	return work
+}
+
+func (e *Executor) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+}
+
+// answerCutOff states a longer body than it sends and closes the connection.
+func (e *Executor) answerCutOff(ctx *fasthttp.RequestCtx) {
+	body := append([]byte(nil), ctx.PostBody()...)
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(conn net.Conn) {
+		head := "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)+100) + "\r\n\r\n"
+		_, _ = conn.Write(append([]byte(head), body...))
+	})
+}
+
+// announcement is the body of the announcement calls.
+type announcement struct {
+	ID          string `json:"id"`
+	Service     string `json:"service"`
+	Domain      string `json:"domain"`
+	Address     string `json:"address"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+func (e *Executor) announceLoop() {
+	defer e.wg.Done()
+	ticker := time.NewTicker(e.cfg.AnnounceInterval)
+	defer ticker.Stop()
+	for {
+		if !e.quiet() {
+			_ = e.announce("/v1/backends/announce")
+		}
+		select {
+		case <-ticker.C:
+		case <-e.stop:
+			return
+		}
+	}
+}
+
+func (e *Executor) quiet() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.mute || e.draining
+}
+
+// announce posts to the first host that takes it.
+func (e *Executor) announce(path string) error {
+	body, err := json.Marshal(announcement{
+		ID:          e.cfg.ID,
+		Service:     e.cfg.Service,
+		Domain:      e.cfg.Domain,
+		Address:     e.Address(),
+		Slots:       e.cfg.Slots,
+		Connections: e.cfg.Connections,
+		Incarnation: e.born,
+	})
+	if err != nil {
+		return &SetupError{What: "announcement", Cause: err}
+	}
+	return postAny(e.client, e.cfg.Hosts, path, e.cfg.Token, body, nil)
+}
--- /dev/null
+++ b/daemon/transport/inbound.go
@@ -0,0 +1,168 @@
+package transport
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// maxCallsPerConnection bounds the calls that one peer runs here at a time.
+const maxCallsPerConnection = 4096
+
+// serve handles a connection that a peer opened.
+func (t *Transport) serve(conn net.Conn) {
+	defer t.wg.Done()
+	defer t.untrack(conn)
+	defer conn.Close()
+	peer, err := t.acceptHandshake(conn)
+	if err != nil {
+		t.cfg.Logger.V(1).Info("refused a peer connection", "remote", conn.RemoteAddr().String(), "error", err.Error())
+		t.cfg.Observer.ConnectionClosed(peer, "handshake")
+		return
+	}
+	in := &inbound{
+		t:     t,
+		peer:  peer,
+		conn:  conn,
+		out:   make(chan *frame, t.cfg.QueueFrames),
+		done:  make(chan struct{}),
+		calls: make(chan struct{}, maxCallsPerConnection),
+	}
+	in.wg.Add(1)
+	go in.writeLoop()
+	reason := in.readLoop()
+	close(in.done)
+	_ = conn.Close()
+	in.wg.Wait()
+	t.cfg.Observer.ConnectionClosed(peer, reason)
+}
+
+// inbound is a connection that a peer opened. The peer sends messages and
+// calls on it; replies and heartbeats go back.
+type inbound struct {
+	t     *Transport
+	peer  string
+	conn  net.Conn
+	out   chan *frame
+	done  chan struct{}
+	calls chan struct{}
+	wg    sync.WaitGroup
+}
+
+func (in *inbound) readLoop() string {
+	reader := bufio.NewReader(in.conn)
+	for {
+		_ = in.conn.SetReadDeadline(time.Now().Add(in.t.cfg.SilenceTimeout))
+		f, size, err := readFrame(reader)
+		if err != nil {
+			return closeReason(err)
+		}
+		in.t.cfg.Observer.FrameReceived(in.peer, f.Kind, size)
+		in.dispatch(f)
+	}
+}
+
+func (in *inbound) dispatch(f *frame) {
+	switch f.Kind {
+	case KindHeartbeat:
+	case KindCall:
+		in.startCall(f)
+	case KindHello, KindChallenge, KindProof, KindReply:
+		in.t.cfg.Observer.FrameDropped(in.peer, f.Kind, "unexpected")
+	default:
+		in.t.handler.HandleMessage(in.peer, f.Kind, f.Body)
+	}
+}
+
+func (in *inbound) startCall(f *frame) {
+	select {
+	case in.calls <- struct{}{}:
+	default:
+		in.reply(&frame{Kind: KindReply, ID: f.ID, Code: codeBusy})
+		return
+	}
+	go func() {
+		defer func() { <-in.calls }()
+		remaining := time.Duration(f.RemainingMS) * time.Millisecond
+		body, err := in.t.handler.HandleCall(in.peer, f.Method, f.Body, remaining)
+		in.reply(replyFrame(f.ID, body, err))
+	}()
+}
+
+// replyFrame turns the result of a call into a reply. A refusal keeps its code
+// and outcome, so that the caller's host can report it unchanged.
+func replyFrame(id uint64, body []byte, err error) *frame {
+	if err == nil {
+		return &frame{Kind: KindReply, ID: id, Body: body}
+	}
+	var refusal *structs.Refusal
+	if errors.As(err, &refusal) {
+		return &frame{Kind: KindReply, ID: id, Code: codeRefused, Body: encodeRefusal(refusal)}
+	}
+	return &frame{Kind: KindReply, ID: id, Code: codeFailed, Body: []byte(err.Error())}
+}
+
+func (in *inbound) reply(f *frame) {
+	select {
+	case in.out <- f:
+	case <-in.done:
+		in.t.cfg.Observer.FrameDropped(in.peer, f.Kind, "connection closed")
+	}
+}
+
+func (in *inbound) writeLoop() {
+	defer in.wg.Done()
+	ticker := time.NewTicker(in.t.cfg.HeartbeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-in.done:
+			return
+		case <-ticker.C:
+			if !in.write(&frame{Kind: KindHeartbeat}) {
+				return
+			}
+		case f := <-in.out:
+			if !in.write(f) {
+				return
+			}
+		}
+	}
+}
+
+// write sends one frame; a failed write closes the connection, which ends the
+// read loop too.
+func (in *inbound) write(f *frame) bool {
+	data, err := encodeFrame(f)
+	if err != nil {
+		in.t.cfg.Observer.FrameDropped(in.peer, f.Kind, "encode")
+		if f.Kind != KindReply {
+			return true
+		}
+		data, _ = encodeFrame(&frame{Kind: KindReply, ID: f.ID, Code: codeFailed, Body: []byte(err.Error())})
+	}
+	_ = in.conn.SetWriteDeadline(time.Now().Add(in.t.cfg.SilenceTimeout))
+	if _, err := in.conn.Write(data); err != nil {
+		_ = in.conn.Close()
+		return false
+	}
+	in.t.cfg.Observer.FrameSent(in.peer, f.Kind, len(data))
+	return true
+}
+
+// closeReason names why a connection ended, for metrics.
+func closeReason(err error) string {
+	var frameErr *FrameError
+	if errors.As(err, &frameErr) {
+		return "malformed"
+	}
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() {
+		return "silent"
+	}
+	return "closed"
+}
--- /dev/null
+++ b/daemon/transport/outbound.go
@@ -0,0 +1,351 @@
+package transport
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"time"
+)
+
+// outbound is the link to one peer. It redials until the transport stops.
+type outbound struct {
+	t    *Transport
+	peer Peer
+
+	mu   sync.Mutex
+	conn net.Conn
+	// control holds raft, membership and configuration messages, calls holds
+	// calls. Control frames go first, so that a link full of forwarded
+	// requests does not delay elections or configuration.
+	control frameQueue
+	calls   frameQueue
+	wake    chan struct{}
+	nextID  uint64
+	pending map[uint64]*pendingCall
+	err     error
+}
+
+// pendingCall waits for its reply. written is set once bytes may have left.
+type pendingCall struct {
+	done    chan result
+	written bool
+}
+
+func newOutbound(t *Transport, peer Peer) *outbound {
+	return &outbound{
+		t:       t,
+		peer:    peer,
+		wake:    make(chan struct{}, 1),
+		pending: map[uint64]*pendingCall{},
+	}
+}
+
+func (o *outbound) run() {
+	defer o.t.wg.Done()
+	delay := minRedial
+	for !o.t.stopping() {
+		conn, err := o.dial()
+		if err != nil {
+			o.setError(err)
+			o.failQueued("peer unreachable")
+			o.t.pause(delay)
+			delay = min(2*delay, maxRedial)
+			continue
+		}
+		delay = minRedial
+		reason := o.serve(conn)
+		o.t.cfg.Observer.ConnectionClosed(o.peer.Host, reason)
+	}
+	o.failQueued("transport stopped")
+}
+
+func (o *outbound) dial() (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", o.peer.Address, handshakeTimeout)
+	if err != nil {
+		return nil, err
+	}
+	boundSendBuffer(conn)
+	if err := o.t.dialHandshake(conn, o.peer.Host); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// serve runs one connection until it breaks and returns the reason.
+func (o *outbound) serve(conn net.Conn) string {
+	if !o.attach(conn) {
+		_ = conn.Close()
+		return "stopped"
+	}
+	done := make(chan struct{})
+	var writer sync.WaitGroup
+	writer.Add(1)
+	go func() {
+		defer writer.Done()
+		o.writeLoop(conn, done)
+	}()
+	reason := o.readLoop(conn)
+	close(done)
+	_ = conn.Close()
+	writer.Wait()
+	o.detach()
+	return reason
+}
+
+func (o *outbound) attach(conn net.Conn) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.t.stopping() {
+		return false
+	}
+	o.conn = conn
+	o.err = nil
+	o.signal()
+	return true
+}
+
+// detach ends the calls that were open. Those that may have left have an
+// unknown outcome; the others were not sent.
+func (o *outbound) detach() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.conn = nil
+	for id, call := range o.pending {
+		if call.written {
+			call.done <- result{err: &LostReplyError{Peer: o.peer.Host, Reason: "connection lost"}}
+			delete(o.pending, id)
+		}
+	}
+}
+
+func (o *outbound) readLoop(conn net.Conn) string {
+	reader := bufio.NewReader(conn)
+	for {
+		_ = conn.SetReadDeadline(time.Now().Add(o.t.cfg.SilenceTimeout))
+		f, size, err := readFrame(reader)
+		if err != nil {
+			return closeReason(err)
+		}
+		o.t.cfg.Observer.FrameReceived(o.peer.Host, f.Kind, size)
+		if f.Kind == KindReply {
+			o.finish(f)
+		}
+	}
+}
+
+// finish delivers a reply. A reply to a call that was given up is dropped.
+func (o *outbound) finish(f *frame) {
+	o.mu.Lock()
+	call := o.pending[f.ID]
+	delete(o.pending, f.ID)
+	o.mu.Unlock()
+	if call == nil {
+		o.t.cfg.Observer.FrameDropped(o.peer.Host, KindReply, "late")
+		return
+	}
+	call.done <- resultOf(o.peer.Host, f)
+}
+
+func (o *outbound) writeLoop(conn net.Conn, done chan struct{}) {
+	ticker := time.NewTicker(o.t.cfg.HeartbeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+			if !o.write(conn, &frame{Kind: KindHeartbeat}) {
+				return
+			}
+		case <-o.wake:
+			if !o.drain(conn) {
+				return
+			}
+		}
+	}
+}
+
+// drain writes what is queued.
+func (o *outbound) drain(conn net.Conn) bool {
+	for {
+		f := o.pop()
+		if f == nil {
+			return true
+		}
+		if !o.write(conn, f) {
+			return false
+		}
+	}
+}
+
+func (o *outbound) pop() *frame {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if f := o.control.pop(); f != nil {
+		return f
+	}
+	f := o.calls.pop()
+	if f == nil {
+		return nil
+	}
+	if call := o.pending[f.ID]; call != nil {
+		call.written = true
+	}
+	return f
+}
+
+func (o *outbound) write(conn net.Conn, f *frame) bool {
+	data, err := encodeFrame(f)
+	if err != nil {
+		o.t.cfg.Observer.FrameDropped(o.peer.Host, f.Kind, "encode")
+		return true
+	}
+	_ = conn.SetWriteDeadline(time.Now().Add(o.t.cfg.SilenceTimeout))
+	if _, err := conn.Write(data); err != nil {
+		_ = conn.Close()
+		return false
+	}
+	o.t.cfg.Observer.FrameSent(o.peer.Host, f.Kind, len(data))
+	return true
+}
+
+func (o *outbound) send(f *frame) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.enqueue(f)
+}
+
+// enqueue adds a frame while the connection is open. The caller holds the lock.
+func (o *outbound) enqueue(f *frame) error {
+	if o.conn == nil {
+		return &NotSentError{Peer: o.peer.Host, Reason: "not connected"}
+	}
+	if !o.makeRoom(f.Kind) {
+		o.t.cfg.Observer.FrameDropped(o.peer.Host, f.Kind, "queue full")
+		return &NotSentError{Peer: o.peer.Host, Reason: "send queue full"}
+	}
+	if f.Kind == KindCall {
+		o.calls.push(f)
+	} else {
+		o.control.push(f)
+	}
+	o.signal()
+	return nil
+}
+
+// makeRoom reports whether the queue of a kind takes one more frame. The
+// oldest raft message makes room: raft resends what is lost, other kinds do not.
+func (o *outbound) makeRoom(kind Kind) bool {
+	if kind == KindCall {
+		return o.calls.len() < o.t.cfg.QueueFrames
+	}
+	if o.control.len() < o.t.cfg.QueueFrames {
+		return true
+	}
+	if !o.control.removeFirst(func(f *frame) bool { return f.Kind == KindRaft }) {
+		return false
+	}
+	o.t.cfg.Observer.FrameDropped(o.peer.Host, KindRaft, "queue full")
+	return true
+}
+
+// signal tells the writer that frames are queued.
+func (o *outbound) signal() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (o *outbound) call(method string, body []byte, timeout time.Duration) ([]byte, error) {
+	if len(body) > MaxFrameBytes-callOverheadBytes {
+		return nil, &NotSentError{Peer: o.peer.Host, Reason: "body too large"}
+	}
+	pending := &pendingCall{done: make(chan result, 1)}
+	id, err := o.startCall(pending, method, body, timeout)
+	if err != nil {
+		return nil, err
+	}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case res := <-pending.done:
+		return res.body, res.err
+	case <-timer.C:
+		return o.abandon(id, pending)
+	}
+}
+
+// callOverheadBytes is room for the fields of a call beside its body.
+const callOverheadBytes = 512
+
+func (o *outbound) startCall(pending *pendingCall, method string, body []byte, timeout time.Duration) (uint64, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.nextID++
+	id := o.nextID
+	f := &frame{Kind: KindCall, ID: id, Method: method, Body: body, RemainingMS: timeout.Milliseconds()}
+	if err := o.enqueue(f); err != nil {
+		return 0, err
+	}
+	o.pending[id] = pending
+	return id, nil
+}
+
+// abandon gives a call up after its timeout. A call that is still queued is
+// taken out of the queue, so that it is certain not to run.
+func (o *outbound) abandon(id uint64, pending *pendingCall) ([]byte, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	select {
+	case res := <-pending.done:
+		return res.body, res.err
+	default:
+	}
+	delete(o.pending, id)
+	if pending.written {
+		return nil, &LostReplyError{Peer: o.peer.Host, Reason: "timeout"}
+	}
+	o.calls.removeFirst(func(f *frame) bool { return f.ID == id })
+	return nil, &NotSentError{Peer: o.peer.Host, Reason: "timeout in the send queue"}
+}
+
+// failQueued ends the calls that wait for a connection.
+func (o *outbound) failQueued(reason string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.control.clear()
+	o.calls.clear()
+	for id, call := range o.pending {
+		call.done <- result{err: &NotSentError{Peer: o.peer.Host, Reason: reason}}
+		delete(o.pending, id)
+	}
+}
+
+func (o *outbound) connected() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.conn != nil
+}
+
+func (o *outbound) lastError() error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.err
+}
+
+func (o *outbound) setError(err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.err = err
+}
+
+// interrupt closes the open connection so that run ends.
+func (o *outbound) interrupt() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.conn != nil {
+		_ = o.conn.Close()
+	}
+}
--- /dev/null
+++ b/daemon/transport/queue.go
@@ -0,0 +1,46 @@
+package transport
+
+import "net"
+
+// sendBufferBytes bounds what the kernel holds for one connection. At
+// 30 Mbit/s this is 70 ms, which a control frame waits at most behind data
+// that was already handed over.
+const sendBufferBytes = 256 << 10
+
+func boundSendBuffer(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(sendBufferBytes)
+	}
+}
+
+// frameQueue is a first-in first-out queue of frames.
+type frameQueue struct {
+	frames []*frame
+}
+
+func (q *frameQueue) len() int { return len(q.frames) }
+
+func (q *frameQueue) push(f *frame) { q.frames = append(q.frames, f) }
+
+func (q *frameQueue) pop() *frame {
+	if len(q.frames) == 0 {
+		return nil
+	}
+	f := q.frames[0]
+	q.frames[0] = nil
+	q.frames = q.frames[1:]
+	return f
+}
+
+// removeFirst removes the first frame that matches and reports whether there was one.
+func (q *frameQueue) removeFirst(match func(*frame) bool) bool {
+	for i, f := range q.frames {
+		if match(f) {
+			q.frames = append(q.frames[:i], q.frames[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+func (q *frameQueue) clear() { q.frames = nil }
--- /dev/null
+++ b/daemon/transport/transport.go
@@ -0,0 +1,245 @@
+package transport
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// Peer is another host of the deployment.
+type Peer struct {
+	Host    string
+	Address string
+}
+
+// Handler receives what peers send. Both functions are called on goroutines
+// of the transport and must not keep the payload after they return.
+type Handler interface {
+	// HandleMessage takes a one-way message.
+	HandleMessage(from string, kind Kind, body []byte)
+	// HandleCall answers a call. It may take as long as the remaining time.
+	HandleCall(from, method string, body []byte, remaining time.Duration) ([]byte, error)
+}
+
+// Observer counts what the transport does.
+type Observer interface {
+	FrameSent(peer string, kind Kind, bytes int)
+	FrameReceived(peer string, kind Kind, bytes int)
+	FrameDropped(peer string, kind Kind, reason string)
+	ConnectionClosed(peer, reason string)
+}
+
+// Config describes this host and its peers.
+type Config struct {
+	Host    string
+	StoreID string
+	Listen  string
+	Peers   []Peer
+	// Key authenticates the hosts to each other.
+	Key []byte
+	// CheckPeer returns why a host with this store must be refused, or nothing.
+	CheckPeer         func(host, storeID string) string
+	HeartbeatInterval time.Duration
+	// SilenceTimeout closes a connection on which nothing was received.
+	SilenceTimeout time.Duration
+	// QueueFrames bounds the frames that wait for one peer.
+	QueueFrames int
+	Logger      logr.Logger
+	Observer    Observer
+}
+
+// Defaults of the link between two hosts.
+const (
+	DefaultHeartbeatInterval = 500 * time.Millisecond
+	DefaultSilenceTimeout    = 2 * time.Second
+	DefaultQueueFrames       = 1024
+)
+
+const (
+	minRedial = 50 * time.Millisecond
+	maxRedial = time.Second
+)
+
+// Transport connects this host with its peers.
+type Transport struct {
+	cfg      Config
+	handler  Handler
+	listener net.Listener
+
+	mu       sync.Mutex
+	peers    map[string]*outbound
+	accepted map[net.Conn]struct{}
+	closed   bool
+	stop     chan struct{}
+	wg       sync.WaitGroup
+}
+
+// New returns a transport that is not yet started.
+func New(cfg Config, handler Handler) *Transport {
+	cfg = withDefaults(cfg)
+	return &Transport{
+		cfg:      cfg,
+		handler:  handler,
+		peers:    map[string]*outbound{},
+		accepted: map[net.Conn]struct{}{},
+		stop:     make(chan struct{}),
+	}
+}
+
+func withDefaults(cfg Config) Config {
+	if cfg.HeartbeatInterval <= 0 {
+		cfg.HeartbeatInterval = DefaultHeartbeatInterval
+	}
+	if cfg.SilenceTimeout <= 0 {
+		cfg.SilenceTimeout = DefaultSilenceTimeout
+	}
+	if cfg.QueueFrames <= 0 {
+		cfg.QueueFrames = DefaultQueueFrames
+	}
+	if cfg.CheckPeer == nil {
+		cfg.CheckPeer = func(string, string) string { return "" }
+	}
+	if cfg.Observer == nil {
+		cfg.Observer = nopObserver{}
+	}
+	return cfg
+}
+
+// Start listens and begins to dial the peers.
+func (t *Transport) Start() error {
+	listener, err := net.Listen("tcp", t.cfg.Listen)
+	if err != nil {
+		return &ListenError{Address: t.cfg.Listen, Cause: err}
+	}
+	t.listener = listener
+	t.wg.Add(1)
+	go t.acceptLoop()
+	for _, peer := range t.cfg.Peers {
+		t.AddPeer(peer)
+	}
+	return nil
+}
+
+// Address returns the address that the transport listens on.
+func (t *Transport) Address() string { return t.listener.Addr().String() }
+
+// AddPeer begins to dial a peer. A known peer is left as it is.
+func (t *Transport) AddPeer(peer Peer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed || peer.Host == t.cfg.Host || t.peers[peer.Host] != nil {
+		return
+	}
+	out := newOutbound(t, peer)
+	t.peers[peer.Host] = out
+	t.wg.Add(1)
+	go out.run()
+}
+
+// Connected reports whether the connection to a peer is open.
+func (t *Transport) Connected(host string) bool {
+	out := t.outboundTo(host)
+	return out != nil && out.connected()
+}
+
+// LastError returns why the last connection attempt to a peer failed.
+func (t *Transport) LastError(host string) error {
+	out := t.outboundTo(host)
+	if out == nil {
+		return nil
+	}
+	return out.lastError()
+}
+
+// Close ends all connections and waits for the goroutines of the transport.
+func (t *Transport) Close() {
+	t.mu.Lock()
+	if t.closed {
+		t.mu.Unlock()
+		return
+	}
+	t.closed = true
+	close(t.stop)
+	for conn := range t.accepted {
+		_ = conn.Close()
+	}
+	for _, out := range t.peers {
+		out.interrupt()
+	}
+	t.mu.Unlock()
+	if t.listener != nil {
+		_ = t.listener.Close()
+	}
+	t.wg.Wait()
+}
+
+func (t *Transport) outboundTo(host string) *outbound {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.peers[host]
+}
+
+func (t *Transport) acceptLoop() {
+	defer t.wg.Done()
+	for {
+		conn, err := t.listener.Accept()
+		if err != nil {
+			if t.stopping() {
+				return
+			}
+			// Accept fails for a while when file descriptors run out.
+			t.pause(minRedial)
+			continue
+		}
+		if !t.track(conn) {
+			_ = conn.Close()
+			return
+		}
+		t.wg.Add(1)
+		go t.serve(conn)
+	}
+}
+
+func (t *Transport) track(conn net.Conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return false
+	}
+	t.accepted[conn] = struct{}{}
+	return true
+}
+
+func (t *Transport) untrack(conn net.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.accepted, conn)
+}
+
+func (t *Transport) stopping() bool {
+	select {
+	case <-t.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// pause waits unless the transport stops first.
+func (t *Transport) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-t.stop:
+	}
+}
+
+type nopObserver struct{}
+
+func (nopObserver) FrameSent(string, Kind, int)       {}
+func (nopObserver) FrameReceived(string, Kind, int)   {}
+func (nopObserver) FrameDropped(string, Kind, string) {}
+func (nopObserver) ConnectionClosed(string, string)   {}
