--- /dev/null
+++ b/coord/raft/status.go
@@ -0,0 +1,93 @@
+package raft
+
+import "time"
+
+// Role is the role of a node in its group.
+type Role uint8
+
+// Roles of nodes.
+const (
+	RoleFollower Role = iota
+	RolePreCandidate
+	RoleCandidate
+	RoleLeader
+)
+
+// String returns the name of the role.
+func (r Role) String() string {
+	names := [...]string{"follower", "pre-candidate", "candidate", "leader"}
+	if int(r) >= len(names) {
+		return "invalid"
+	}
+	return names[r]
+}
+
+// PeerState is how a leader replicates to a member.
+type PeerState uint8
+
+// States of members as seen by the leader.
+const (
+	// PeerProbe sends one batch at a time to find where the logs match.
+	PeerProbe PeerState = iota
+	// PeerReplicate sends batches without waiting for replies.
+	PeerReplicate
+	// PeerSnapshot sends a snapshot.
+	PeerSnapshot
+)
+
+// String returns the name of the state.
+func (s PeerState) String() string {
+	names := [...]string{"probe", "replicate", "snapshot"}
+	if int(s) >= len(names) {
+		return "invalid"
+	}
+	return names[s]
+}
+
+// PeerStatus describes another member as seen by the leader.
+type PeerStatus struct {
+	ID      string
+	Voter   bool
+	State   PeerState
+	Match   uint64
+	Next    uint64
+	Silence time.Duration
+	// LowPriority is false until the member has replied.
+	LowPriority bool
+	// SnapshotSent and SnapshotTotal are in bytes.
+	SnapshotSent, SnapshotTotal uint64
+}
+
+// Status describes a node.
+type Status struct {
+	ID, Group     string
+	Role          Role
+	Term          uint64
+	Vote          string
+	Leader        string
+	Commit        uint64
+	Applied       uint64
+	FirstIndex    uint64
+	LastIndex     uint64
+	SnapshotIndex uint64
+	Membership    Membership
+	// ChangeIndex is the index of the latest membership change; the change is
+	// in flight while ChangeIndex exceeds Commit.
+	ChangeIndex uint64
+	// TransferTo is the target of a transfer in progress.
+	TransferTo string
+	// UncommittedBytes is the size of the entries after Commit.
+	UncommittedBytes int
+	// Peers lists the other members sorted by ID; it is empty unless leading.
+	Peers []PeerStatus
+}
+
+// Peer returns the status of a member and whether it is listed.
+func (s Status) Peer(id string) (PeerStatus, bool) {
+	for _, p := range s.Peers {
+		if p.ID == id {
+			return p, true
+		}
+	}
+	return PeerStatus{}, false
+}
