--- /dev/null
+++ b/coord/dedup/types.go
@@ -0,0 +1,114 @@
+package dedup
+
+import "time"
+
+// Digest identifies the content of a request, for example its SHA-256.
+type Digest [32]byte
+
+// DecisionKind says what the owner of a request must do.
+type DecisionKind uint8
+
+// Decisions of Begin. Only Send permits the request to be sent; Capacity,
+// Expired, Conflict, StaleTerm and Invalid refuse it without running it now.
+const (
+	// Send means that the key is new and now recorded as sending.
+	Send DecisionKind = iota + 1
+	// InProgress means that the request is being run by Decision.Owner.
+	InProgress
+	// Recorded means that Decision.Outcome is the final outcome.
+	Recorded
+	// UnknownOutcome means that the request may or may not have run.
+	UnknownOutcome
+	// Conflict means that the key was used with a different digest.
+	Conflict
+	// Expired means that the key was used before and its record is gone, or
+	// that its issue time is too old to tell.
+	Expired
+	// Capacity means that the table is full; the request was not run.
+	Capacity
+	// StaleTerm means that the command comes from a leader whose keys have
+	// already been marked unknown; the request was not run.
+	StaleTerm
+	// Invalid means that the key is empty, too long or has an issue time in
+	// the future; the request was not run.
+	Invalid
+)
+
+// OutcomeKind is the state of a key after sending.
+type OutcomeKind uint8
+
+// Outcomes.
+const (
+	// Answered means that a complete response was received.
+	Answered OutcomeKind = iota + 1
+	// NotRun means that the request certainly did not run.
+	NotRun
+	// Unknown means that the request may or may not have run.
+	Unknown
+)
+
+// Outcome is the result of a request.
+type Outcome struct {
+	Kind   OutcomeKind
+	Status int
+	Body   []byte
+	// BodyDropped is true if the response was too large to be kept. Body is
+	// then empty, because an incomplete response must never be returned.
+	BodyDropped bool
+}
+
+// Decision is the answer to Begin.
+type Decision struct {
+	Kind DecisionKind
+	// Outcome is set for Recorded and UnknownOutcome.
+	Outcome Outcome
+	// Owner and Term are those of the recorded Begin, for InProgress.
+	Owner string
+	Term  uint64
+}
+
+// FinishResult says what Finish did.
+type FinishResult uint8
+
+// Results of Finish.
+const (
+	// Stored means that the outcome is now the recorded one.
+	Stored FinishResult = iota + 1
+	// Unchanged means that an outcome was recorded earlier and stays.
+	Unchanged
+	// NoRecord means that the key is not known or has expired.
+	NoRecord
+)
+
+// Request is the argument of Begin.
+type Request struct {
+	Key    string
+	Digest Digest
+	Owner  string
+	Term   uint64
+}
+
+// Config bounds a table. All replicas must use the same values.
+type Config struct {
+	// MaxKeys bounds the number of full records.
+	MaxKeys int
+	// MaxRecords bounds full and compact records together.
+	MaxRecords int
+	// MaxBytes bounds the accounted bytes of all records.
+	MaxBytes int64
+	// MaxResponseBytes bounds one recorded response body.
+	MaxResponseBytes int
+	// Retention is how long a full record is kept after its last change.
+	Retention time.Duration
+	// ExpiredRetention is how long the compact record of a key without issue
+	// time is kept after its full record has expired.
+	ExpiredRetention time.Duration
+}
+
+// Usage is the current size of a table.
+type Usage struct {
+	Keys    int
+	Sending int
+	Compact int
+	Bytes   int64
+}
--- /dev/null
+++ b/coord/wal/fs.go
@@ -0,0 +1,32 @@
+package wal
+
+import "io"
+
+// File is a file opened for appending.
+type File interface {
+	io.Writer
+	// Sync makes all earlier writes durable.
+	Sync() error
+	Close() error
+}
+
+// FS is the set of file operations that the store needs. Names are paths.
+// Creation, renaming and removal of files are durable only after SyncDir.
+type FS interface {
+	MkdirAll(dir string) error
+	// List returns the names of the files in dir, sorted.
+	List(dir string) ([]string, error)
+	ReadFile(name string) ([]byte, error)
+	// Create makes an empty file, replacing an existing one.
+	Create(name string) (File, error)
+	// Append opens an existing file for writing at its end.
+	Append(name string) (File, error)
+	// Truncate shortens a file and syncs it.
+	Truncate(name string, size int64) error
+	Rename(from, to string) error
+	Remove(name string) error
+	SyncDir(dir string) error
+	// Lock takes an exclusive lock on a file, creating it if needed. It
+	// returns a *LockedError if another process holds the lock.
+	Lock(name string) (io.Closer, error)
+}
