--- /dev/null
+++ b/scheduler/rules/parse.go
@@ -0,0 +1,87 @@
+package rules
+
+import (
+	"strconv"
+
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// GuaranteeProblem is a guarantee that does not fit the topology together
+// with the others.
+type GuaranteeProblem struct {
+	// Line is the line of the guarantee, from its Source.
+	Line    int
+	Message string
+	Hint    string
+}
+
+// GuaranteeCheck decides exactly whether all guarantees of a configuration
+// fit. It is called only for a configuration without other errors, and must
+// depend on nothing but its argument.
+type GuaranteeCheck func(*structs.Config) []GuaranteeProblem
+
+// Parse reads a rules file. It returns either a configuration or all errors
+// found, sorted by position. The name only serves to label errors.
+func Parse(name string, text []byte, checks ...GuaranteeCheck) (*structs.Config, []*Error) {
+	statements, errs := parseStatements(name, text)
+	cfg := build(statements)
+	c := newChecker(name, statements)
+	c.run()
+	errs = append(errs, c.errs...)
+	if len(errs) == 0 {
+		errs = runGuaranteeChecks(name, cfg, statements, checks)
+	}
+	if len(errs) > 0 {
+		sortErrors(errs)
+		return nil, errs
+	}
+	return cfg, nil
+}
+
+// Load builds the configuration of a text that was accepted earlier. It skips
+// the checks between rules, so that a host with stricter checks than the one
+// that accepted the text can still use it.
+func Load(name string, text []byte) (*structs.Config, []*Error) {
+	statements, errs := parseStatements(name, text)
+	if len(errs) > 0 {
+		sortErrors(errs)
+		return nil, errs
+	}
+	return build(statements), nil
+}
+
+func parseStatements(name string, text []byte) ([]*statement, []*Error) {
+	if len(text) > MaxTextBytes || len(Format(text)) > MaxTextBytes {
+		return nil, []*Error{{
+			Code: CodeTooLarge, File: name,
+			Message: "rules are larger than " + strconv.Itoa(MaxTextBytes) + " bytes",
+		}}
+	}
+	var statements []*statement
+	var errs []*Error
+	for i, line := range splitLines(text) {
+		s, lineErrs := parseLine(name, i+1, line)
+		errs = append(errs, lineErrs...)
+		if s != nil {
+			statements = append(statements, s)
+		}
+	}
+	return statements, errs
+}
+
+func runGuaranteeChecks(name string, cfg *structs.Config, statements []*statement, checks []GuaranteeCheck) []*Error {
+	columns := map[int]int{}
+	for _, s := range statements {
+		columns[s.line] = s.column
+	}
+	var errs []*Error
+	for _, check := range checks {
+		for _, p := range check(cfg) {
+			errs = append(errs, &Error{
+				Code: CodeGuaranteeUnfit, File: name, Line: p.Line, Column: columns[p.Line],
+				Message: p.Message, Hint: p.Hint,
+			})
+		}
+	}
+	return errs
+}
