--- /dev/null
+++ b/daemon/group/group.go
@@ -0,0 +1,409 @@
+// Package group runs one replicated log of a host: it gives the replica its
+// time and messages, batches proposals and delivers their results.
+package group
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"cranberrydrum.dev/coord/raft"
+	"cranberrydrum.dev/coord/replica"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+const (
+	tickInterval   = 20 * time.Millisecond
+	inboxMessages  = 4096
+	maxBatch       = 256
+	proposalBuffer = 1024
+)
+
+// Sender sends the messages of a replica to other hosts.
+type Sender func(raft.Message)
+
+// Owner is told, on the goroutine of the group, about time and applied
+// commands. It may return commands to propose; they are proposed only while
+// this host leads.
+type Owner interface {
+	Step(now time.Duration, view View) [][]byte
+}
+
+// View is what an owner needs to know about its log.
+type View struct {
+	Status raft.Status
+	// Lease is true while no other host can lead.
+	Lease bool
+	// Ready is true when the leader has applied an entry of its own term, so
+	// that its state is current.
+	Ready bool
+	// Restored is true if a snapshot replaced the state since the last step.
+	Restored bool
+}
+
+// Config describes a group.
+type Config struct {
+	Name    string
+	Replica *replica.Replica
+	Send    Sender
+	Owner   Owner
+	// Now reads the monotonic clock of the process.
+	Now    func() time.Duration
+	Logger logr.Logger
+	// Failed is called once when the storage of the group fails.
+	Failed func(error)
+}
+
+// Group runs one replica on a goroutine of its own.
+type Group struct {
+	cfg       Config
+	inbox     chan raft.Message
+	proposals chan *proposal
+	jobs      chan func(now time.Duration)
+	stop      chan struct{}
+	done      chan struct{}
+
+	// waiting maps the index of a proposal to its proposer. Only the
+	// goroutine of the group uses it.
+	waiting  map[uint64]*proposal
+	restored bool
+	failure  error
+
+	mu     sync.Mutex
+	status raft.Status
+	lease  bool
+}
+
+// proposal is a command whose proposer waits for the result.
+type proposal struct {
+	command []byte
+	term    uint64
+	done    chan outcome
+}
+
+type outcome struct {
+	result []byte
+	err    error
+}
+
+// New returns a group that is not yet started.
+func New(cfg Config) *Group {
+	return &Group{
+		cfg:       cfg,
+		inbox:     make(chan raft.Message, inboxMessages),
+		proposals: make(chan *proposal, proposalBuffer),
+		jobs:      make(chan func(time.Duration), proposalBuffer),
+		stop:      make(chan struct{}),
+		done:      make(chan struct{}),
+		waiting:   map[uint64]*proposal{},
+		status:    cfg.Replica.Status(),
+	}
+}
+
+// Start begins to run the group.
+func (g *Group) Start() { go g.run() }
+
+// Stop ends the group and closes its storage.
+func (g *Group) Stop() {
+	close(g.stop)
+	<-g.done
+}
+
+// Name returns the name of the replicated log.
+func (g *Group) Name() string { return g.cfg.Name }
+
+// Deliver hands over a message from another host. A message that does not fit
+// the inbox is dropped; raft sends it again.
+func (g *Group) Deliver(m raft.Message) bool {
+	select {
+	case g.inbox <- m:
+		return true
+	default:
+		return false
+	}
+}
+
+// Status returns the latest status of the replica.
+func (g *Group) Status() raft.Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.status
+}
+
+// Leads reports whether this host leads and holds the lease, as of the last step.
+func (g *Group) Leads() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lease
+}
+
+// Propose proposes a command and waits for its result. The error is a
+// structs.Refusal that says whether the command may still take effect.
+func (g *Group) Propose(command []byte, timeout time.Duration) ([]byte, error) {
+	p := &proposal{command: command, done: make(chan outcome, 1)}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case g.proposals <- p:
+	case <-timer.C:
+		return nil, structs.NotRun(structs.CodeQuorumUnavailable, "too many commands wait in "+g.cfg.Name)
+	case <-g.done:
+		return nil, structs.NotRun(structs.CodeStopping, "this host is stopping")
+	}
+	select {
+	case o := <-p.done:
+		return o.result, o.err
+	case <-timer.C:
+		return nil, structs.Unknown(structs.CodeQuorumUnavailable, "no quorum of "+g.cfg.Name+" confirmed the command in time")
+	case <-g.done:
+		return nil, structs.Unknown(structs.CodeStopping, "this host stopped before the command was confirmed")
+	}
+}
+
+// Do runs a function on the goroutine of the group, where the state machine
+// can be read. It reports whether the function ran.
+func (g *Group) Do(f func(now time.Duration)) bool {
+	ran := make(chan struct{})
+	job := func(now time.Duration) {
+		f(now)
+		close(ran)
+	}
+	select {
+	case g.jobs <- job:
+	case <-g.done:
+		return false
+	}
+	select {
+	case <-ran:
+		return true
+	case <-g.done:
+		return false
+	}
+}
+
+// HoldsLease asks the replica at this moment whether it leads and no other
+// host can. It is the check before an effect that leaves the group.
+func (g *Group) HoldsLease() bool {
+	holds := false
+	ran := g.Do(func(time.Duration) {
+		// The clock is read again here: the process may have been paused
+		// between the start of the step and this point.
+		holds = g.cfg.Replica.HoldsLease(g.cfg.Now())
+	})
+	return ran && holds
+}
+
+// Barrier waits until this host is known to lead with a current state.
+func (g *Group) Barrier() bool {
+	ok := false
+	ran := g.Do(func(time.Duration) {
+		_, ok = g.cfg.Replica.Barrier(g.cfg.Now())
+	})
+	return ran && ok
+}
+
+// Change proposes a membership change and waits until it is committed.
+func (g *Group) Change(c raft.MemberChange, timeout time.Duration) error {
+	p := &proposal{done: make(chan outcome, 1)}
+	ran := g.Do(func(now time.Duration) {
+		ticket, out, err := g.cfg.Replica.Change(now, c)
+		if err != nil {
+			p.done <- outcome{err: refusalOf(err)}
+			return
+		}
+		g.wait(ticket, p)
+		g.process(out)
+	})
+	if !ran {
+		return structs.NotRun(structs.CodeStopping, "this host is stopping")
+	}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case o := <-p.done:
+		return o.err
+	case <-timer.C:
+		return structs.Unknown(structs.CodeQuorumUnavailable, "the membership change was not confirmed in time")
+	}
+}
+
+// Transfer hands leadership to another voter if this host leads.
+func (g *Group) Transfer(to string) error {
+	var err error
+	g.Do(func(now time.Duration) {
+		var out replica.Output
+		out, err = g.cfg.Replica.Transfer(now, to)
+		if err == nil {
+			g.process(out)
+		}
+	})
+	return err
+}
+
+func (g *Group) run() {
+	defer close(g.done)
+	defer g.closeStorage()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for g.failure == nil {
+		select {
+		case <-g.stop:
+			return
+		case <-ticker.C:
+			g.handle(g.cfg.Replica.Tick(g.cfg.Now()))
+		case m := <-g.inbox:
+			g.receive(m)
+		case p := <-g.proposals:
+			g.propose(g.collect(p))
+		case job := <-g.jobs:
+			job(g.cfg.Now())
+		}
+		g.step()
+	}
+}
+
+func (g *Group) closeStorage() {
+	if err := g.cfg.Replica.Close(); err != nil {
+		g.cfg.Logger.Error(err, "closing the storage failed", "group", g.cfg.Name)
+	}
+}
+
+func (g *Group) receive(m raft.Message) {
+	out, err := g.cfg.Replica.Receive(g.cfg.Now(), m)
+	var malformed *raft.MalformedMessageError
+	var wrong *raft.WrongGroupError
+	var removed *raft.RemovedMemberError
+	if errors.As(err, &malformed) || errors.As(err, &wrong) || errors.As(err, &removed) {
+		g.cfg.Logger.V(1).Info("dropped a message", "group", g.cfg.Name, "from", m.From, "error", err.Error())
+		return
+	}
+	g.handle(out, err)
+}
+
+// collect takes the proposals that wait already, so that they share one sync.
+func (g *Group) collect(first *proposal) []*proposal {
+	batch := []*proposal{first}
+	for len(batch) < maxBatch {
+		select {
+		case p := <-g.proposals:
+			batch = append(batch, p)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (g *Group) propose(batch []*proposal) {
+	commands := make([][]byte, len(batch))
+	for i, p := range batch {
+		commands[i] = p.command
+	}
+	tickets, out, err := g.cfg.Replica.ProposeBatch(g.cfg.Now(), commands)
+	for i, p := range batch {
+		if i < len(tickets) {
+			g.wait(tickets[i], p)
+			continue
+		}
+		p.done <- outcome{err: refusalOf(err)}
+	}
+	if isRefusal(err) {
+		err = nil
+	}
+	g.handle(out, err)
+}
+
+// wait registers the proposer at an index. An earlier proposer there lost its
+// entry: had it been committed, a later leader would not reuse the index.
+func (g *Group) wait(ticket replica.Ticket, p *proposal) {
+	p.term = ticket.Term
+	if old := g.waiting[ticket.Index]; old != nil {
+		old.done <- outcome{err: structs.NotRun(structs.CodeNotLeader, "another leader replaced the command")}
+	}
+	g.waiting[ticket.Index] = p
+}
+
+// handle processes the output of the replica. An error of the replica is
+// final: its storage failed or its state contradicts the group's.
+func (g *Group) handle(out replica.Output, err error) {
+	if err != nil {
+		g.failure = err
+		g.cfg.Logger.Error(err, "the replicated log failed", "group", g.cfg.Name)
+		g.cfg.Failed(err)
+		return
+	}
+	g.process(out)
+}
+
+func (g *Group) process(out replica.Output) {
+	for _, m := range out.Messages {
+		g.cfg.Send(m)
+	}
+	for _, a := range out.Applied {
+		g.resolve(a)
+	}
+	if out.Restored > 0 {
+		g.restored = true
+		g.abandonUpTo(out.Restored)
+	}
+}
+
+// resolve answers the proposer at an applied index. Another term at that index
+// means that the proposal was replaced and can never take effect.
+func (g *Group) resolve(a replica.Applied) {
+	p := g.waiting[a.Index]
+	if p == nil {
+		return
+	}
+	delete(g.waiting, a.Index)
+	if a.Term != p.term {
+		p.done <- outcome{err: structs.NotRun(structs.CodeNotLeader, "another leader replaced the command")}
+		return
+	}
+	p.done <- outcome{result: a.Result}
+}
+
+// abandonUpTo answers proposals that a snapshot has passed: whether they are
+// part of it cannot be told.
+func (g *Group) abandonUpTo(index uint64) {
+	for i, p := range g.waiting {
+		if i <= index {
+			delete(g.waiting, i)
+			p.done <- outcome{err: structs.Unknown(structs.CodeNotLeader, "a snapshot replaced the state")}
+		}
+	}
+}
+
+// step lets the owner act and publishes the status.
+func (g *Group) step() {
+	if g.failure != nil {
+		return
+	}
+	now := g.cfg.Now()
+	status := g.cfg.Replica.Status()
+	_, ready := g.cfg.Replica.Barrier(now)
+	view := View{Status: status, Lease: g.cfg.Replica.HoldsLease(now), Ready: ready, Restored: g.restored}
+	g.restored = false
+	g.publish(view)
+	if g.cfg.Owner == nil {
+		return
+	}
+	commands := g.cfg.Owner.Step(now, view)
+	if len(commands) == 0 {
+		return
+	}
+	_, out, err := g.cfg.Replica.ProposeBatch(g.cfg.Now(), commands)
+	if isRefusal(err) {
+		err = nil
+	}
+	g.handle(out, err)
+}
+
+func (g *Group) publish(view View) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.status = view.Status
+	g.lease = view.Lease && view.Ready
+}
--- /dev/null
+++ b/daemon/node/backends.go
@@ -0,0 +1,147 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"cranberrydrum.dev/coord/registry"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+const (
+	// backendTTL bounds how long a backend server that fell silent, or whose
+	// drain did not reach this host, still receives new work.
+	backendTTL            = 3 * time.Second
+	backendTombstone      = 5 * time.Minute
+	maxBackends           = 4096
+	maxBackendBytes       = 1024
+	registryMessageBytes  = 64 << 10
+	registrySyncPerSecond = 2
+)
+
+// backendDirectory holds the backend servers of this host's failure domain.
+// Hosts of one failure domain exchange what they know; other failure domains
+// are reached through their hosts and need no entry here.
+type backendDirectory struct {
+	domain string
+
+	mu       sync.Mutex
+	registry *registry.Registry
+}
+
+func newBackendDirectory(domain string) *backendDirectory {
+	return &backendDirectory{
+		domain: domain,
+		registry: registry.New(registry.Config{
+			MaxEntries:         maxBackends,
+			MaxPayloadBytes:    maxBackendBytes,
+			MaxTTL:             backendTTL,
+			TombstoneRetention: backendTombstone,
+		}),
+	}
+}
+
+// announce takes an announcement from a backend server.
+func (d *backendDirectory) announce(now time.Duration, b structs.Backend, sequence uint64) *structs.Refusal {
+	if refusal := d.check(b, sequence); refusal != nil {
+		return refusal
+	}
+	payload, err := msgpack.Marshal(&b)
+	if err != nil {
+		return structs.NotRun(structs.CodeInvalid, "the announcement cannot be encoded: "+err.Error())
+	}
+	entry := registry.Entry{
+		ID:          b.ID,
+		Incarnation: b.Incarnation,
+		Sequence:    sequence,
+		State:       registryState(b.State),
+		TTL:         backendTTL,
+		Payload:     payload,
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.registry.Merge(now, []registry.Entry{entry}).Rejected > 0 {
+		return structs.NotRun(structs.CodeInvalid, "the announcement is too large or the directory is full")
+	}
+	return nil
+}
+
+func (d *backendDirectory) check(b structs.Backend, sequence uint64) *structs.Refusal {
+	switch {
+	case b.ID == "" || b.Service == "" || b.Address == "":
+		return structs.NotRun(structs.CodeInvalid, "id, service and address are required")
+	case b.Slots < 1 || b.Connections < b.Slots:
+		return structs.NotRun(structs.CodeInvalid, "slots must be at least 1 and connections at least slots")
+	case b.Incarnation == 0 || sequence == 0:
+		return structs.NotRun(structs.CodeInvalid, "incarnation and sequence must be at least 1")
+	case b.Domain != d.domain:
+		return structs.NotRun(structs.CodeInvalid, "this host serves failure domain "+d.domain+", not "+b.Domain)
+	}
+	return nil
+}
+
+// live returns the backend servers that are up or draining.
+func (d *backendDirectory) live(now time.Duration) []structs.Backend {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.registry.Expire(now)
+	entries := d.registry.Live(now)
+	backends := make([]structs.Backend, 0, len(entries))
+	for _, e := range entries {
+		if b, ok := decodeBackend(e); ok {
+			backends = append(backends, b)
+		}
+	}
+	return backends
+}
+
+// delta returns what a peer with the given digest lacks.
+func (d *backendDirectory) delta(now time.Duration, digest []registry.Version) []registry.Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	entries, _ := d.registry.Delta(now, digest, registryMessageBytes)
+	return entries
+}
+
+func (d *backendDirectory) digest() []registry.Version {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.registry.Digest()
+}
+
+func (d *backendDirectory) merge(now time.Duration, entries []registry.Entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.registry.Merge(now, entries)
+}
+
+func decodeBackend(e registry.Entry) (structs.Backend, bool) {
+	var b structs.Backend
+	if err := msgpack.Unmarshal(e.Payload, &b); err != nil {
+		return b, false
+	}
+	b.State = backendState(e.State)
+	return b, true
+}
+
+func registryState(s structs.BackendState) registry.State {
+	switch s {
+	case structs.BackendDraining:
+		return registry.Draining
+	case structs.BackendLeft:
+		return registry.Left
+	}
+	return registry.Up
+}
+
+func backendState(s registry.State) structs.BackendState {
+	switch s {
+	case registry.Draining:
+		return structs.BackendDraining
+	case registry.Left:
+		return structs.BackendLeft
+	}
+	return structs.BackendUp
+}
--- /dev/null
+++ b/daemon/node/identity.go
@@ -0,0 +1,166 @@
+package node
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"sync"
+)
+
+const (
+	identityFile  = "identity.json"
+	peersFile     = "peers.json"
+	storeIDBytes  = 16
+	folderMode    = 0o700
+	fileMode      = 0o600
+	storeIDAbsent = "none"
+)
+
+// identity names the data folder of a host. A host that lost its disk gets
+// another store id, by which its peers notice.
+type identity struct {
+	Host  string `json:"host"`
+	Store string `json:"store"`
+}
+
+// openIdentity reads the identity of a data folder or makes a new one.
+func openIdentity(folder, host string) (identity, error) {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return identity{}, &FolderError{Folder: folder, Cause: err}
+	}
+	path := filepath.Join(folder, identityFile)
+	data, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return newIdentity(path, host)
+	}
+	if err != nil {
+		return identity{}, &FolderError{Folder: folder, Cause: err}
+	}
+	var id identity
+	if err := json.Unmarshal(data, &id); err != nil {
+		return identity{}, &FolderError{Folder: folder, Cause: err}
+	}
+	if id.Host != host {
+		return identity{}, &IdentityError{Folder: folder, Found: id.Host, Expected: host}
+	}
+	return id, nil
+}
+
+func newIdentity(path, host string) (identity, error) {
+	raw := make([]byte, storeIDBytes)
+	if _, err := rand.Read(raw); err != nil {
+		return identity{}, &FolderError{Folder: filepath.Dir(path), Cause: err}
+	}
+	id := identity{Host: host, Store: hex.EncodeToString(raw)}
+	data, err := json.Marshal(id)
+	if err != nil {
+		return identity{}, &FolderError{Folder: filepath.Dir(path), Cause: err}
+	}
+	if err := writeFileSync(path, data); err != nil {
+		return identity{}, &FolderError{Folder: filepath.Dir(path), Cause: err}
+	}
+	return id, nil
+}
+
+// peerStores remembers which store each peer had when it was first met, so
+// that a peer that lost its disk cannot vote a second time in a term.
+type peerStores struct {
+	path string
+
+	mu     sync.Mutex
+	stores map[string]string
+}
+
+// openPeerStores reads the remembered stores; an empty folder keeps them in memory only.
+func openPeerStores(folder string) (*peerStores, error) {
+	p := &peerStores{stores: map[string]string{}}
+	if folder == "" {
+		return p, nil
+	}
+	p.path = filepath.Join(folder, peersFile)
+	data, err := os.ReadFile(p.path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return p, nil
+	}
+	if err != nil {
+		return nil, &FolderError{Folder: folder, Cause: err}
+	}
+	if err := json.Unmarshal(data, &p.stores); err != nil {
+		return nil, &FolderError{Folder: folder, Cause: err}
+	}
+	return p, nil
+}
+
+// check returns why a peer must be refused, or nothing. A host without a disk
+// never votes, so that its store needs no check.
+func (p *peerStores) check(host, store string) string {
+	if store == storeIDAbsent {
+		return ""
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.stores[host]
+	if known == store {
+		return ""
+	}
+	if known != "" {
+		return "host " + host + " lost its data folder; it must join under a new id"
+	}
+	p.stores[host] = store
+	if err := p.save(); err != nil {
+		delete(p.stores, host)
+		return "the store of the peer cannot be recorded: " + err.Error()
+	}
+	return ""
+}
+
+func (p *peerStores) save() error {
+	if p.path == "" {
+		return nil
+	}
+	data, err := json.Marshal(p.stores)
+	if err != nil {
+		return err
+	}
+	return writeFileSync(p.path, data)
+}
+
+// writeFileSync replaces a file durably: the content is synced before the
+// rename and the folder after it.
+func writeFileSync(path string, data []byte) error {
+	temporary := path + ".tmp"
+	file, err := os.OpenFile(temporary, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, fileMode)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write(data)
+	if err == nil {
+		err = file.Sync()
+	}
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return err
+	}
+	if err := os.Rename(temporary, path); err != nil {
+		return err
+	}
+	return syncFolder(filepath.Dir(path))
+}
+
+func syncFolder(folder string) error {
+	dir, err := os.Open(folder)
+	if err != nil {
+		return err
+	}
+	err = dir.Sync()
+	if closeErr := dir.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
