--- a/coord/wal/errors.go
+++ b/coord/wal/errors.go
@@ -102,6 +102,7 @@
 	MisuseTooLarge      Misuse = "record exceeds MaxRecordBytes"
 	MisuseOldSnapshot   Misuse = "snapshot is not newer than the current one"
 	MisuseKeepFrom      Misuse = "keepFrom is above the snapshot index plus one"
+	MisuseHardState     Misuse = "hard state goes back or changes the vote within a term"
 )
 
 // ArgumentError reports an invalid argument.
--- a/coord/wal/types.go
+++ b/coord/wal/types.go
@@ -55,6 +55,12 @@
 	// TornTail is true if the last record of the last segment was incomplete
 	// and has been truncated.
 	TornTail bool
+	// UnfinishedRollover is true if a segment that was being started when
+	// the process ended has been removed. It held no entries.
+	UnfinishedRollover bool
+	// UnfinishedSnapshot is true if a synced snapshot was found that the log
+	// did not name yet, and has been added to the log.
+	UnfinishedSnapshot bool
 	// File, Offset and Bytes locate the truncated tail.
 	File   string
 	Offset int64
