--- /dev/null
+++ b/daemon/api/doc.go
@@ -0,0 +1,111 @@
+// Package api holds the wire types of the HTTP API and a client for it. The
+// daemon and the command line share them; docs/api.md describes each endpoint.
+// Durations on the wire are whole milliseconds, so that no clock is compared.
+package api
+
+import (
+	"time"
+
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// Paths of the API.
+const (
+	PathServices        = "/v1/services/"
+	PathJobs            = "/v1/jobs"
+	PathBackendAnnounce = "/v1/backends/announce"
+	PathBackendDrain    = "/v1/backends/drain"
+	PathBackendLeave    = "/v1/backends/leave"
+	PathWorkerRenew     = "/v1/workers/renew"
+	PathWorkerLeave     = "/v1/workers/leave"
+	PathRules           = "/v1/rules"
+	PathRulesHistory    = "/v1/rules/history"
+	PathStatus          = "/v1/status"
+	PathMembers         = "/v1/members"
+	PathMetrics         = "/metrics"
+	PathHealth          = "/healthz"
+	PathReady           = "/readyz"
+	requestsSuffix      = "/requests"
+)
+
+// RequestsPath returns the path for requests to a service.
+func RequestsPath(service string) string { return PathServices + service + requestsSuffix }
+
+// JobPath returns the path of one job.
+func JobPath(id string) string { return PathJobs + "/" + id }
+
+// Headers of requests and responses.
+const (
+	HeaderClass         = "X-Class"
+	HeaderDeadline      = "X-Deadline-Ms"
+	HeaderKey           = "Idempotency-Key"
+	HeaderNonIdempotent = "X-Non-Idempotent"
+	// HeaderRefusal carries the code of a refusal. Its presence tells a
+	// refusal from an error response of an executor.
+	HeaderRefusal = "X-Refusal"
+)
+
+// Query parameters.
+const (
+	// QueryWorkers with the value "true" adds all workers to the status.
+	QueryWorkers = "workers"
+	// QueryCustomer and QueryStatus select jobs.
+	QueryCustomer = "customer"
+	QueryStatus   = "status"
+	// QueryGroup and QueryHost name the membership to remove.
+	QueryGroup = "group"
+	QueryHost  = "host"
+)
+
+// Milliseconds converts a duration for the wire, rounding up, so that a short
+// positive duration does not become zero.
+func Milliseconds(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+// Duration converts a duration from the wire.
+func Duration(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// WorkerRenewRequest is the renewal of a worker.
+type WorkerRenewRequest = structs.WorkerReport
+
+// WorkerRenewResponse answers a renewal.
+type WorkerRenewResponse = structs.WorkerOrders
+
+// WorkerLeaveRequest announces a planned stop of a worker.
+type WorkerLeaveRequest struct {
+	Worker      string `json:"worker"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// BackendAnnounceRequest announces a backend server. It is repeated every second.
+type BackendAnnounceRequest struct {
+	ID            string `json:"id"`
+	Service       string `json:"service"`
+	FailureDomain string `json:"failure_domain"`
+	Address       string `json:"address"`
+	Slots         int    `json:"slots"`
+	Connections   int    `json:"connections"`
+	// Incarnation grows with each start of the process, and Sequence with
+	// each announcement.
+	Incarnation uint64 `json:"incarnation"`
+	Sequence    uint64 `json:"sequence"`
+}
+
+// BackendAnnounceResponse tells how long the announcement is valid.
+type BackendAnnounceResponse struct {
+	TTLMS int64 `json:"ttl_ms"`
+}
+
+// BackendRequest names a backend server that drains or leaves.
+type BackendRequest struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	// Incarnation 0 stands for the current one.
+	Incarnation uint64 `json:"incarnation,omitempty"`
+}
+
+// Done answers requests that return nothing else.
+type Done struct {
+	Done bool `json:"done"`
+}
--- /dev/null
+++ b/daemon/api/refusal.go
@@ -0,0 +1,74 @@
+package api
+
+import (
+	"net/http"
+
+	"cranberrydrum.dev/scheduler/configstate"
+	"cranberrydrum.dev/scheduler/rules"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// RefusalBody is the body of every refusal.
+type RefusalBody struct {
+	Code         structs.Code    `json:"code"`
+	Outcome      structs.Outcome `json:"outcome"`
+	Message      string          `json:"message"`
+	RetryAfterMS int64           `json:"retry_after_ms"`
+	// Winner is the accepted version, with version_conflict.
+	Winner *configstate.Winner `json:"winner,omitempty"`
+	// Errors are the faults of the text, with rules_invalid.
+	Errors []*rules.Error `json:"errors,omitempty"`
+}
+
+// BodyOf converts a refusal for the wire.
+func BodyOf(r *structs.Refusal) RefusalBody {
+	return RefusalBody{Code: r.Code, Outcome: r.Outcome, Message: r.Message, RetryAfterMS: Milliseconds(r.RetryAfter)}
+}
+
+// Refusal converts a body from the wire.
+func (b *RefusalBody) Refusal() *structs.Refusal {
+	return &structs.Refusal{Code: b.Code, Outcome: b.Outcome, Message: b.Message, RetryAfter: Duration(b.RetryAfterMS)}
+}
+
+// statuses maps codes of refusals to HTTP status codes.
+var statuses = map[structs.Code]int{
+	structs.CodeInvalid:           http.StatusBadRequest,
+	structs.CodeUnauthorized:      http.StatusUnauthorized,
+	structs.CodeForbidden:         http.StatusForbidden,
+	structs.CodeNotFound:          http.StatusNotFound,
+	structs.CodeNoConfig:          http.StatusServiceUnavailable,
+	structs.CodeQueueFull:         http.StatusTooManyRequests,
+	structs.CodeShed:              http.StatusTooManyRequests,
+	structs.CodeDeadline:          http.StatusServiceUnavailable,
+	structs.CodeExpired:           http.StatusGatewayTimeout,
+	structs.CodeNoBackend:         http.StatusServiceUnavailable,
+	structs.CodeBackendFailed:     http.StatusBadGateway,
+	structs.CodeRetryBudget:       http.StatusBadGateway,
+	structs.CodeOwnerUnreachable:  http.StatusServiceUnavailable,
+	structs.CodeNotLeader:         http.StatusServiceUnavailable,
+	structs.CodeKeyMissing:        http.StatusBadRequest,
+	structs.CodeKeyConflict:       http.StatusConflict,
+	structs.CodeKeyExpired:        http.StatusConflict,
+	structs.CodeKeyCapacity:       http.StatusTooManyRequests,
+	structs.CodeKeyInProgress:     http.StatusConflict,
+	structs.CodeOutcomeUnknown:    http.StatusBadGateway,
+	structs.CodeStopping:          http.StatusServiceUnavailable,
+	structs.CodeCancelled:         http.StatusConflict,
+	structs.CodeNeverRunnable:     http.StatusUnprocessableEntity,
+	structs.CodeQuota:             http.StatusTooManyRequests,
+	structs.CodeVersionConflict:   http.StatusConflict,
+	structs.CodeRulesInvalid:      http.StatusUnprocessableEntity,
+	structs.CodeGuaranteeUnfit:    http.StatusUnprocessableEntity,
+	structs.CodeKeyHomesFixed:     http.StatusUnprocessableEntity,
+	structs.CodeTooLarge:          http.StatusRequestEntityTooLarge,
+	structs.CodeMembershipChange:  http.StatusConflict,
+	structs.CodeQuorumUnavailable: http.StatusServiceUnavailable,
+}
+
+// HTTPStatus returns the HTTP status of a refusal.
+func HTTPStatus(code structs.Code) int {
+	if status, ok := statuses[code]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
