--- /dev/null
+++ b/scheduler/serving/share.go
@@ -0,0 +1,22 @@
+package serving
+
+import "slices"
+
+// Share returns the part of slots that self owns when the hosts divide them.
+// The result depends only on the set of hosts. The shares of all hosts add up
+// to slots, and each host gets at least one if there are enough. A host that
+// is not in the list owns nothing.
+func Share(slots int, hosts []string, self string) int {
+	sorted := slices.Clone(hosts)
+	slices.Sort(sorted)
+	sorted = slices.Compact(sorted)
+	rank, found := slices.BinarySearch(sorted, self)
+	if !found || slots <= 0 {
+		return 0
+	}
+	share := slots / len(sorted)
+	if rank < slots%len(sorted) {
+		share++
+	}
+	return share
+}
