Add the exported API of the placement scheduler

Rules gain the topology, Running gains the log index of its reservation, which orders the claims on a guarantee, and Waiting gains a typed code.

--- a/scheduler/placement/types.go
+++ b/scheduler/placement/types.go
@@ -11,7 +11,11 @@
 // Rules are the parts of the configuration that placement needs, for one
 // failure domain.
 type Rules struct {
-	Domain     string
+	Domain string
+	// Topology states the expected racks and workers, which define what a
+	// whole rack and a whole worker are. If it is zero, they are derived from
+	// the registered workers.
+	Topology   structs.FailureDomain
 	Customers  []structs.Customer
 	Guarantees []structs.Guarantee
 	Quotas     []structs.Quota
@@ -36,6 +40,10 @@
 	ID      string
 	Spec    structs.JobSpec
 	Members []structs.Member
+	// Order is the log index of the reservation. Jobs claim their customer's
+	// guarantee in the order (Order, Started, ID), so a later start never
+	// takes the protection of the guarantee from an earlier one.
+	Order uint64
 	// Started is when the run began and Checkpointed when its last checkpoint ended.
 	Started      time.Duration
 	Checkpointed time.Duration
@@ -68,8 +76,35 @@
 	Grace      time.Duration
 }
 
-// Waiting says why a job was not placed.
+// Waiting says why a job was not placed. A round lists only the jobs that it
+// examined, which are the heads of the queues and not the whole backlog.
 type Waiting struct {
 	Job    string
 	Reason string
+	// Code is the machine-readable form of the reason.
+	Code WaitCode
+	// ExpectedStart is set if the job holds a reservation.
+	ExpectedStart time.Duration
+}
+
+// WaitCode is a stable reason for which a job was not placed.
+type WaitCode string
+
+// Codes of waiting jobs.
+const (
+	WaitNoRoom        WaitCode = "no_room"
+	WaitQuota         WaitCode = "quota"
+	WaitReserved      WaitCode = "reserved"
+	WaitPreempting    WaitCode = "preempting"
+	WaitNeverRunnable WaitCode = "never_runnable"
+)
+
+// Snapshot is the whole input of a round, for the stateless form.
+type Snapshot struct {
+	Config  Config
+	Now     time.Duration
+	Rules   Rules
+	Workers []structs.Worker
+	Queued  []Queued
+	Running []Running
 }
