--- /dev/null
+++ b/scheduler/jobs/codec.go
@@ -0,0 +1,85 @@
+package jobs
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// encode writes values one after the other. Structs become arrays, because
+// field names are two thirds of the bytes of a plan for a large gang. Fields
+// may therefore only be added at the end of a struct.
+func encode(what string, values ...any) ([]byte, error) {
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
+	for _, v := range values {
+		if err := enc.Encode(v); err != nil {
+			return nil, &EncodeError{What: what, Err: err}
+		}
+	}
+	return buf.Bytes(), nil
+}
+
+// decode reads values one after the other and refuses bytes that remain.
+func decode(what string, data []byte, values ...any) error {
+	reader := bytes.NewReader(data)
+	dec := msgpack.NewDecoder(reader)
+	for _, v := range values {
+		if err := dec.Decode(v); err != nil {
+			return &DecodeError{What: what, Err: err}
+		}
+	}
+	if reader.Len() > 0 {
+		return &DecodeError{What: what, Err: &TrailingBytesError{Bytes: reader.Len()}}
+	}
+	return nil
+}
+
+// EncodeCommand returns the log entry of a command.
+func EncodeCommand(c Command) ([]byte, error) {
+	if c.Body == nil {
+		return nil, &EncodeError{What: "command", Err: &EmptyCommandError{}}
+	}
+	return encode("command", c.Body.kind(), c.Term, int64(c.Clock), c.Body)
+}
+
+// DecodeCommand reads a log entry.
+func DecodeCommand(data []byte) (Command, error) {
+	reader := bytes.NewReader(data)
+	dec := msgpack.NewDecoder(reader)
+	var kind Kind
+	var c Command
+	var clock int64
+	for _, v := range []any{&kind, &c.Term, &clock} {
+		if err := dec.Decode(v); err != nil {
+			return Command{}, &DecodeError{What: "command", Err: err}
+		}
+	}
+	c.Clock = time.Duration(clock)
+	c.Body = newBody(kind)
+	if c.Body == nil {
+		return Command{}, &DecodeError{What: "command", Err: &UnknownKindError{Kind: kind}}
+	}
+	if err := dec.Decode(c.Body); err != nil {
+		return Command{}, &DecodeError{What: "command", Err: err}
+	}
+	if reader.Len() > 0 {
+		return Command{}, &DecodeError{What: "command", Err: &TrailingBytesError{Bytes: reader.Len()}}
+	}
+	return c, nil
+}
+
+// EncodeResult returns the bytes of a result, for the reply to a proposer.
+func EncodeResult(r Result) ([]byte, error) {
+	return encode("result", &r)
+}
+
+// DecodeResult reads the bytes of a result.
+func DecodeResult(data []byte) (Result, error) {
+	var r Result
+	err := decode("result", data, &r)
+	return r, err
+}
--- /dev/null
+++ b/scheduler/jobs/worker.go
@@ -0,0 +1,190 @@
+package jobs
+
+import (
+	"sort"
+	"time"
+
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// MaxAccelerators bounds the accelerators that a worker may announce.
+const MaxAccelerators = 1024
+
+// worker is a registered worker.
+type worker struct {
+	structs.Worker
+	incarnation uint64
+	// epoch counts the registrations and fences WorkerLost.
+	epoch   uint64
+	lost    bool
+	lostAt  time.Duration
+	leaving bool
+	probe   bool
+	strikes int
+	until   time.Duration
+	// holders are the jobs that hold each accelerator. It never shrinks while
+	// jobs may hold accelerators that a restarted worker no longer announces.
+	holders []*job
+	// jobs are the jobs with a member here, by ID.
+	jobs []*job
+}
+
+// WorkerInfo is the public view of a worker.
+type WorkerInfo struct {
+	structs.Worker
+	Incarnation uint64
+	Lost        bool
+	Leaving     bool
+	Jobs        int
+}
+
+// info returns the public view.
+func (w *worker) info() WorkerInfo {
+	return WorkerInfo{Worker: w.Worker, Incarnation: w.incarnation, Lost: w.lost, Leaving: w.leaving, Jobs: len(w.jobs)}
+}
+
+// insert adds a job in the order of IDs.
+func (w *worker) insert(j *job) {
+	i := sort.Search(len(w.jobs), func(i int) bool { return w.jobs[i].ID >= j.ID })
+	w.jobs = append(w.jobs, nil)
+	copy(w.jobs[i+1:], w.jobs[i:])
+	w.jobs[i] = j
+}
+
+// remove drops a job.
+func (w *worker) remove(j *job) {
+	i := sort.Search(len(w.jobs), func(i int) bool { return w.jobs[i].ID >= j.ID })
+	if i < len(w.jobs) && w.jobs[i] == j {
+		w.jobs = append(w.jobs[:i], w.jobs[i+1:]...)
+	}
+}
+
+// resize makes room for the announced accelerators.
+func (w *worker) resize() {
+	for len(w.holders) < w.Accelerators {
+		w.holders = append(w.holders, nil)
+	}
+}
+
+// registerWorker adds a worker or takes note of its restart or return. A
+// higher incarnation proves that the tasks of the earlier process are gone.
+func (s *State) registerWorker(b *RegisterWorker) Result {
+	if b.Worker.ID == "" || b.Worker.Accelerators < 0 || b.Worker.Accelerators > MaxAccelerators {
+		return refused(structs.CodeInvalid, "the worker has no ID or an impossible number of accelerators")
+	}
+	w := s.workers[b.Worker.ID]
+	if w == nil {
+		w = &worker{}
+		s.workers[b.Worker.ID] = w
+	} else if b.Incarnation < w.incarnation {
+		return refused(structs.CodeInvalid, "a later incarnation of the worker is registered")
+	}
+	restarted := b.Incarnation > w.incarnation || w.epoch == 0
+	if !restarted && !w.lost && sameHardware(w.Worker, b.Worker) {
+		return Result{}
+	}
+	if restarted {
+		s.endTasksOn(w, "worker "+b.Worker.ID+" restarted")
+		w.leaving = false
+	}
+	quarantined := w.Quarantined
+	w.Worker = b.Worker
+	w.Quarantined = quarantined
+	w.incarnation = b.Incarnation
+	if restarted || w.lost {
+		w.epoch = s.index
+	}
+	w.lost, w.lostAt = false, 0
+	w.resize()
+	s.changes.add(change{worker: w.ID})
+	return Result{}
+}
+
+// sameHardware compares what a worker announces.
+func sameHardware(a, b structs.Worker) bool {
+	a.Quarantined, b.Quarantined = false, false
+	return a == b
+}
+
+// endTasksOn ends the members on a worker whose tasks are certainly gone.
+// Their jobs lose the run, which does not count as a failure.
+func (s *State) endTasksOn(w *worker, reason string) {
+	for _, j := range append([]*job(nil), w.jobs...) {
+		i := j.member(w.ID)
+		if ended(j.phases[i]) {
+			continue
+		}
+		s.endMember(j, i, structs.TaskStopped)
+		s.beginStop(j, stopRequeue, true, reason)
+		s.settle(j)
+	}
+}
+
+// workerLost records that the lease of a worker is over.
+func (s *State) workerLost(b *WorkerLost) Result {
+	w := s.workers[b.Worker]
+	if w == nil || w.lost || w.epoch != b.Epoch {
+		return refused(structs.CodeNotFound, "the worker is gone, lost already or has registered again")
+	}
+	w.lost, w.lostAt, w.probe = true, s.clock, false
+	s.changes.add(change{worker: w.ID})
+	s.endTasksOn(w, "worker "+w.ID+" lost")
+	s.reap(w)
+	return Result{}
+}
+
+// removeWorker drains a worker that leaves.
+func (s *State) removeWorker(b *RemoveWorker) Result {
+	w := s.workers[b.Worker]
+	if w == nil {
+		return refused(structs.CodeNotFound, "no such worker")
+	}
+	w.leaving = true
+	s.changes.add(change{worker: w.ID})
+	for _, j := range append([]*job(nil), w.jobs...) {
+		if j.Status != structs.JobStopping {
+			s.stopGracefully(j, true, b.Grace, "worker "+w.ID+" leaves")
+		}
+	}
+	s.reap(w)
+	return Result{}
+}
+
+// reap removes the record of a worker that has left.
+func (s *State) reap(w *worker) {
+	if w.leaving && w.lost && len(w.jobs) == 0 {
+		delete(s.workers, w.ID)
+		s.changes.add(change{worker: w.ID})
+	}
+}
+
+// setQuarantine changes whether a worker gets work.
+func (s *State) setQuarantine(b *SetQuarantine) Result {
+	w := s.workers[b.Worker]
+	if w == nil {
+		return refused(structs.CodeNotFound, "no such worker")
+	}
+	w.Quarantined = b.Quarantined
+	w.probe = b.Quarantined && b.Probe
+	w.strikes = b.Strikes
+	w.until = b.Until
+	s.changes.add(change{worker: w.ID})
+	return Result{}
+}
+
+// admits reports whether the worker may get new work.
+func (w *worker) admits() bool {
+	return !w.lost && !w.leaving && (!w.Quarantined || w.probe)
+}
+
+// idleLostWorkers returns the lost workers without jobs, first lost first.
+func (s *State) idleLostWorkers() []*worker {
+	var lost []*worker
+	for _, w := range s.sortedWorkers() {
+		if w.lost && len(w.jobs) == 0 {
+			lost = append(lost, w)
+		}
+	}
+	sort.SliceStable(lost, func(a, b int) bool { return lost[a].lostAt < lost[b].lostAt })
+	return lost
+}
