--- a/daemon/group/group.go
+++ b/daemon/group/group.go
@@ -407,3 +407,7 @@
 	g.status = view.Status
 	g.lease = view.Lease && view.Ready
 }
+
+// HoldsLeaseInStep is HoldsLease for functions that run on the goroutine of
+// the group already.
+func (g *Group) HoldsLeaseInStep() bool { return g.cfg.Replica.HoldsLease(g.cfg.Now()) }
--- /dev/null
+++ b/daemon/node/domainowner.go
@@ -0,0 +1,154 @@
+package node
+
+import (
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"cranberrydrum.dev/daemon/group"
+	"cranberrydrum.dev/daemon/metrics"
+	"cranberrydrum.dev/scheduler/domain"
+	"cranberrydrum.dev/scheduler/jobs"
+	"cranberrydrum.dev/scheduler/placement"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+const (
+	keyExpireInterval  = 30 * time.Second
+	takeOverRetry      = 500 * time.Millisecond
+	workerLeaseMargin  = time.Second
+	workerLeaveGrace   = 30 * time.Second
+	domainGroupPrefix  = "domain/"
+	metricsKeysSending = "sending"
+	metricsKeysTotal   = "recorded"
+	metricsKeysCompact = "compact"
+)
+
+// domainGroup returns the name of the replicated log of a failure domain.
+func domainGroup(domain string) string { return domainGroupPrefix + domain }
+
+// domainOwner acts as the owner of a failure domain while this host leads its
+// log. All methods run on the goroutine of the group.
+type domainOwner struct {
+	domain  string
+	state   *domain.State
+	keeper  *configKeeper
+	lease   time.Duration
+	metrics *metrics.Metrics
+	log     logr.Logger
+
+	controller *jobs.Controller
+	scheduler  *timedPlanner
+	term       uint64
+	nextTakeOver time.Duration
+	nextExpire   time.Duration
+}
+
+// Step implements group.Owner.
+func (o *domainOwner) Step(now time.Duration, view group.View) [][]byte {
+	if !view.Lease || !view.Ready {
+		o.resign()
+		return nil
+	}
+	if o.controller == nil || o.term != view.Status.Term || view.Restored {
+		o.lead(now, view.Status.Term)
+	}
+	o.configure()
+	var commands [][]byte
+	for _, c := range o.controller.Tick(now) {
+		data, err := domain.EncodeJobs(c)
+		if err != nil {
+			o.log.Error(err, "a command cannot be encoded", "domain", o.domain)
+			continue
+		}
+		commands = append(commands, data)
+	}
+	return append(commands, o.keyCommands(now)...)
+}
+
+// lead starts a controller for a new term.
+func (o *domainOwner) lead(now time.Duration, term uint64) {
+	o.scheduler = &timedPlanner{Scheduler: placement.New(placement.Config{}), metrics: o.metrics, domain: o.domain}
+	cfg := jobs.DefaultControllerConfig(o.scheduler)
+	cfg.Lease = o.lease
+	cfg.Margin = workerLeaseMargin
+	o.controller = jobs.NewController(cfg, o.state.Jobs(), now, term)
+	o.term = term
+	o.nextTakeOver = now
+	o.nextExpire = now + keyExpireInterval
+	o.log.Info("this host owns the failure domain", "domain", o.domain, "term", term)
+}
+
+func (o *domainOwner) resign() {
+	if o.controller == nil {
+		return
+	}
+	o.controller = nil
+	o.scheduler = nil
+	o.log.Info("this host no longer owns the failure domain", "domain", o.domain, "term", o.term)
+}
+
+// configure hands a newer configuration to the controller.
+func (o *domainOwner) configure() {
+	if o.keeper.version() <= o.state.Jobs().ConfigVersion() {
+		return
+	}
+	current := o.keeper.current()
+	o.controller.Configure(jobs.ConfigFor(o.domain, current.Version, current.Config))
+}
+
+// keyCommands ends the keys of earlier leaders and drops expired keys.
+func (o *domainOwner) keyCommands(now time.Duration) [][]byte {
+	var commands [][]byte
+	clock := o.controller.Clock(now)
+	if o.state.TakenOver() < o.term && now >= o.nextTakeOver {
+		o.nextTakeOver = now + takeOverRetry
+		commands = o.appendCommand(commands)(domain.EncodeTakeOver(clock, o.term))
+	}
+	if now >= o.nextExpire {
+		o.nextExpire = now + keyExpireInterval
+		o.publishKeys()
+		commands = o.appendCommand(commands)(domain.EncodeExpire(clock))
+	}
+	return commands
+}
+
+func (o *domainOwner) appendCommand(commands [][]byte) func([]byte, error) [][]byte {
+	return func(data []byte, err error) [][]byte {
+		if err != nil {
+			o.log.Error(err, "a command cannot be encoded", "domain", o.domain)
+			return commands
+		}
+		return append(commands, data)
+	}
+}
+
+func (o *domainOwner) publishKeys() {
+	usage := o.state.Keys().Usage()
+	o.metrics.SetKeys(metricsKeysSending, usage.Sending)
+	o.metrics.SetKeys(metricsKeysTotal, usage.Keys)
+	o.metrics.SetKeys(metricsKeysCompact, usage.Compact)
+}
+
+// clock returns the domain clock for a command of a caller.
+func (o *domainOwner) clock(now time.Duration) (time.Duration, *structs.Refusal) {
+	if o.controller == nil {
+		return 0, structs.NotRun(structs.CodeNotLeader, "this host does not own failure domain "+o.domain)
+	}
+	return o.controller.Clock(now), nil
+}
+
+// timedPlanner measures the rounds of a placement scheduler.
+type timedPlanner struct {
+	*placement.Scheduler
+	metrics *metrics.Metrics
+	domain  string
+}
+
+// Round implements jobs.Planner.
+func (p *timedPlanner) Round(now time.Duration) placement.Plan {
+	start := time.Now()
+	plan := p.Scheduler.Round(now)
+	p.metrics.Round(time.Since(start))
+	return plan
+}
--- a/daemon/node/errors.go
+++ b/daemon/node/errors.go
@@ -31,7 +31,9 @@
 }
 
 // Error implements error.
-func (e *ServeError) Error() string { return "cannot serve HTTP on " + e.Address + ": " + e.Cause.Error() }
+func (e *ServeError) Error() string {
+	return "cannot serve HTTP on " + e.Address + ": " + e.Cause.Error()
+}
 
 // Unwrap returns the cause.
 func (e *ServeError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/daemon/node/hosts.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"cranberrydrum.dev/daemon/settings"
+)
+
+const (
+	// hostStatusInterval is how often hosts tell each other their status. It
+	// bounds, with one round trip, how late a host learns of a configuration.
+	hostStatusInterval = 500 * time.Millisecond
+	// hostStatusAge is the age from which a status is no longer used.
+	hostStatusAge = 3 * time.Second
+)
+
+// hostStatus is what a host tells all others.
+type hostStatus struct {
+	ConfigVersion uint64          `msgpack:"v"`
+	ConfigDigest  string          `msgpack:"d"`
+	Stopping      bool            `msgpack:"s,omitempty"`
+	Groups        []groupView     `msgpack:"g,omitempty"`
+	Services      []serviceStatus `msgpack:"x,omitempty"`
+}
+
+// groupView is what a member of a replicated log knows about it.
+type groupView struct {
+	Name   string `msgpack:"n"`
+	Term   uint64 `msgpack:"t"`
+	Leader string `msgpack:"l,omitempty"`
+}
+
+// serviceStatus is the load of a service on one host.
+type serviceStatus struct {
+	Service   string `msgpack:"n"`
+	Executors int    `msgpack:"e"`
+	FreeSlots int    `msgpack:"f"`
+	Queued    int    `msgpack:"q"`
+	// WaitMS is the expected wait of a new urgent request.
+	WaitMS int64 `msgpack:"w"`
+}
+
+// host is a peer with the last status that it sent.
+type host struct {
+	settings.Peer
+	status   hostStatus
+	received time.Duration
+	seen     bool
+}
+
+// hostTable keeps the last status of each other host.
+type hostTable struct {
+	mu    sync.Mutex
+	hosts map[string]*host
+}
+
+func newHostTable(peers []settings.Peer) *hostTable {
+	t := &hostTable{hosts: map[string]*host{}}
+	for _, p := range peers {
+		t.hosts[p.ID] = &host{Peer: p}
+	}
+	return t
+}
+
+// update records the status of a host. Hosts that are not configured are ignored.
+func (t *hostTable) update(now time.Duration, id string, status hostStatus) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.hosts[id]
+	if h == nil {
+		return
+	}
+	h.status = status
+	h.received = now
+	h.seen = true
+}
+
+// all returns a copy of the hosts, sorted by id.
+func (t *hostTable) all() []host {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	hosts := make([]host, 0, len(t.hosts))
+	for _, h := range t.hosts {
+		hosts = append(hosts, *h)
+	}
+	slices.SortFunc(hosts, func(a, b host) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return hosts
+}
+
+// fresh reports whether the status is young enough to be used.
+func (h *host) fresh(now time.Duration) bool { return h.seen && now-h.received <= hostStatusAge }
+
+// leader returns the leader of a log with the highest term that a host with a
+// fresh status knows.
+func (t *hostTable) leader(now time.Duration, group string) (id string, term uint64) {
+	for _, h := range t.all() {
+		if !h.fresh(now) {
+			continue
+		}
+		for _, g := range h.status.Groups {
+			if g.Name == group && g.Leader != "" && g.Term > term {
+				id, term = g.Leader, g.Term
+			}
+		}
+	}
+	return id, term
+}
+
+// inDomain returns the hosts of a failure domain.
+func (t *hostTable) inDomain(domain string) []host {
+	hosts := t.all()
+	return slices.DeleteFunc(hosts, func(h host) bool { return h.Domain != domain })
+}
--- /dev/null
+++ b/daemon/node/jobs.go
@@ -0,0 +1,239 @@
+package node
+
+import (
+	"time"
+
+	"cranberrydrum.dev/scheduler/domain"
+	"cranberrydrum.dev/scheduler/jobs"
+	"cranberrydrum.dev/scheduler/routing"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// hostedDomain is a failure domain of whose log this host has a replica.
+type hostedDomain struct {
+	owner *domainOwner
+	state *domain.State
+}
+
+// jobQuery names jobs of one failure domain. Customer limits the caller.
+type jobQuery struct {
+	Domain   string `msgpack:"d"`
+	Job      string `msgpack:"j,omitempty"`
+	Customer string `msgpack:"c,omitempty"`
+}
+
+// jobSubmit is a submission to the owner of a failure domain.
+type jobSubmit struct {
+	Spec structs.JobSpec `msgpack:"s"`
+}
+
+// jobList is the answer to a list query.
+type jobList struct {
+	Jobs []structs.Job `msgpack:"j"`
+}
+
+// jobResult is the answer to the other job methods.
+type jobResult struct {
+	Job structs.Job `msgpack:"j"`
+}
+
+func (n *Node) handleJobSubmit(_ string, s *jobSubmit, remaining time.Duration) (any, error) {
+	return n.proposeJob(s.Spec.Domain, &jobs.Submit{Spec: s.Spec}, remaining)
+}
+
+func (n *Node) handleJobCancel(_ string, q *jobQuery, remaining time.Duration) (any, error) {
+	return n.proposeJob(q.Domain, &jobs.Cancel{Job: q.Job, Customer: q.Customer}, remaining)
+}
+
+// proposeJob logs a caller's command and returns the job that it concerned.
+func (n *Node) proposeJob(domainName string, body jobs.Body, remaining time.Duration) (any, error) {
+	command, err := n.jobCommand(domainName, body)
+	if err != nil {
+		return nil, err
+	}
+	data, err := n.group(domainGroup(domainName)).Propose(command, remaining)
+	if err != nil {
+		return nil, err
+	}
+	result, err := jobs.DecodeResult(data)
+	if err != nil {
+		return nil, err
+	}
+	if result.Refusal != nil {
+		return nil, result.Refusal
+	}
+	if result.Job == nil {
+		return nil, structs.NotRun(structs.CodeNotFound, "no such job")
+	}
+	return &jobResult{Job: *result.Job}, nil
+}
+
+// jobCommand stamps a command with the clock of the owner.
+func (n *Node) jobCommand(domainName string, body jobs.Body) ([]byte, error) {
+	var command []byte
+	err := n.asOwner(domainName, func(now time.Duration, o *domainOwner) error {
+		var err error
+		command, err = domain.EncodeJobs(o.controller.Command(now, body))
+		return err
+	})
+	return command, err
+}
+
+// asOwner runs a function on the goroutine of a domain's log, if this host
+// owns the domain.
+func (n *Node) asOwner(domainName string, f func(now time.Duration, o *domainOwner) error) error {
+	hosted := n.hosted(domainName)
+	if hosted == nil {
+		return structs.NotRun(structs.CodeNotLeader, "this host has no replica of failure domain "+domainName)
+	}
+	var err error
+	ran := n.group(domainGroup(domainName)).Do(func(now time.Duration) {
+		if hosted.owner.controller == nil {
+			err = structs.NotRun(structs.CodeNotLeader, "this host does not own failure domain "+domainName)
+			return
+		}
+		err = f(now, hosted.owner)
+	})
+	if !ran {
+		return structs.NotRun(structs.CodeStopping, "this host is stopping")
+	}
+	return err
+}
+
+func (n *Node) handleJobShow(_ string, q *jobQuery, _ time.Duration) (any, error) {
+	result := &jobResult{}
+	err := n.asOwner(q.Domain, func(_ time.Duration, o *domainOwner) error {
+		job, ok := o.state.Jobs().Job(q.Job)
+		if !ok || (q.Customer != "" && job.Spec.Customer != q.Customer) {
+			return structs.NotRun(structs.CodeNotFound, "no job "+q.Job)
+		}
+		if reason := o.controller.Waiting(job.ID); job.Status == structs.JobQueued && reason != "" {
+			job.Reason = reason
+		}
+		result.Job = job
+		return nil
+	})
+	return result, err
+}
+
+func (n *Node) handleJobList(_ string, q *jobQuery, _ time.Duration) (any, error) {
+	list := &jobList{}
+	err := n.asOwner(q.Domain, func(_ time.Duration, o *domainOwner) error {
+		list.Jobs = o.state.Jobs().Jobs(q.Customer)
+		return nil
+	})
+	return list, err
+}
+
+// workerRenewal carries the renewal of a worker to the owner of its domain.
+type workerRenewal struct {
+	Report structs.WorkerReport `msgpack:"r"`
+}
+
+// workerOrders is the answer to a renewal.
+type workerOrders struct {
+	Orders structs.WorkerOrders `msgpack:"o"`
+}
+
+func (n *Node) handleWorkerRenew(_ string, r *workerRenewal, _ time.Duration) (any, error) {
+	orders := &workerOrders{}
+	domainName := r.Report.Worker.Domain
+	err := n.asOwner(domainName, func(now time.Duration, o *domainOwner) error {
+		g := n.group(domainGroup(domainName))
+		var refusal *structs.Refusal
+		orders.Orders, refusal = o.controller.Renew(now, r.Report, g.HoldsLeaseInStep())
+		if refusal != nil {
+			return refusal
+		}
+		return nil
+	})
+	return orders, err
+}
+
+// workerLeave announces the planned stop of a worker.
+type workerLeave struct {
+	Domain string `msgpack:"d"`
+	Worker string `msgpack:"w"`
+}
+
+func (n *Node) handleWorkerLeave(_ string, l *workerLeave, _ time.Duration) (any, error) {
+	err := n.asOwner(l.Domain, func(_ time.Duration, o *domainOwner) error {
+		o.controller.Leave(l.Worker, workerLeaveGrace)
+		return nil
+	})
+	return &empty{}, err
+}
+
+// SubmitJob submits a job to the owner of its failure domain. A job without a
+// failure domain goes to the home of its customer and name, so that a resend
+// through another host reaches the same owner.
+func (n *Node) SubmitJob(spec structs.JobSpec, timeout time.Duration) (structs.Job, error) {
+	if spec.Domain == "" {
+		spec.Domain = routing.HomeDomain(spec.Customer+"/"+spec.Name, n.keyHomes())
+	}
+	if refusal := n.checkDomain(spec.Domain); refusal != nil {
+		return structs.Job{}, refusal
+	}
+	result, err := callLeader[jobResult](n, domainGroup(spec.Domain), methodJobSubmit, &jobSubmit{Spec: spec}, timeout, true)
+	if err != nil {
+		return structs.Job{}, err
+	}
+	return result.Job, nil
+}
+
+// CancelJob cancels a job.
+func (n *Node) CancelJob(id, customer string, timeout time.Duration) (structs.Job, error) {
+	return n.jobCall(methodJobCancel, id, customer, timeout)
+}
+
+// ShowJob returns a job.
+func (n *Node) ShowJob(id, customer string, timeout time.Duration) (structs.Job, error) {
+	return n.jobCall(methodJobShow, id, customer, timeout)
+}
+
+func (n *Node) jobCall(method, id, customer string, timeout time.Duration) (structs.Job, error) {
+	domainName := domainOfJob(id)
+	if refusal := n.checkDomain(domainName); refusal != nil {
+		return structs.Job{}, structs.NotRun(structs.CodeNotFound, "no job "+id)
+	}
+	query := &jobQuery{Domain: domainName, Job: id, Customer: customer}
+	result, err := callLeader[jobResult](n, domainGroup(domainName), method, query, timeout, true)
+	if err != nil {
+		return structs.Job{}, err
+	}
+	return result.Job, nil
+}
+
+// ListJobs returns the jobs of all reachable failure domains and the names of
+// the others.
+func (n *Node) ListJobs(customer string, timeout time.Duration) (list []structs.Job, unreachable []string) {
+	for _, d := range n.domains() {
+		query := &jobQuery{Domain: d, Customer: customer}
+		result, err := callLeader[jobList](n, domainGroup(d), methodJobList, query, timeout, true)
+		if err != nil {
+			unreachable = append(unreachable, d)
+			continue
+		}
+		list = append(list, result.Jobs...)
+	}
+	return list, unreachable
+}
+
+// RenewWorker passes the renewal of a worker to the owner of its failure domain.
+func (n *Node) RenewWorker(r structs.WorkerReport, timeout time.Duration) (structs.WorkerOrders, error) {
+	if refusal := n.checkDomain(r.Worker.Domain); refusal != nil {
+		return structs.WorkerOrders{}, refusal
+	}
+	result, err := callLeader[workerOrders](n, domainGroup(r.Worker.Domain), methodWorkerRenew, &workerRenewal{Report: r}, timeout, false)
+	if err != nil {
+		return structs.WorkerOrders{}, err
+	}
+	return result.Orders, nil
+}
+
+// LeaveWorker announces that a worker of this host's failure domain stops.
+func (n *Node) LeaveWorker(worker string, timeout time.Duration) error {
+	leave := &workerLeave{Domain: n.cfg.Domain, Worker: worker}
+	_, err := callLeader[empty](n, domainGroup(n.cfg.Domain), methodWorkerLeave, leave, timeout, true)
+	return err
+}
--- /dev/null
+++ b/daemon/node/keys.go
@@ -0,0 +1,193 @@
+package node
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"time"
+
+	"cranberrydrum.dev/coord/dedup"
+	"cranberrydrum.dev/daemon/upstream"
+	"cranberrydrum.dev/scheduler/domain"
+	"cranberrydrum.dev/scheduler/serving"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+const (
+	// keyLogTimeout bounds the wait until a key is durable. Nothing is sent
+	// before that, so a timeout is a true "not run".
+	keyLogTimeout = 3 * time.Second
+	// keyFinishTimeout bounds the wait until an outcome is recorded.
+	keyFinishTimeout = 5 * time.Second
+)
+
+// digestOf identifies the content of a request, so that a key that is reused
+// for other content is noticed.
+func digestOf(c Call) dedup.Digest {
+	h := sha256.New()
+	for _, part := range []string{c.Request.Service, c.Request.Customer, string(c.Body)} {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+		h.Write(size[:])
+		h.Write([]byte(part))
+	}
+	return dedup.Digest(h.Sum(nil))
+}
+
+// storedKey separates the keys of customers.
+func storedKey(r structs.Request) string { return r.Customer + "/" + r.Key }
+
+// keyedAttempt runs one attempt of a non-idempotent request: the key is made
+// durable, the lease is checked, then the request is sent once.
+func (s *service) keyedAttempt(p *pendingRequest, e serving.Send, a upstream.Attempt) finishedAttempt {
+	n := s.node
+	event := serving.AttemptFinished{RequestID: e.RequestID, Attempt: e.Attempt, Result: serving.ResultWithdrawn}
+	decision, refusal := n.beginKey(p.call)
+	if refusal != nil {
+		event.Refusal = refusal
+		return finishedAttempt{event: event}
+	}
+	if decision.Kind != dedup.Send {
+		response, refusal := answerOfDecision(decision)
+		event.Refusal = refusal
+		return finishedAttempt{event: event, recorded: response}
+	}
+	if !n.group(domainGroup(n.cfg.Domain)).HoldsLease() {
+		n.finishKey(p.call, dedup.Outcome{Kind: dedup.NotRun})
+		event.Refusal = structs.NotRun(structs.CodeNotLeader, "this host lost the ownership of the key before it sent the request")
+		return finishedAttempt{event: event}
+	}
+	start := n.now()
+	response, err := n.pool.Do(a)
+	event.ServiceTime = n.now() - start
+	event.Result = keyedResult(response, err)
+	n.finishKey(p.call, outcomeOf(event.Result, response))
+	if event.Result != serving.ResultOK {
+		response = nil
+	}
+	return finishedAttempt{event: event, response: response}
+}
+
+// keyedResult is resultOf for a request that must not run twice: any answer is
+// final, because the executor has seen the request.
+func keyedResult(response *upstream.Response, err error) serving.Result {
+	if err == nil {
+		return serving.ResultOK
+	}
+	return resultOf(response, err)
+}
+
+func outcomeOf(result serving.Result, response *upstream.Response) dedup.Outcome {
+	switch result {
+	case serving.ResultOK:
+		return dedup.Outcome{Kind: dedup.Answered, Status: response.Status, Body: response.Body}
+	case serving.ResultNotSent:
+		return dedup.Outcome{Kind: dedup.NotRun}
+	}
+	return dedup.Outcome{Kind: dedup.Unknown}
+}
+
+// beginKey makes the decision to send durable. If it cannot be confirmed in
+// time, nothing was sent; the key is then released in the background, because
+// the entry may still be committed.
+func (n *Node) beginKey(c Call) (dedup.Decision, *structs.Refusal) {
+	var command []byte
+	err := n.asOwner(n.cfg.Domain, func(now time.Duration, o *domainOwner) error {
+		var err error
+		command, err = domain.EncodeBegin(o.controller.Clock(now), dedup.Request{
+			Key:    storedKey(c.Request),
+			Digest: digestOf(c),
+			Owner:  n.cfg.HostID,
+			Term:   o.term,
+		})
+		return err
+	})
+	if err != nil {
+		return dedup.Decision{}, notRun(err)
+	}
+	data, err := n.group(domainGroup(n.cfg.Domain)).Propose(command, keyLogTimeout)
+	if err != nil {
+		go n.finishKey(c, dedup.Outcome{Kind: dedup.NotRun})
+		return dedup.Decision{}, notRun(err)
+	}
+	decision, err := domain.DecodeDecision(data)
+	if err != nil {
+		return dedup.Decision{}, notRun(err)
+	}
+	return decision, nil
+}
+
+// notRun turns a failure before anything was sent into a refusal that says so.
+func notRun(err error) *structs.Refusal {
+	refusal, ok := err.(*structs.Refusal)
+	if !ok {
+		return structs.NotRun(structs.CodeOwnerUnreachable, err.Error())
+	}
+	return structs.NotRun(refusal.Code, refusal.Message)
+}
+
+// answerOfDecision is the answer to a request whose key was seen before.
+func answerOfDecision(d dedup.Decision) (*upstream.Response, *structs.Refusal) {
+	switch d.Kind {
+	case dedup.Recorded:
+		return answerOfOutcome(d.Outcome)
+	case dedup.InProgress:
+		return nil, structs.Unknown(structs.CodeKeyInProgress, "the request is being run by "+d.Owner)
+	case dedup.UnknownOutcome:
+		return nil, structs.Unknown(structs.CodeOutcomeUnknown, "an earlier run of this key may have taken effect")
+	case dedup.Conflict:
+		return nil, structs.NotRun(structs.CodeKeyConflict, "the key was used with other content")
+	case dedup.Expired:
+		return nil, structs.Unknown(structs.CodeKeyExpired, "the record of this key has expired")
+	case dedup.Capacity:
+		return nil, structs.NotRun(structs.CodeKeyCapacity, "too many keys are recorded")
+	case dedup.Invalid:
+		return nil, structs.NotRun(structs.CodeInvalid, "the key is not valid")
+	}
+	return nil, structs.NotRun(structs.CodeNotLeader, "another host owns the key by now")
+}
+
+func answerOfOutcome(o dedup.Outcome) (*upstream.Response, *structs.Refusal) {
+	switch {
+	case o.Kind == dedup.NotRun:
+		return nil, structs.NotRun(structs.CodeBackendFailed, "the request was not sent")
+	case o.Kind == dedup.Unknown:
+		return nil, structs.Unknown(structs.CodeOutcomeUnknown, "an earlier run of this key may have taken effect")
+	case o.BodyDropped:
+		return nil, structs.Unknown(structs.CodeKeyExpired, "the request ran; its answer was too large to be kept")
+	}
+	return &upstream.Response{Status: o.Status, Body: o.Body}, nil
+}
+
+// keyOutcome reports an outcome to the owner of a key.
+type keyOutcome struct {
+	Domain  string        `msgpack:"d"`
+	Key     string        `msgpack:"k"`
+	Outcome dedup.Outcome `msgpack:"o"`
+}
+
+// finishKey records the outcome of a key, with the present owner if this host
+// has lost the ownership meanwhile. A lost record leaves the key unknown,
+// which is safe.
+func (n *Node) finishKey(c Call, o dedup.Outcome) {
+	report := &keyOutcome{Domain: n.cfg.Domain, Key: storedKey(c.Request), Outcome: o}
+	_, err := callLeader[empty](n, domainGroup(n.cfg.Domain), methodKeyFinish, report, keyFinishTimeout, true)
+	if err != nil {
+		n.log.Info("the outcome of a request key could not be recorded", "key", report.Key, "error", err.Error())
+	}
+}
+
+func (n *Node) handleKeyFinish(_ string, k *keyOutcome, remaining time.Duration) (any, error) {
+	var command []byte
+	err := n.asOwner(k.Domain, func(now time.Duration, o *domainOwner) error {
+		var err error
+		command, err = domain.EncodeFinish(o.controller.Clock(now), k.Key, k.Outcome)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	if _, err := n.group(domainGroup(k.Domain)).Propose(command, remaining); err != nil {
+		return nil, err
+	}
+	return &empty{}, nil
+}
--- /dev/null
+++ b/daemon/node/node.go
@@ -0,0 +1,403 @@
+// Package node is one host of the system: it joins the replicated logs, the
+// dispatchers of requests and the connections to other hosts, executors,
+// workers and callers. Decisions are made in the packages of the scheduler.
+package node
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"cranberrydrum.dev/coord/raft"
+	"cranberrydrum.dev/daemon/group"
+	"cranberrydrum.dev/daemon/metrics"
+	"cranberrydrum.dev/daemon/settings"
+	"cranberrydrum.dev/daemon/transport"
+	"cranberrydrum.dev/daemon/upstream"
+	"cranberrydrum.dev/scheduler/configstate"
+	"cranberrydrum.dev/scheduler/guarantee"
+	"cranberrydrum.dev/scheduler/rules"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// Node is one running host.
+type Node struct {
+	cfg     settings.Settings
+	log     logr.Logger
+	metrics *metrics.Metrics
+	start   time.Time
+
+	identity  identity
+	stores    *peerStores
+	transport *transport.Transport
+	handlers  map[string]callHandler
+	hosts     *hostTable
+	backends  *backendDirectory
+	pool      *upstream.Pool
+
+	config      *configKeeper
+	configState *configstate.State
+	fetching    atomic.Bool
+	confirming  atomic.Bool
+
+	mu       sync.Mutex
+	groups   map[string]*group.Group
+	domainOf map[string]*hostedDomain
+	services map[string]*service
+
+	inFlight sync.WaitGroup
+	stopping atomic.Bool
+	refused  refusalCounts
+
+	stop   chan struct{}
+	wg     sync.WaitGroup
+	failed chan error
+}
+
+// New opens the data folder of a host and its replicated logs. The host does
+// not exchange anything before Start.
+func New(cfg settings.Settings, log logr.Logger) (*Node, error) {
+	n := &Node{
+		cfg:      cfg,
+		log:      log.WithValues("host", cfg.HostID),
+		metrics:  metrics.New(),
+		start:    time.Now(),
+		hosts:    newHostTable(cfg.Peers),
+		backends: newBackendDirectory(cfg.Domain, cfg.Timeouts.BackendTTL),
+		pool:     upstream.NewPool(),
+		config:   newConfigKeeper(),
+		groups:   map[string]*group.Group{},
+		domainOf: map[string]*hostedDomain{},
+		services: map[string]*service{},
+		refused:  refusalCounts{counts: map[structs.Code]uint64{}},
+		stop:     make(chan struct{}),
+		failed:   make(chan error, 1),
+	}
+	n.handlers = n.allHandlers()
+	n.config.changed = n.configChanged
+	if err := n.openIdentity(); err != nil {
+		return nil, err
+	}
+	n.configState = configstate.New(checkGuarantees)
+	if err := n.openGroups(); err != nil {
+		n.closeGroups()
+		return nil, err
+	}
+	n.transport = transport.New(n.transportConfig(), n)
+	return n, nil
+}
+
+// checkGuarantees refuses rules whose guarantees do not fit together.
+func checkGuarantees(cfg *structs.Config) []rules.GuaranteeProblem {
+	return guarantee.Check(cfg)
+}
+
+func (n *Node) openIdentity() error {
+	n.identity = identity{Host: n.cfg.HostID, Store: storeIDAbsent}
+	if n.cfg.DataDir != "" {
+		id, err := openIdentity(n.cfg.DataDir, n.cfg.HostID)
+		if err != nil {
+			return err
+		}
+		n.identity = id
+	}
+	stores, err := openPeerStores(n.cfg.DataDir)
+	n.stores = stores
+	return err
+}
+
+func (n *Node) transportConfig() transport.Config {
+	peers := make([]transport.Peer, len(n.cfg.Peers))
+	for i, p := range n.cfg.Peers {
+		peers[i] = transport.Peer{Host: p.ID, Address: p.Address}
+	}
+	return transport.Config{
+		Host:              n.cfg.HostID,
+		StoreID:           n.identity.Store,
+		Listen:            n.cfg.PeerListen,
+		Peers:             peers,
+		Key:               []byte(n.cfg.PeerKey.Reveal()),
+		CheckPeer:         n.stores.check,
+		HeartbeatInterval: n.cfg.Timeouts.PeerHeartbeat,
+		SilenceTimeout:    n.cfg.Timeouts.PeerSilence,
+		Logger:            n.log,
+		Observer:          &observer{node: n},
+	}
+}
+
+// now reads the monotonic clock of this process.
+func (n *Node) now() time.Duration { return time.Since(n.start) }
+
+// wait pauses unless the host stops first, and reports whether it did pause.
+func (n *Node) wait(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-n.stop:
+		return false
+	}
+}
+
+// Start connects the host with its peers.
+func (n *Node) Start() error {
+	if err := n.transport.Start(); err != nil {
+		return err
+	}
+	for _, g := range n.allGroups() {
+		g.Start()
+	}
+	n.configChanged()
+	n.wg.Add(1)
+	go n.maintain()
+	return nil
+}
+
+// Failed delivers the failure that makes the host unable to go on.
+func (n *Node) Failed() <-chan error { return n.failed }
+
+func (n *Node) fail(err error) {
+	select {
+	case n.failed <- err:
+	default:
+	}
+}
+
+// PeerAddress returns the address on which other hosts are accepted.
+func (n *Node) PeerAddress() string { return n.transport.Address() }
+
+// Metrics returns the metrics of the host.
+func (n *Node) Metrics() *metrics.Metrics { return n.metrics }
+
+// Settings returns the settings of the host.
+func (n *Node) Settings() settings.Settings { return n.cfg }
+
+// Config returns the configuration in force and its version, or nil.
+func (n *Node) Config() (*structs.Config, uint64) {
+	current := n.config.current()
+	return current.Config, current.Version
+}
+
+// RulesText returns the text in force with its version and digest.
+func (n *Node) RulesText() (version uint64, digest string, text []byte) {
+	current := n.config.current()
+	return current.Version, current.Digest, current.Text
+}
+
+// NotReady returns why the host must get no requests, or nothing.
+func (n *Node) NotReady() string {
+	if n.stopping.Load() {
+		return "stopping"
+	}
+	if n.config.version() == 0 {
+		return "no configuration is in force"
+	}
+	if n.cfg.DataDir == "" && !n.config.readiness().Ready {
+		return "the latest configuration is not confirmed"
+	}
+	return ""
+}
+
+// maintain sends the host status and keeps soft state up to date.
+func (n *Node) maintain() {
+	defer n.wg.Done()
+	ticker := time.NewTicker(hostStatusInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.stop:
+			return
+		case <-ticker.C:
+			n.broadcastStatus()
+			n.syncBackends()
+			n.confirmConfig()
+			n.publishGroups()
+		}
+	}
+}
+
+// configChanged puts a new configuration in force for the dispatchers and
+// tells the other hosts without waiting for the next status.
+func (n *Node) configChanged() {
+	current := n.config.current()
+	n.metrics.SetConfigVersion(current.Version)
+	if current.Config == nil {
+		return
+	}
+	n.log.Info("configuration in force", "version", current.Version, "digest", current.Digest)
+	n.updateServices(current.Config)
+	if n.transport != nil {
+		n.broadcastStatus()
+	}
+}
+
+func (n *Node) group(name string) *group.Group {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.groups[name]
+}
+
+func (n *Node) hosted(domain string) *hostedDomain {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.domainOf[domain]
+}
+
+func (n *Node) service(name string) *service {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.services[name]
+}
+
+func (n *Node) allGroups() []*group.Group {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	groups := make([]*group.Group, 0, len(n.groups))
+	for _, g := range n.groups {
+		groups = append(groups, g)
+	}
+	slices.SortFunc(groups, func(a, b *group.Group) int { return strings.Compare(a.Name(), b.Name()) })
+	return groups
+}
+
+// leaderOf returns the host that leads a log, as far as is known here.
+func (n *Node) leaderOf(name string) string {
+	leader, term := n.hosts.leader(n.now(), name)
+	g := n.group(name)
+	if g == nil {
+		return leader
+	}
+	status := g.Status()
+	if status.Leader != "" && status.Term >= term {
+		return status.Leader
+	}
+	return leader
+}
+
+// domains returns the failure domains of the configuration.
+func (n *Node) domains() []string {
+	cfg := n.config.current().Config
+	if cfg == nil {
+		return nil
+	}
+	names := make([]string, len(cfg.Domains))
+	for i, d := range cfg.Domains {
+		names[i] = d.Name
+	}
+	return names
+}
+
+func (n *Node) checkDomain(name string) *structs.Refusal {
+	if slices.Contains(n.domains(), name) {
+		return nil
+	}
+	return structs.NotRun(structs.CodeNotFound, "no failure domain "+name)
+}
+
+// keyHomes returns the failure domains that keep request keys.
+func (n *Node) keyHomes() []string {
+	cfg := n.config.current().Config
+	if cfg == nil {
+		return nil
+	}
+	var homes []string
+	for _, d := range cfg.Domains {
+		if d.KeyHome {
+			homes = append(homes, d.Name)
+		}
+	}
+	return homes
+}
+
+// domainOfJob returns the failure domain in a job id: "<domain>-<number>".
+func domainOfJob(id string) string {
+	end := strings.LastIndexByte(id, '-')
+	if end < 0 {
+		return ""
+	}
+	return id[:end]
+}
+
+// HandleMessage implements transport.Handler.
+func (n *Node) HandleMessage(from string, kind transport.Kind, body []byte) {
+	switch kind {
+	case transport.KindRaft:
+		n.receiveRaft(from, body)
+	case transport.KindHostStatus:
+		n.receiveStatus(from, body)
+	case transport.KindRegistry:
+		n.receiveRegistry(from, body)
+	}
+}
+
+func (n *Node) receiveRaft(from string, body []byte) {
+	var m raft.Message
+	if err := decodeMessage("raft message", body, &m); err != nil || m.From != from {
+		n.metrics.FrameDropped(transport.KindRaft.String(), "malformed")
+		return
+	}
+	g := n.group(m.Group)
+	if g == nil {
+		g = n.joinGroup(m.Group)
+	}
+	if g == nil || !g.Deliver(m) {
+		n.metrics.FrameDropped(transport.KindRaft.String(), "not delivered")
+	}
+}
+
+// sendRaft sends a message of a replicated log. A message that cannot be sent
+// is lost; raft sends it again.
+func (n *Node) sendRaft(m raft.Message) {
+	body, err := encodeMessage(&m)
+	if err != nil {
+		n.log.Error(err, "a raft message cannot be encoded", "group", m.Group)
+		return
+	}
+	_ = n.transport.Send(m.To, transport.KindRaft, body)
+}
+
+// Stop ends the host gracefully: it reports that it is not ready, waits for
+// the load balancer to notice, finishes the requests in progress, hands over
+// leadership and closes its logs. The context bounds the wait for requests.
+func (n *Node) Stop(ctx context.Context, stopAccepting func()) {
+	n.stopping.Store(true)
+	n.broadcastStatus()
+	n.log.Info("stopping", "balancer_wait", n.cfg.BalancerWait.String())
+	n.wait(n.cfg.BalancerWait)
+	stopAccepting()
+	n.waitForRequests(ctx)
+	n.handOver()
+	n.waitForRequests(ctx)
+	n.Close()
+	n.log.Info("stopped")
+}
+
+// waitForRequests waits until no request is in progress.
+func (n *Node) waitForRequests(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		n.inFlight.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		n.log.Info("requests are still in progress at the end of the stop timeout")
+	}
+}
+
+// Close ends the host at once.
+func (n *Node) Close() {
+	close(n.stop)
+	n.wg.Wait()
+	n.transport.Close()
+	n.closeServices()
+	n.closeGroups()
+	n.pool.Close()
+}
--- /dev/null
+++ b/daemon/node/service.go
@@ -0,0 +1,339 @@
+package node
+
+import (
+	"errors"
+	"hash/fnv"
+	"strconv"
+	"sync"
+	"time"
+
+	"cranberrydrum.dev/daemon/upstream"
+	"cranberrydrum.dev/scheduler/serving"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+const (
+	serviceEvents     = 4096
+	backendRefresh    = 100 * time.Millisecond
+	serviceTick       = 50 * time.Millisecond
+	maxServiceTick    = time.Second
+	statusUnavailable = 503
+)
+
+// Call is a request with its body, as an entry host or a forwarding host hands it in.
+type Call struct {
+	Request structs.Request
+	Body    []byte
+	Headers [][2]string
+	// Forwarded marks a request from another host; it is not forwarded again.
+	Forwarded bool
+}
+
+// service runs the dispatcher of one service on a goroutine of its own.
+type service struct {
+	node   *Node
+	name   string
+	events chan func()
+	stop   chan struct{}
+	done   chan struct{}
+
+	// The fields below belong to the goroutine of the service.
+	dispatcher *serving.Dispatcher
+	pending    map[string]*pendingRequest
+	backends   map[string]structs.Backend
+	nextID     uint64
+
+	mu       sync.Mutex
+	snapshot serving.Snapshot
+}
+
+// pendingRequest is a request whose final effect is still to come.
+type pendingRequest struct {
+	call      Call
+	arrived   time.Duration
+	started   bool
+	responses map[int]*upstream.Response
+	// forwarded is the answer of another failure domain.
+	forwarded *upstream.Response
+	// recorded is the answer of an earlier run under the same key.
+	recorded *upstream.Response
+	done     chan callResult
+}
+
+type callResult struct {
+	response *upstream.Response
+	err      error
+}
+
+func newService(n *Node, name string, cfg serving.Config) *service {
+	s := &service{
+		node:       n,
+		name:       name,
+		events:     make(chan func(), serviceEvents),
+		stop:       make(chan struct{}),
+		done:       make(chan struct{}),
+		dispatcher: serving.NewDispatcher(cfg),
+		pending:    map[string]*pendingRequest{},
+		backends:   map[string]structs.Backend{},
+	}
+	go s.run()
+	return s
+}
+
+// seedOf makes the jitter of hosts differ.
+func seedOf(host, service string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(host + "/" + service))
+	return h.Sum64()
+}
+
+func (s *service) run() {
+	defer close(s.done)
+	refresh := time.NewTicker(backendRefresh)
+	defer refresh.Stop()
+	timer := time.NewTimer(serviceTick)
+	defer timer.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case event := <-s.events:
+			event()
+		case <-refresh.C:
+			s.refreshBackends()
+		case <-timer.C:
+			s.step(serving.Tick{})
+		}
+		timer.Reset(s.untilWake())
+	}
+}
+
+func (s *service) untilWake() time.Duration {
+	wake, ok := s.dispatcher.NextWake()
+	if !ok {
+		return maxServiceTick
+	}
+	return min(max(wake-s.node.now(), time.Millisecond), maxServiceTick)
+}
+
+// post runs a function on the goroutine of the service.
+func (s *service) post(event func()) bool {
+	select {
+	case s.events <- event:
+		return true
+	case <-s.done:
+		return false
+	}
+}
+
+// call runs one request and waits for its final effect.
+func (s *service) call(c Call) (*upstream.Response, error) {
+	p := &pendingRequest{call: c, responses: map[int]*upstream.Response{}, done: make(chan callResult, 1)}
+	if !s.post(func() { s.arrive(p) }) {
+		return nil, structs.NotRun(structs.CodeStopping, "this host is stopping")
+	}
+	select {
+	case result := <-p.done:
+		return result.response, result.err
+	case <-s.done:
+		return nil, structs.Unknown(structs.CodeStopping, "this host stopped while the request was running")
+	}
+}
+
+func (s *service) arrive(p *pendingRequest) {
+	s.nextID++
+	p.arrived = s.node.now()
+	request := p.call.Request
+	request.ID = strconv.FormatUint(s.nextID, 10)
+	s.pending[request.ID] = p
+	s.step(serving.RequestArrived{
+		Request:         request,
+		BodyBytes:       len(p.call.Body),
+		AttemptAffinity: request.NonIdempotent,
+		Forwarded:       p.call.Forwarded,
+	})
+}
+
+func (s *service) step(event serving.Event) {
+	for _, effect := range s.dispatcher.Step(s.node.now(), event) {
+		s.execute(effect)
+	}
+	s.publish()
+}
+
+func (s *service) publish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.snapshot = s.dispatcher.Snapshot()
+}
+
+func (s *service) status() serving.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot
+}
+
+func (s *service) execute(effect serving.Effect) {
+	switch e := effect.(type) {
+	case serving.Send:
+		s.send(e)
+	case serving.Answer:
+		s.answer(e)
+	case serving.Refuse:
+		s.refuse(e)
+	case serving.Forward:
+		s.forward(e)
+	case serving.CloseConnection:
+		if e.RequestID == "" {
+			s.node.pool.Forget(e.Address)
+		}
+	}
+}
+
+// send starts one attempt. The attempt runs on a goroutine of its own and
+// reports back as an event.
+func (s *service) send(e serving.Send) {
+	p := s.pending[e.RequestID]
+	if p == nil {
+		return
+	}
+	if !p.started {
+		p.started = true
+		s.node.metrics.Waited(s.name, p.call.Request.Class, s.node.now()-p.arrived)
+	}
+	attempt := upstream.Attempt{
+		Address:     e.Address,
+		Connections: e.Connections,
+		Fresh:       e.Fresh || p.call.Request.NonIdempotent,
+		Key:         p.call.Request.Key,
+		Headers:     p.call.Headers,
+		Body:        p.call.Body,
+		Timeout:     e.Timeout,
+	}
+	go func() {
+		finished := s.attempt(p, e, attempt)
+		s.post(func() { s.finishAttempt(p, finished) })
+	}()
+}
+
+// finishedAttempt is the end of an attempt with what it brought.
+type finishedAttempt struct {
+	event    serving.AttemptFinished
+	response *upstream.Response
+	// recorded is set when an earlier run of the same key was answered.
+	recorded *upstream.Response
+}
+
+func (s *service) attempt(p *pendingRequest, e serving.Send, a upstream.Attempt) finishedAttempt {
+	if p.call.Request.NonIdempotent {
+		return s.keyedAttempt(p, e, a)
+	}
+	start := s.node.now()
+	response, err := s.node.pool.Do(a)
+	result := resultOf(response, err)
+	if result != serving.ResultOK {
+		response = nil
+	}
+	return finishedAttempt{
+		event:    serving.AttemptFinished{RequestID: e.RequestID, Attempt: e.Attempt, Result: result, ServiceTime: s.node.now() - start},
+		response: response,
+	}
+}
+
+// resultOf sorts the end of an attempt. Status 503 means that the executor
+// refused the work; other statuses are answers.
+func resultOf(response *upstream.Response, err error) serving.Result {
+	if err == nil {
+		if response.Status == statusUnavailable {
+			return serving.ResultBackendError
+		}
+		return serving.ResultOK
+	}
+	var failed *upstream.AttemptError
+	if !errors.As(err, &failed) {
+		return serving.ResultBroken
+	}
+	switch failed.Kind {
+	case upstream.KindNotSent:
+		return serving.ResultNotSent
+	case upstream.KindTimeout:
+		return serving.ResultTimeout
+	case upstream.KindIncomplete:
+		return serving.ResultIncomplete
+	}
+	return serving.ResultBroken
+}
+
+func (s *service) finishAttempt(p *pendingRequest, f finishedAttempt) {
+	s.node.metrics.Attempted(s.name, string(f.event.Result))
+	if f.event.Attempt > 1 {
+		s.node.metrics.Retried(s.name, string(f.event.Result))
+	}
+	if f.response != nil {
+		p.responses[f.event.Attempt] = f.response
+	}
+	if f.recorded != nil {
+		p.recorded = f.recorded
+	}
+	s.step(f.event)
+}
+
+func (s *service) answer(e serving.Answer) {
+	p := s.pending[e.RequestID]
+	if p == nil {
+		return
+	}
+	delete(s.pending, e.RequestID)
+	response := p.responses[e.Attempt]
+	if e.Attempt == 0 {
+		response = p.forwarded
+	}
+	if response == nil {
+		p.done <- callResult{err: structs.Unknown(structs.CodeOutcomeUnknown, "the answer was lost on this host")}
+		return
+	}
+	p.done <- callResult{response: response}
+}
+
+func (s *service) refuse(e serving.Refuse) {
+	p := s.pending[e.RequestID]
+	if p == nil {
+		return
+	}
+	delete(s.pending, e.RequestID)
+	if p.recorded != nil {
+		p.done <- callResult{response: p.recorded}
+		return
+	}
+	refusal := e.Refusal
+	p.done <- callResult{err: &refusal}
+}
+
+// refreshBackends tells the dispatcher about announcements that changed.
+func (s *service) refreshBackends() {
+	live := map[string]structs.Backend{}
+	for _, b := range s.node.backends.live(s.node.now()) {
+		if b.Service == s.name {
+			live[b.ID] = b
+		}
+	}
+	for id, b := range s.backends {
+		if _, ok := live[id]; !ok {
+			b.State = structs.BackendLeft
+			delete(s.backends, id)
+			s.step(serving.BackendUpdated{Backend: b})
+			s.node.pool.Forget(b.Address)
+		}
+	}
+	for id, b := range live {
+		if s.backends[id] != b {
+			s.backends[id] = b
+			s.step(serving.BackendUpdated{Backend: b})
+		}
+	}
+}
+
+func (s *service) close() {
+	close(s.stop)
+	<-s.done
+}
--- a/daemon/transport/frame.go
+++ b/daemon/transport/frame.go
@@ -26,23 +26,23 @@
 	KindHeartbeat
 	KindRaft
 	KindRegistry
-	KindConfigVersion
+	KindHostStatus
 	KindSlots
 	KindCall
 	KindReply
 )
 
 var kindNames = map[Kind]string{
-	KindHello:         "hello",
-	KindChallenge:     "challenge",
-	KindProof:         "proof",
-	KindHeartbeat:     "heartbeat",
-	KindRaft:          "raft",
-	KindRegistry:      "registry",
-	KindConfigVersion: "config_version",
-	KindSlots:         "slots",
-	KindCall:          "call",
-	KindReply:         "reply",
+	KindHello:      "hello",
+	KindChallenge:  "challenge",
+	KindProof:      "proof",
+	KindHeartbeat:  "heartbeat",
+	KindRaft:       "raft",
+	KindRegistry:   "registry",
+	KindHostStatus: "host_status",
+	KindSlots:      "slots",
+	KindCall:       "call",
+	KindReply:      "reply",
 }
 
 // String returns the name that metrics and logs use.
--- /dev/null
+++ b/scheduler/domain/command.go
@@ -0,0 +1,108 @@
+package domain
+
+import (
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"cranberrydrum.dev/coord/dedup"
+	"cranberrydrum.dev/scheduler/jobs"
+)
+
+// Kind tells the commands apart in the log. The values are part of the log
+// format and must not change.
+type Kind uint8
+
+// Kinds of commands.
+const (
+	KindJobs      Kind = 1
+	KindKeyBegin  Kind = 2
+	KindKeyFinish Kind = 3
+	KindTakeOver  Kind = 4
+	KindKeyExpire Kind = 5
+)
+
+// envelope is one entry of the log. Clock is the domain clock at the leader.
+type envelope struct {
+	Kind  Kind          `msgpack:"k"`
+	Clock time.Duration `msgpack:"c,omitempty"`
+	Body  []byte        `msgpack:"b"`
+}
+
+// keyFinish records the outcome of a key.
+type keyFinish struct {
+	Key     string        `msgpack:"k"`
+	Outcome dedup.Outcome `msgpack:"o"`
+}
+
+// takeOver marks the keys that earlier leaders left in sending as unknown.
+type takeOver struct {
+	Term uint64 `msgpack:"t"`
+}
+
+// EncodeJobs returns the log entry of a job command.
+func EncodeJobs(c jobs.Command) ([]byte, error) {
+	body, err := jobs.EncodeCommand(c)
+	if err != nil {
+		return nil, err
+	}
+	return encodeEnvelope(envelope{Kind: KindJobs, Body: body})
+}
+
+// EncodeBegin returns the log entry that records a key before its request is sent.
+func EncodeBegin(clock time.Duration, r dedup.Request) ([]byte, error) {
+	return encodeBody(KindKeyBegin, clock, &r)
+}
+
+// EncodeFinish returns the log entry that records the outcome of a key.
+func EncodeFinish(clock time.Duration, key string, o dedup.Outcome) ([]byte, error) {
+	return encodeBody(KindKeyFinish, clock, &keyFinish{Key: key, Outcome: o})
+}
+
+// EncodeTakeOver returns the log entry with which a new leader ends the keys
+// of its predecessors.
+func EncodeTakeOver(clock time.Duration, term uint64) ([]byte, error) {
+	return encodeBody(KindTakeOver, clock, &takeOver{Term: term})
+}
+
+// EncodeExpire returns the log entry that drops expired keys.
+func EncodeExpire(clock time.Duration) ([]byte, error) {
+	return encodeEnvelope(envelope{Kind: KindKeyExpire, Clock: clock})
+}
+
+// DecodeDecision reads the result of a begin entry.
+func DecodeDecision(result []byte) (dedup.Decision, error) {
+	var d dedup.Decision
+	if err := msgpack.Unmarshal(result, &d); err != nil {
+		return d, &CodecError{What: "decision", Cause: err}
+	}
+	return d, nil
+}
+
+func encodeBody(kind Kind, clock time.Duration, value any) ([]byte, error) {
+	body, err := msgpack.Marshal(value)
+	if err != nil {
+		return nil, &CodecError{What: "command", Cause: err}
+	}
+	return encodeEnvelope(envelope{Kind: kind, Clock: clock, Body: body})
+}
+
+func encodeEnvelope(e envelope) ([]byte, error) {
+	data, err := msgpack.Marshal(&e)
+	if err != nil {
+		return nil, &CodecError{What: "command", Cause: err}
+	}
+	return data, nil
+}
+
+// CodecError reports a command, result or snapshot that is not valid.
+type CodecError struct {
+	What  string
+	Cause error
+}
+
+// Error implements error.
+func (e *CodecError) Error() string { return "invalid " + e.What + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *CodecError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/scheduler/domain/state.go
@@ -0,0 +1,159 @@
+package domain
+
+import (
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"cranberrydrum.dev/coord/dedup"
+	"cranberrydrum.dev/scheduler/jobs"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// State is the replicated state of one failure domain. It implements the state
+// machine of a replica.
+type State struct {
+	jobs  *jobs.State
+	keys  *dedup.Table
+	clock time.Duration
+	// takenOver is the highest term whose leader has ended the keys of its
+	// predecessors.
+	takenOver uint64
+}
+
+// New returns an empty state.
+func New(keys dedup.Config) *State {
+	return &State{jobs: jobs.New(), keys: dedup.New(keys)}
+}
+
+// Jobs returns the job state. It must not be changed.
+func (s *State) Jobs() *jobs.State { return s.jobs }
+
+// Keys returns the request keys. They must not be changed.
+func (s *State) Keys() *dedup.Table { return s.keys }
+
+// TakenOver returns the highest term whose leader has ended the keys of its
+// predecessors.
+func (s *State) TakenOver() uint64 { return s.takenOver }
+
+// Clock returns the domain clock: the time during which some leader logged
+// commands. It never goes back and does not depend on the clock of one host.
+func (s *State) Clock() time.Duration { return max(s.clock, s.jobs.Clock()) }
+
+// Apply runs one command of the log.
+func (s *State) Apply(index, _ uint64, command []byte) []byte {
+	var e envelope
+	if err := msgpack.Unmarshal(command, &e); err != nil {
+		return encodeJobResult(invalidCommand(err))
+	}
+	s.clock = max(s.clock, e.Clock)
+	switch e.Kind {
+	case KindJobs:
+		return s.applyJobs(index, e.Body)
+	case KindKeyBegin:
+		return s.applyBegin(e.Body)
+	case KindKeyFinish:
+		return s.applyFinish(e.Body)
+	case KindTakeOver:
+		return s.applyTakeOver(e.Body)
+	case KindKeyExpire:
+		s.keys.Expire(s.Clock())
+	}
+	return nil
+}
+
+func (s *State) applyJobs(index uint64, body []byte) []byte {
+	command, err := jobs.DecodeCommand(body)
+	if err != nil {
+		return encodeJobResult(invalidCommand(err))
+	}
+	return encodeJobResult(s.jobs.Apply(index, command))
+}
+
+func (s *State) applyBegin(body []byte) []byte {
+	var r dedup.Request
+	if err := msgpack.Unmarshal(body, &r); err != nil {
+		return nil
+	}
+	return encodePlain(s.keys.Begin(s.Clock(), r))
+}
+
+func (s *State) applyFinish(body []byte) []byte {
+	var f keyFinish
+	if err := msgpack.Unmarshal(body, &f); err != nil {
+		return nil
+	}
+	return encodePlain(s.keys.Finish(s.Clock(), f.Key, f.Outcome))
+}
+
+func (s *State) applyTakeOver(body []byte) []byte {
+	var t takeOver
+	if err := msgpack.Unmarshal(body, &t); err != nil {
+		return nil
+	}
+	s.keys.MarkUnknown(s.Clock(), t.Term)
+	s.takenOver = max(s.takenOver, t.Term)
+	return nil
+}
+
+func invalidCommand(err error) jobs.Result {
+	return jobs.Result{Refusal: structs.NotRun(structs.CodeInvalid, err.Error())}
+}
+
+func encodeJobResult(r jobs.Result) []byte {
+	data, err := jobs.EncodeResult(r)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+func encodePlain(value any) []byte {
+	data, err := msgpack.Marshal(value)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+// snapshot is the encoded form of a State.
+type snapshot struct {
+	Clock     time.Duration `msgpack:"c"`
+	TakenOver uint64        `msgpack:"t"`
+	Jobs      []byte        `msgpack:"j"`
+	Keys      []byte        `msgpack:"k"`
+}
+
+// Snapshot encodes the state.
+func (s *State) Snapshot() ([]byte, error) {
+	jobData, err := s.jobs.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	keyData, err := s.keys.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	data, err := msgpack.Marshal(&snapshot{Clock: s.clock, TakenOver: s.takenOver, Jobs: jobData, Keys: keyData})
+	if err != nil {
+		return nil, &CodecError{What: "snapshot", Cause: err}
+	}
+	return data, nil
+}
+
+// Restore replaces the state by a snapshot.
+func (s *State) Restore(data []byte) error {
+	var snap snapshot
+	if err := msgpack.Unmarshal(data, &snap); err != nil {
+		return &CodecError{What: "snapshot", Cause: err}
+	}
+	if err := s.jobs.Restore(snap.Jobs); err != nil {
+		return err
+	}
+	if err := s.keys.Restore(snap.Keys); err != nil {
+		return err
+	}
+	s.clock = snap.Clock
+	s.takenOver = snap.TakenOver
+	return nil
+}
