--- /dev/null
+++ b/coord/raft/election.go
@@ -0,0 +1,189 @@
+package raft
+
+import "time"
+
+// Shares of the election timeout.
+const (
+	// electionSpread is the divisor of the random part of the timeout. Half
+	// a timeout keeps failover within two timeouts.
+	electionSpread = 2
+	// lowPriorityFactor is the number of timeouts a node of low priority
+	// waits, so that a node of normal priority campaigns first.
+	lowPriorityFactor = 2
+)
+
+// electionState is the state of elections.
+type electionState struct {
+	// heardLeader is when a leader was last heard.
+	heardLeader time.Duration
+	// deadline is when the node campaigns.
+	deadline time.Duration
+	// begun and sent are when the campaign began and when its requests were
+	// last sent.
+	begun, sent time.Duration
+	// votes holds the answers to the campaign; true is a granted vote.
+	votes map[string]bool
+	// force marks a campaign that the previous leader has consented to.
+	force bool
+	// handOverDelay is the time a leader of low priority waits before it
+	// hands over; it grows with failed attempts.
+	handOverDelay time.Duration
+}
+
+// protectsLeader reports whether a leader may rely on this node not to vote.
+func (n *Node) protectsLeader() bool {
+	if n.role == RoleLeader {
+		return true
+	}
+	return n.now-n.election.heardLeader < n.cfg.ElectionTimeout
+}
+
+func (n *Node) resetElectionDeadline() {
+	wait := n.cfg.ElectionTimeout
+	if n.cfg.LowPriority {
+		wait *= lowPriorityFactor
+	}
+	spread := int64(n.cfg.ElectionTimeout / electionSpread)
+	wait += time.Duration(n.rand.Int64N(spread + 1))
+	n.election.deadline = n.now + wait
+}
+
+func (n *Node) tickElection() {
+	if !n.membership().IsVoter(n.cfg.ID) {
+		return
+	}
+	if n.now >= n.election.deadline {
+		n.campaign(RolePreCandidate, false)
+		return
+	}
+	campaigning := n.role == RolePreCandidate || n.role == RoleCandidate
+	if campaigning && n.now-n.election.sent >= n.cfg.HeartbeatInterval {
+		n.requestVotes()
+	}
+}
+
+// campaign asks for votes, or for the promise of votes as a pre-candidate,
+// which keeps its term so that a failed campaign disturbs no one.
+func (n *Node) campaign(role Role, force bool) {
+	n.role = role
+	n.leader = ""
+	n.lead = leaderState{}
+	n.election.force = force
+	n.election.begun = n.now
+	n.election.votes = map[string]bool{n.cfg.ID: true}
+	n.resetElectionDeadline()
+	if role == RoleCandidate {
+		n.term++
+		n.vote = n.cfg.ID
+	}
+	n.requestVotes()
+	n.countVotes()
+}
+
+// requestVotes asks the voters that have not answered yet.
+func (n *Node) requestVotes() {
+	n.election.sent = n.now
+	request := Message{
+		Kind: KindVote, Term: n.term, Force: n.election.force, Sent: n.now,
+		Index: n.log.lastIndex(), LogTerm: n.log.lastTerm(),
+	}
+	if n.role == RolePreCandidate {
+		request.Kind = KindPreVote
+		request.Term = n.term + 1
+	}
+	for _, id := range n.membership().Voters {
+		if _, answered := n.election.votes[id]; answered {
+			continue
+		}
+		request.To = id
+		n.send(request)
+	}
+}
+
+// countVotes acts on a majority of granted or of refused votes.
+func (n *Node) countVotes() {
+	granted, refused := 0, 0
+	for _, id := range n.membership().Voters {
+		vote, answered := n.election.votes[id]
+		switch {
+		case answered && vote:
+			granted++
+		case answered:
+			refused++
+		}
+	}
+	quorum := n.membership().quorum()
+	switch {
+	case granted >= quorum && n.role == RolePreCandidate:
+		n.campaign(RoleCandidate, false)
+	case granted >= quorum:
+		n.becomeLeader()
+	case refused >= quorum:
+		n.becomeFollower(n.term, "")
+	}
+}
+
+// handlePreVote never changes the own state. It stays silent while it hears a
+// leader, so that a member that was cut off disturbs no one.
+func (n *Node) handlePreVote(m Message) {
+	if n.protectsLeader() || n.membership().Empty() {
+		return
+	}
+	if m.Term <= n.term || !n.log.upToDate(m.Index, m.LogTerm) {
+		n.reply(m, Message{Kind: KindPreVoteReply, Reject: true})
+		return
+	}
+	n.reply(m, Message{Kind: KindPreVoteReply, Term: m.Term})
+}
+
+func (n *Node) handlePreVoteReply(m Message) {
+	if m.Reject && m.Term > n.term {
+		n.becomeFollower(m.Term, "")
+		return
+	}
+	if n.role != RolePreCandidate || m.Sent < n.election.begun {
+		return
+	}
+	if !m.Reject && m.Term != n.term+1 {
+		return
+	}
+	n.election.votes[m.From] = !m.Reject
+	n.countVotes()
+}
+
+func (n *Node) handleVote(m Message) {
+	if n.membership().Empty() {
+		// A host without state may have lost its disk and with it a vote.
+		return
+	}
+	if !m.Force && n.protectsLeader() {
+		// The term may be equal already if a late pre-vote reply raised it,
+		// while a leader of the term before relies on this node.
+		return
+	}
+	free := n.vote == m.From || (n.vote == "" && n.leader == "")
+	if !free || !n.log.upToDate(m.Index, m.LogTerm) {
+		n.reply(m, Message{Kind: KindVoteReply, Reject: true})
+		return
+	}
+	n.vote = m.From
+	n.resetElectionDeadline()
+	n.reply(m, Message{Kind: KindVoteReply})
+}
+
+func (n *Node) handleVoteReply(m Message) {
+	if n.role != RoleCandidate {
+		return
+	}
+	n.election.votes[m.From] = !m.Reject
+	n.countVotes()
+}
+
+// handleTimeoutNow campaigns with the consent of the current leader.
+func (n *Node) handleTimeoutNow(m Message) {
+	consented := n.role == RoleFollower && n.leader == m.From
+	if !consented || !n.membership().IsVoter(n.cfg.ID) {
+		return
+	}
+	n.campaign(RoleCandidate, true)
+}
--- a/coord/raft/node.go
+++ b/coord/raft/node.go
@@ -1,48 +1,237 @@
 package raft
 
-import "time"
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+)
 
-// Node is a member of a group.
+// Node is a member of a group. It is not safe for concurrent use.
 type Node struct {
-	cfg Config
+	cfg  Config
+	rand *rand.Rand
+
+	// now is the latest time seen; it never goes back.
+	now     time.Duration
+	started bool
+
+	role   Role
+	term   uint64
+	vote   string
+	leader string
+
+	log       memLog
+	commit    uint64
+	applied   uint64
+	configs   []configAt
+	snapshot  Snapshot
+	incoming  *incomingSnapshot
+	installed *Snapshot
+
+	// saved is the hard state that the caller has stored.
+	saved    HardState
+	messages []Message
+
+	election electionState
+	lead     leaderState
+}
+
+// configAt is the membership from an index on.
+type configAt struct {
+	index      uint64
+	membership Membership
 }
 
 // New returns a node that starts from restored state.
-func New(cfg Config, restored Restored) (*Node, error) { return &Node{cfg: cfg}, nil }
+func New(cfg Config, restored Restored) (*Node, error) {
+	cfg = cfg.withDefaults()
+	if err := cfg.validate(); err != nil {
+		return nil, err
+	}
+	if err := restored.validate(); err != nil {
+		return nil, err
+	}
+	n := &Node{cfg: cfg, rand: newRand(cfg)}
+	n.restore(restored)
+	return n, nil
+}
+
+// newRand mixes the ID into the seed, so that hosts with equal seeds do not
+// campaign at the same time.
+func newRand(cfg Config) *rand.Rand {
+	h := fnv.New64a()
+	h.Write([]byte(cfg.ID))
+	return rand.New(rand.NewPCG(cfg.Seed, h.Sum64()))
+}
 
-// Tick advances the time.
-func (n *Node) Tick(now time.Duration) {}
+func (n *Node) restore(r Restored) {
+	n.term = max(r.HardState.Term, r.Snapshot.Term)
+	if n.term == r.HardState.Term {
+		n.vote = r.HardState.Vote
+	}
+	base := r.Membership
+	if r.Snapshot.Index > 0 {
+		base = r.Snapshot.Membership
+	}
+	n.snapshot = Snapshot{Meta: r.Snapshot, Data: r.SnapshotData}
+	n.configs = []configAt{{index: r.Snapshot.Index, membership: base.Clone()}}
+	n.log.reset(r.Snapshot)
+	for _, e := range r.Entries {
+		if e.Index > r.Snapshot.Index {
+			n.appendEntry(e)
+		}
+	}
+	n.log.stable = n.log.lastIndex()
+	n.applied = r.Snapshot.Index
+	n.commit = min(max(r.HardState.Commit, r.Snapshot.Index), n.log.lastIndex())
+	n.saved = HardState{Term: r.HardState.Term, Vote: r.HardState.Vote, Commit: n.commit}
+}
 
-// Step processes a received message.
-func (n *Node) Step(now time.Duration, m Message) error { return nil }
+// validate checks that restored state is consistent.
+func (r Restored) validate() error {
+	if !r.Membership.valid() || !r.Snapshot.Membership.valid() {
+		return &CorruptStateError{Reason: "invalid membership", Index: r.Snapshot.Index}
+	}
+	if r.Snapshot.Index > 0 && (r.Snapshot.Term == 0 || r.Snapshot.Membership.Empty()) {
+		return &CorruptStateError{Reason: "incomplete snapshot description", Index: r.Snapshot.Index}
+	}
+	prev := Entry{Index: r.Snapshot.Index, Term: r.Snapshot.Term}
+	for i, e := range r.Entries {
+		if i == 0 && e.Index <= r.Snapshot.Index {
+			prev = Entry{Index: e.Index - 1}
+		}
+		if err := validateRestored(prev, e, r); err != nil {
+			return err
+		}
+		prev = e
+	}
+	return nil
+}
 
-// Propose appends a command if the node leads.
+func validateRestored(prev, e Entry, r Restored) error {
+	switch {
+	case e.Index != prev.Index+1:
+		return &CorruptStateError{Reason: "gap in the log", Index: e.Index}
+	case e.Term < prev.Term || e.Term == 0:
+		return &CorruptStateError{Reason: "term goes back", Index: e.Index}
+	case e.Index == r.Snapshot.Index && e.Term != r.Snapshot.Term:
+		return &CorruptStateError{Reason: "entry contradicts the snapshot", Index: e.Index}
+	case e.Term > max(r.HardState.Term, r.Snapshot.Term):
+		return &CorruptStateError{Reason: "entry is newer than the hard state", Index: e.Index}
+	case !validEntry(e):
+		return &CorruptStateError{Reason: "invalid entry", Index: e.Index}
+	}
+	return nil
+}
+
+// Tick advances the time. It is to be called at least a few times per
+// heartbeat interval.
+func (n *Node) Tick(now time.Duration) {
+	n.advanceClock(now)
+	if n.role == RoleLeader {
+		n.handOver()
+		return
+	}
+	n.tickElection()
+}
+
+// advanceClock lets a leader that was paused notice that its time is over
+// before it acts on anything else.
+func (n *Node) advanceClock(now time.Duration) {
+	n.now = max(n.now, now)
+	if !n.started {
+		n.now = now
+		n.start()
+	}
+	if n.role == RoleLeader {
+		n.checkQuorum()
+	}
+	if n.role == RoleLeader {
+		n.checkTransfer()
+	}
+}
+
+// start treats the first call as contact with a leader: before a restart the
+// node may have acknowledged a heartbeat that a lease still relies on.
+func (n *Node) start() {
+	n.started = true
+	n.election.heardLeader = n.now
+	n.election.handOverDelay = n.cfg.ElectionTimeout
+	n.resetElectionDeadline()
+}
+
+// Propose appends a command if the node leads. The command succeeded when
+// Ready commits an entry with the returned index and term.
 func (n *Node) Propose(now time.Duration, data []byte) (index, term uint64, err error) {
-	return 0, 0, &NotLeaderError{}
+	n.advanceClock(now)
+	if err := n.acceptsProposals(); err != nil {
+		return 0, 0, err
+	}
+	entry := n.nextEntry(EntryCommand, data)
+	if entry.Size() > n.cfg.MaxBatchBytes {
+		return 0, 0, &TooLargeError{Size: entry.Size(), Limit: n.cfg.MaxBatchBytes}
+	}
+	total := n.lead.uncommitted + entry.Size()
+	if n.lead.uncommitted > 0 && total > n.cfg.MaxUncommittedBytes {
+		return 0, 0, &OverloadedError{Uncommitted: n.lead.uncommitted, Limit: n.cfg.MaxUncommittedBytes}
+	}
+	n.appendOwn(entry)
+	return entry.Index, entry.Term, nil
 }
 
-// ProposeChange appends a membership change if the node leads.
-func (n *Node) ProposeChange(now time.Duration, c MemberChange) (index, term uint64, err error) {
-	return 0, 0, &NotLeaderError{}
+func (n *Node) acceptsProposals() error {
+	if n.role != RoleLeader {
+		return &NotLeaderError{Leader: n.leader}
+	}
+	if n.lead.transfer.to != "" {
+		return &TransferInProgressError{To: n.lead.transfer.to}
+	}
+	return nil
 }
 
-// TransferLeadership hands leadership to another voter.
-func (n *Node) TransferLeadership(now time.Duration, to string) error { return &NotLeaderError{} }
+func (n *Node) nextEntry(kind EntryKind, data []byte) Entry {
+	return Entry{Index: n.log.lastIndex() + 1, Term: n.term, Kind: kind, Data: data}
+}
 
-// HoldsLease reports whether the node leads and no other node can lead.
-func (n *Node) HoldsLease(now time.Duration) bool { return false }
+// appendOwn appends an entry of the leader.
+func (n *Node) appendOwn(e Entry) {
+	n.lead.uncommitted += e.Size()
+	n.appendEntry(e)
+}
 
-// Ready returns what is to be done, and whether there is anything.
-func (n *Node) Ready() (Ready, bool) { return Ready{}, false }
+// appendEntry appends an entry; a membership change takes effect at once.
+func (n *Node) appendEntry(e Entry) {
+	n.log.append(e)
+	if e.Kind != EntryChange {
+		return
+	}
+	change, _ := DecodeChange(e.Data)
+	next, _ := n.membership().apply(change)
+	n.configs = append(n.configs, configAt{index: e.Index, membership: next})
+}
 
-// Advance reports that a Ready was carried out.
-func (n *Node) Advance(Ready) {}
+// truncate drops entries that a leader has replaced, and their changes.
+func (n *Node) truncate(index uint64) {
+	n.log.truncate(index)
+	for len(n.configs) > 1 && n.configs[len(n.configs)-1].index >= index {
+		n.configs = n.configs[:len(n.configs)-1]
+	}
+}
 
-// Compact stores a snapshot and drops entries, keeping some behind it.
-func (n *Node) Compact(meta SnapshotMeta, data []byte, keep uint64) {}
+// membership returns the latest membership, committed or not.
+func (n *Node) membership() Membership { return n.configs[len(n.configs)-1].membership }
 
-// MembershipAt returns the membership as of an index.
-func (n *Node) MembershipAt(index uint64) Membership { return Membership{} }
+// changeIndex returns the index of the latest membership change.
+func (n *Node) changeIndex() uint64 { return n.configs[len(n.configs)-1].index }
 
-// Status describes the node.
-func (n *Node) Status() Status { return Status{} }
+// MembershipAt returns the membership as of an index, which must not be before
+// the snapshot.
+func (n *Node) MembershipAt(index uint64) Membership {
+	found := n.configs[0].membership
+	for _, c := range n.configs {
+		if c.index <= index {
+			found = c.membership
+		}
+	}
+	return found.Clone()
+}
--- /dev/null
+++ b/coord/raft/ready.go
@@ -0,0 +1,73 @@
+package raft
+
+// Ready returns what is to be done, and whether there is anything. It returns
+// the same again, and possibly more, until Advance is called.
+func (n *Node) Ready() (Ready, bool) {
+	if n.role == RoleLeader && n.started {
+		n.replicate()
+	}
+	rd := Ready{
+		Snapshot:  n.installed,
+		Entries:   n.log.between(n.log.stable, n.log.lastIndex()),
+		Messages:  n.messages,
+		Committed: n.log.between(n.applied, n.commit),
+	}
+	n.addHardState(&rd)
+	todo := rd.Snapshot != nil || rd.HardState != nil
+	todo = todo || len(rd.Entries) > 0 || len(rd.Messages) > 0 || len(rd.Committed) > 0
+	return rd, todo
+}
+
+func (n *Node) addHardState(rd *Ready) {
+	hard := HardState{Term: n.term, Vote: n.vote, Commit: n.commit}
+	if hard == n.saved && len(rd.Entries) == 0 {
+		return
+	}
+	rd.HardState = &hard
+	sameVote := hard.Term == n.saved.Term && hard.Vote == n.saved.Vote
+	rd.MustSync = !sameVote || len(rd.Entries) > 0
+}
+
+// Advance reports that everything in a Ready was carried out. No other method
+// may be called between Ready and Advance.
+func (n *Node) Advance(rd Ready) {
+	n.messages = n.messages[len(rd.Messages):]
+	if rd.Snapshot == n.installed {
+		n.installed = nil
+	}
+	if rd.HardState != nil {
+		n.saved = *rd.HardState
+	}
+	if count := len(rd.Entries); count > 0 {
+		n.log.stable = rd.Entries[count-1].Index
+	}
+	if count := len(rd.Committed); count > 0 {
+		n.applied = rd.Committed[count-1].Index
+	}
+	if n.role == RoleLeader {
+		n.advanceCommit()
+	}
+}
+
+// Compact tells the node about a snapshot of applied state. Entries up to the
+// snapshot are dropped, except for the last keep ones and those that follow a
+// snapshot which is being sent.
+func (n *Node) Compact(meta SnapshotMeta, data []byte, keep uint64) {
+	if meta.Index <= n.snapshot.Meta.Index || meta.Index > n.applied {
+		return
+	}
+	n.snapshot = Snapshot{Meta: meta, Data: data}
+	if meta.Index <= keep {
+		return
+	}
+	cut := min(meta.Index-keep, n.oldestSnapshotInTransfer())
+	n.log.compact(cut)
+	n.compactConfigs()
+}
+
+// compactConfigs drops memberships that ended before the log begins.
+func (n *Node) compactConfigs() {
+	for len(n.configs) > 1 && n.configs[1].index <= n.log.offset {
+		n.configs = n.configs[1:]
+	}
+}
--- a/coord/raft/status.go
+++ b/coord/raft/status.go
@@ -91,3 +91,35 @@
 	}
 	return PeerStatus{}, false
 }
+
+// Status describes the node.
+func (n *Node) Status() Status {
+	s := Status{
+		ID: n.cfg.ID, Group: n.cfg.Group,
+		Role: n.role, Term: n.term, Vote: n.vote, Leader: n.leader,
+		Commit: n.commit, Applied: n.applied,
+		FirstIndex: n.log.offset + 1, LastIndex: n.log.lastIndex(),
+		SnapshotIndex: n.snapshot.Meta.Index,
+		Membership:    n.membership().Clone(),
+		ChangeIndex:   n.changeIndex(),
+		TransferTo:    n.lead.transfer.to,
+	}
+	if n.role != RoleLeader {
+		return s
+	}
+	s.UncommittedBytes = n.lead.uncommitted
+	n.eachPeer(func(id string, p *peer) {
+		s.Peers = append(s.Peers, n.peerStatus(id, p))
+	})
+	return s
+}
+
+func (n *Node) peerStatus(id string, p *peer) PeerStatus {
+	return PeerStatus{
+		ID: id, Voter: n.membership().IsVoter(id), State: p.state,
+		Match: p.match, Next: p.next,
+		Silence: n.now - p.heard, LowPriority: p.lowPriority,
+		SnapshotSent:  p.outgoing.offset,
+		SnapshotTotal: uint64(len(p.outgoing.snapshot.Data)),
+	}
+}
--- /dev/null
+++ b/coord/raft/validate.go
@@ -0,0 +1,92 @@
+package raft
+
+// check rejects messages that violate the protocol, so that the handlers can
+// rely on their form.
+func (n *Node) check(m Message) error {
+	if m.Group != n.cfg.Group || m.To != n.cfg.ID {
+		return &WrongGroupError{Group: m.Group, To: m.To}
+	}
+	if reason := n.malformed(m); reason != "" {
+		return &MalformedMessageError{Kind: m.Kind, From: m.From, Reason: reason}
+	}
+	if n.isRemoved(m.From) {
+		return &RemovedMemberError{ID: m.From}
+	}
+	return nil
+}
+
+// isRemoved reports whether the removal of a member is committed. A leader
+// that removed itself is heard until it has stepped down.
+func (n *Node) isRemoved(id string) bool {
+	committed := n.changeIndex() <= n.commit
+	return committed && id != n.leader && n.membership().IsRemoved(id)
+}
+
+// malformed returns what is wrong with a message, or an empty string.
+func (n *Node) malformed(m Message) string {
+	switch {
+	case m.Kind == 0 || m.Kind >= kindEnd:
+		return "unknown kind"
+	case m.From == "" || m.From == n.cfg.ID || len(m.From) > maxIDBytes:
+		return "invalid sender"
+	case m.Term == 0:
+		return "no term"
+	case m.LogTerm > m.Term:
+		return "log term is newer than the term"
+	case len(m.Entries) > 0 && m.Kind != KindAppend:
+		return "unexpected entries"
+	case (m.Chunk != nil) != (m.Kind == KindSnapshot):
+		return "missing or unexpected snapshot chunk"
+	case m.Kind == KindAppend:
+		return malformedEntries(m)
+	case m.Kind == KindSnapshot:
+		return malformedChunk(m)
+	}
+	return ""
+}
+
+func malformedEntries(m Message) string {
+	if m.Index == 0 && m.LogTerm != 0 {
+		return "log term without an index"
+	}
+	prev := Entry{Index: m.Index, Term: m.LogTerm}
+	for _, e := range m.Entries {
+		switch {
+		case e.Index != prev.Index+1 || e.Index == 0:
+			return "gap between entries"
+		case e.Term < prev.Term || e.Term == 0 || e.Term > m.Term:
+			return "inconsistent entry term"
+		case !validEntry(e):
+			return "invalid entry"
+		}
+		prev = e
+	}
+	return ""
+}
+
+func validEntry(e Entry) bool {
+	if e.Kind == 0 || e.Kind >= entryKindEnd {
+		return false
+	}
+	if e.Kind != EntryChange {
+		return true
+	}
+	_, ok := DecodeChange(e.Data)
+	return ok
+}
+
+func malformedChunk(m Message) string {
+	c := m.Chunk
+	size := uint64(len(c.Data))
+	switch {
+	case c.Meta.Index == 0 || c.Meta.Term == 0 || c.Meta.Term > m.Term:
+		return "invalid snapshot position"
+	case c.Meta.Membership.Empty() || !c.Meta.Membership.valid():
+		return "invalid snapshot membership"
+	case c.Offset > c.Total || size > c.Total-c.Offset:
+		return "snapshot chunk exceeds the snapshot"
+	case size == 0 && c.Total > 0:
+		return "empty snapshot chunk"
+	}
+	return ""
+}
