--- /dev/null
+++ b/scheduler/guarantee/claim.go
@@ -0,0 +1,254 @@
+package guarantee
+
+import "math/bits"
+
+// operation is one entry of the undo log: a block was bound or released.
+type operation struct {
+	customer int
+	level    int
+	at       int // worker, or rack for a rack block
+	mask     Mask
+	released bool
+}
+
+// strategy is the smallest kind of block that a claim binds.
+type strategy int
+
+// Strategies of a claim, in the order in which they are tried.
+const (
+	bindCells strategy = iota
+	bindWorkers
+	bindRacks
+	strategies
+)
+
+// Mark returns the position to which Undo returns.
+func (l *Ledger) Mark() int { return len(l.log) }
+
+// Undo takes back all claims after the mark.
+func (l *Ledger) Undo(mark int) {
+	for len(l.log) > mark {
+		last := l.log[len(l.log)-1]
+		l.log = l.log[:len(l.log)-1]
+		l.change(last, last.released)
+	}
+}
+
+// Claim tries to cover the parts by blocks of the customer. It returns false
+// and changes nothing if that is impossible or would leave open slots of any
+// customer without room.
+func (l *Ledger) Claim(customer int, parts []Part) bool {
+	mark := l.Mark()
+	for s := range strategies {
+		if l.cover(customer, parts, s) && l.feasible() {
+			return true
+		}
+		l.Undo(mark)
+	}
+	return false
+}
+
+// cover binds slots until all parts lie in blocks of the customer.
+func (l *Ledger) cover(customer int, parts []Part, s strategy) bool {
+	for _, p := range parts {
+		if !l.coverPart(customer, p, s) {
+			return false
+		}
+	}
+	return true
+}
+
+// coverPart binds slots for the accelerators of one worker.
+func (l *Ledger) coverPart(customer int, p Part, s strategy) bool {
+	w := &l.workers[p.Worker]
+	if p.Mask&^w.usable != 0 || p.Mask&l.Foreign(customer, p.Worker) != 0 {
+		return false
+	}
+	rest := p.Mask &^ l.Owned(customer, p.Worker)
+	if rest == 0 {
+		return true
+	}
+	if s == bindCells && l.coverCells(customer, p.Worker, rest) {
+		return true
+	}
+	if s <= bindWorkers && l.bindWorker(customer, p.Worker) {
+		return true
+	}
+	return l.bindRack(customer, w.rack)
+}
+
+// coverCells covers accelerators of a worker by one cell or by several.
+func (l *Ledger) coverCells(customer, worker int, rest Mask) bool {
+	mark := l.Mark()
+	cell, level := enclosing(rest)
+	if l.bindSmallest(customer, worker, cell, level) {
+		return true
+	}
+	for level := l.top; level >= 0 && rest != 0; level-- {
+		for starts := wholeCells(rest, level); starts != 0; starts &= starts - 1 {
+			piece := CellAt(bits.TrailingZeros64(starts), level)
+			if rest&piece != piece {
+				continue
+			}
+			if !l.bindSmallest(customer, worker, piece, level) {
+				l.Undo(mark)
+				return false
+			}
+			rest &^= l.Owned(customer, worker)
+		}
+	}
+	return true
+}
+
+// bindSmallest binds the smallest open cell slot that contains a cell.
+func (l *Ledger) bindSmallest(customer, worker int, cell Mask, level int) bool {
+	w := &l.workers[worker]
+	start := bits.TrailingZeros64(cell)
+	for ; level <= l.top; level++ {
+		block := CellAt(start>>level<<level, level)
+		if block&^w.usable != 0 || block&l.Foreign(customer, worker) != 0 {
+			return false
+		}
+		if l.accounts[customer].open[level] == 0 {
+			continue
+		}
+		l.absorb(customer, worker, block)
+		l.record(operation{customer: customer, level: level, at: worker, mask: block})
+		return true
+	}
+	return false
+}
+
+// bindWorker binds a worker slot.
+func (l *Ledger) bindWorker(customer, worker int) bool {
+	w := &l.workers[worker]
+	if l.accounts[customer].open[l.worker] == 0 || !w.whole || l.Foreign(customer, worker) != 0 {
+		return false
+	}
+	l.absorb(customer, worker, w.usable)
+	l.record(operation{customer: customer, level: l.worker, at: worker, mask: w.usable})
+	return true
+}
+
+// bindRack binds a rack slot.
+func (l *Ledger) bindRack(customer, rack int) bool {
+	r := &l.racks[rack]
+	if l.accounts[customer].open[l.rack] == 0 || r.owner != nobody || r.whole < l.workersPerRack {
+		return false
+	}
+	for _, w := range r.workers {
+		if l.Foreign(customer, w) != 0 {
+			return false
+		}
+	}
+	for _, w := range r.workers {
+		l.absorb(customer, w, l.workers[w].usable)
+	}
+	l.record(operation{customer: customer, level: l.rack, at: rack})
+	return true
+}
+
+// absorb releases the customer's smaller blocks inside a block that is about to
+// be bound, so that their slots are open again.
+func (l *Ledger) absorb(customer, worker int, block Mask) {
+	w := &l.workers[worker]
+	if w.owner == customer {
+		l.record(operation{customer: customer, level: l.worker, at: worker, mask: w.usable, released: true})
+		return
+	}
+	for i := 0; i < len(w.cells); {
+		c := w.cells[i]
+		if c.mask&^block != 0 {
+			i++
+			continue
+		}
+		l.record(operation{customer: customer, level: c.level, at: worker, mask: c.mask, released: true})
+	}
+}
+
+// record performs an operation and logs it.
+func (l *Ledger) record(op operation) {
+	l.change(op, !op.released)
+	l.log = append(l.log, op)
+}
+
+// change binds or releases a block and adjusts all counts.
+func (l *Ledger) change(op operation, bind bool) {
+	sign := 1
+	if !bind {
+		sign = -1
+	}
+	a := &l.accounts[op.customer]
+	a.open[op.level] -= sign
+	l.open[op.level] -= sign
+	if op.level == l.rack {
+		l.changeRack(op, bind, a)
+		return
+	}
+	a.bound += sign * bits.OnesCount64(op.mask)
+	rack := l.workers[op.at].rack
+	l.countRack(rack, -1)
+	l.countWorker(op.at, -1)
+	l.changeWorker(op, bind)
+	l.countWorker(op.at, 1)
+	l.countRack(rack, 1)
+}
+
+// changeRack binds or releases a rack block.
+func (l *Ledger) changeRack(op operation, bind bool, a *account) {
+	r := &l.racks[op.at]
+	l.countRack(op.at, -1)
+	for _, w := range r.workers {
+		l.countWorker(w, -1)
+	}
+	r.owner = nobody
+	sign := -1
+	if bind {
+		r.owner = op.customer
+		sign = 1
+	}
+	for _, w := range r.workers {
+		a.bound += sign * bits.OnesCount64(l.workers[w].usable)
+		l.countWorker(w, 1)
+	}
+	l.countRack(op.at, 1)
+}
+
+// changeWorker binds or releases a worker block or a cell.
+func (l *Ledger) changeWorker(op operation, bind bool) {
+	w := &l.workers[op.at]
+	before := w.bound != 0
+	switch {
+	case bind && op.level == l.worker:
+		w.owner = op.customer
+		w.bound = w.usable
+	case bind:
+		w.cells = append(w.cells, cell{customer: op.customer, level: op.level, mask: op.mask})
+		w.bound |= op.mask
+	case op.level == l.worker:
+		w.owner = nobody
+		w.bound = 0
+	default:
+		w.removeCell(op.mask)
+	}
+	after := w.bound != 0
+	if after && !before {
+		l.racks[w.rack].touched++
+	}
+	if before && !after {
+		l.racks[w.rack].touched--
+	}
+}
+
+// removeCell forgets a bound cell.
+func (w *workerState) removeCell(mask Mask) {
+	for i, c := range w.cells {
+		if c.mask == mask {
+			last := len(w.cells) - 1
+			w.cells[i] = w.cells[last]
+			w.cells = w.cells[:last]
+			break
+		}
+	}
+	w.bound &^= mask
+}
--- /dev/null
+++ b/scheduler/guarantee/errors.go
@@ -0,0 +1,47 @@
+package guarantee
+
+import (
+	"strconv"
+
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// UnfitError reports the first guarantee, by customer name, that does not fit
+// the failure domain together with those before it.
+type UnfitError struct {
+	Guarantee structs.Guarantee
+	// Missing is how much room is lacking.
+	Missing structs.Shape
+}
+
+// Error implements error.
+func (e *UnfitError) Error() string {
+	return "guarantee of customer " + e.Guarantee.Customer + " in failure domain " +
+		e.Guarantee.Domain + " does not fit: missing " + describe(e.Missing)
+}
+
+// UnreclaimableError reports a customer whose guaranteed shape cannot be
+// reclaimed because the healthy workers do not suffice.
+type UnreclaimableError struct {
+	Customer string
+	Missing  structs.Shape
+}
+
+// Error implements error.
+func (e *UnreclaimableError) Error() string {
+	return "guarantee of customer " + e.Customer + " cannot be reclaimed: missing " + describe(e.Missing)
+}
+
+// InvalidTopologyError reports a failure domain whose topology is not stated.
+type InvalidTopologyError struct{ Domain string }
+
+// Error implements error.
+func (e *InvalidTopologyError) Error() string {
+	return "failure domain " + e.Domain + " states no racks, workers or accelerators"
+}
+
+// describe prints a shape in words.
+func describe(s structs.Shape) string {
+	return strconv.Itoa(s.Racks) + " racks, " + strconv.Itoa(s.Workers) + " workers, " +
+		strconv.Itoa(s.Accelerators) + " accelerators"
+}
--- /dev/null
+++ b/scheduler/guarantee/ledger.go
@@ -0,0 +1,270 @@
+package guarantee
+
+import (
+	"slices"
+	"strings"
+
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// nobody marks an unbound block.
+const nobody = -1
+
+// Part is the accelerators that a job holds on one worker of a ledger.
+type Part struct {
+	Worker int
+	Mask   Mask
+}
+
+// Ledger binds guaranteed slots to blocks. Claims are undone in reverse order.
+type Ledger struct {
+	workersPerRack int
+	perWorker      int
+	top            int
+	worker, rack   int // levels of whole workers and whole racks
+	workers        []workerState
+	racks          []rackState
+	accounts       []account
+	index          map[string]int
+	open           [maxLevels]int
+	// Unbound room: whole racks by their number of workers, whole workers, and
+	// the maximal cells of the other workers.
+	freeRacks   []int
+	freeWorkers int
+	freeCells   [maxLevels]int
+	split       [maxLevels]int // cells of one whole worker
+	log         []operation
+}
+
+// account is the guarantee of one customer.
+type account struct {
+	customer string
+	open     [maxLevels]int
+	missing  structs.Shape
+	// bound counts the accelerators in the customer's blocks.
+	bound int
+}
+
+// workerState is a worker and the blocks bound on it.
+type workerState struct {
+	rack   int
+	usable Mask
+	whole  bool
+	owner  int
+	bound  Mask
+	cells  []cell
+}
+
+// cell is a bound cell of a worker.
+type cell struct {
+	customer int
+	level    int
+	mask     Mask
+}
+
+// rackState is a rack and its block, if bound.
+type rackState struct {
+	workers []int
+	whole   int // number of whole workers
+	owner   int
+	touched int // workers with bound blocks
+}
+
+// NewLedger returns a ledger without claims. Worker indexes follow the order of
+// the slice. Quarantined workers give no room.
+func NewLedger(topology structs.FailureDomain, workers []structs.Worker, guarantees []structs.Guarantee) *Ledger {
+	l := &Ledger{
+		workersPerRack: max(topology.WorkersPerRack, 1),
+		perWorker:      min(max(topology.AcceleratorsPerWorker, 1), MaxAccelerators),
+		index:          make(map[string]int),
+	}
+	l.top = LargestCell(FullMask(l.perWorker))
+	l.worker = l.top + 1
+	l.rack = l.top + 2
+	addCells(&l.split, FullMask(l.perWorker), l.top, 1)
+	l.addWorkers(workers)
+	l.addAccounts(topology.Name, guarantees)
+	l.reduce()
+	return l
+}
+
+// addWorkers registers the workers and counts their room.
+func (l *Ledger) addWorkers(workers []structs.Worker) {
+	racks := make(map[string]int)
+	l.workers = make([]workerState, len(workers))
+	for i, w := range workers {
+		r, known := racks[w.Rack]
+		if !known {
+			r = len(l.racks)
+			racks[w.Rack] = r
+			l.racks = append(l.racks, rackState{owner: nobody})
+		}
+		state := workerState{rack: r, owner: nobody}
+		if !w.Quarantined {
+			state.usable = FullMask(w.Accelerators)
+			state.whole = w.Accelerators >= l.perWorker
+		}
+		l.workers[i] = state
+		l.racks[r].workers = append(l.racks[r].workers, i)
+		if state.whole {
+			l.racks[r].whole++
+		}
+	}
+	for i := range l.workers {
+		l.countWorker(i, 1)
+	}
+	l.freeRacks = make([]int, len(workers)+1)
+	for r := range l.racks {
+		l.countRack(r, 1)
+	}
+}
+
+// addAccounts opens the slots of the guarantees in the domain.
+func (l *Ledger) addAccounts(domain string, guarantees []structs.Guarantee) {
+	shapes := shapesByCustomer(domain, guarantees)
+	for _, g := range shapes {
+		a := account{customer: g.Customer, open: l.slots(g.Shape)}
+		l.index[g.Customer] = len(l.accounts)
+		l.accounts = append(l.accounts, a)
+		for level, n := range a.open {
+			l.open[level] += n
+		}
+	}
+}
+
+// shapesByCustomer returns one guarantee per customer, sorted by name.
+func shapesByCustomer(domain string, guarantees []structs.Guarantee) []structs.Guarantee {
+	var merged []structs.Guarantee
+	for _, g := range guarantees {
+		if g.Domain != "" && g.Domain != domain {
+			continue
+		}
+		at := slices.IndexFunc(merged, func(m structs.Guarantee) bool { return m.Customer == g.Customer })
+		if at < 0 {
+			merged = append(merged, g)
+			continue
+		}
+		merged[at].Shape = addShape(merged[at].Shape, g.Shape)
+	}
+	slices.SortFunc(merged, func(a, b structs.Guarantee) int { return strings.Compare(a.Customer, b.Customer) })
+	return merged
+}
+
+// addShape adds two shapes part by part.
+func addShape(a, b structs.Shape) structs.Shape {
+	return structs.Shape{
+		Racks:        a.Racks + b.Racks,
+		Workers:      a.Workers + b.Workers,
+		Accelerators: a.Accelerators + b.Accelerators,
+	}
+}
+
+// slots splits a shape into slots by level.
+func (l *Ledger) slots(s structs.Shape) [maxLevels]int {
+	var slots [maxLevels]int
+	slots[l.rack] = max(s.Racks, 0)
+	slots[l.worker] = max(s.Workers, 0)
+	rest := max(s.Accelerators, 0)
+	for level := l.top; level >= 0; level-- {
+		slots[level] += rest >> level
+		rest &= 1<<level - 1
+	}
+	return slots
+}
+
+// Customer returns the index of a customer's account.
+func (l *Ledger) Customer(name string) (int, bool) {
+	i, ok := l.index[name]
+	return i, ok
+}
+
+// Missing returns the part of a customer's shape for which the healthy workers
+// do not suffice.
+func (l *Ledger) Missing(customer int) structs.Shape {
+	return l.accounts[customer].missing
+}
+
+// Open returns the gang sizes of the customer's open slots, the largest first.
+func (l *Ledger) Open(customer int) []int {
+	var sizes []int
+	for level := l.rack; level >= 0; level-- {
+		for range l.accounts[customer].open[level] {
+			sizes = append(sizes, l.size(level))
+		}
+	}
+	return sizes
+}
+
+// size returns the accelerators of a slot.
+func (l *Ledger) size(level int) int {
+	switch level {
+	case l.rack:
+		return l.workersPerRack * l.perWorker
+	case l.worker:
+		return l.perWorker
+	default:
+		return 1 << level
+	}
+}
+
+// Bound returns the number of accelerators in the customer's blocks.
+func (l *Ledger) Bound(customer int) int {
+	return l.accounts[customer].bound
+}
+
+// Owned returns the accelerators of a worker in blocks of the customer.
+func (l *Ledger) Owned(customer, worker int) Mask {
+	w := &l.workers[worker]
+	if l.racks[w.rack].owner == customer || w.owner == customer {
+		return w.usable
+	}
+	return w.cellsOf(customer)
+}
+
+// cellsOf returns the accelerators in bound cells of the customer.
+func (w *workerState) cellsOf(customer int) Mask {
+	var own Mask
+	for _, c := range w.cells {
+		if c.customer == customer {
+			own |= c.mask
+		}
+	}
+	return own
+}
+
+// Foreign returns the accelerators of a worker in blocks of other customers.
+func (l *Ledger) Foreign(customer, worker int) Mask {
+	w := &l.workers[worker]
+	owner := l.racks[w.rack].owner
+	if owner == nobody {
+		owner = w.owner
+	}
+	if owner == customer {
+		return 0
+	}
+	if owner != nobody {
+		return w.usable
+	}
+	return w.bound &^ w.cellsOf(customer)
+}
+
+// MayHold reports whether the customer has an open slot, or enough open slots,
+// for a gang of n accelerators. Room in blocks that are bound already is not
+// considered.
+func (l *Ledger) MayHold(customer, n int) bool {
+	open := &l.accounts[customer].open
+	if open[l.rack] > 0 {
+		return true
+	}
+	if n > l.perWorker {
+		return (open[l.worker]+open[l.top])*l.perWorker >= n
+	}
+	if open[l.worker] > 0 {
+		return true
+	}
+	room := 0
+	for level := l.top; level >= 0; level-- {
+		room += open[level] << level
+	}
+	return room >= n
+}
--- /dev/null
+++ b/scheduler/placement/reclaim.go
@@ -0,0 +1,315 @@
+package placement
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+	"time"
+
+	"cranberrydrum.dev/scheduler/guarantee"
+	"cranberrydrum.dev/scheduler/preemption"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// candidate is a place for a gang that may be occupied by jobs to be preempted.
+type candidate struct {
+	parts []guarantee.Part
+	cost  preemption.Cost
+	// state is startable if nothing occupies the place, leaving if only jobs
+	// that stop already do.
+	state candidateState
+	rank  int
+}
+
+// candidateState orders candidates of equal cost.
+type candidateState int
+
+// States of a candidate.
+const (
+	startable candidateState = iota
+	leavingOnly
+	occupied
+)
+
+// claim starts a job inside its customer's guarantee, or makes room for it.
+func (r *round) claim(j *job) bool {
+	c := j.customer
+	account := c.account
+	parts := r.findClaimable(j)
+	if parts != nil && r.s.ledger.Claim(account, parts) {
+		c.roundInside += j.spec.Accelerators
+		r.start(j, parts)
+		return true
+	}
+	grace := r.s.cfg.ReclaimGrace
+	if j.spec.Priority >= structs.PriorityUrgent {
+		grace = r.s.cfg.UrgentGrace
+	}
+	candidates := r.candidates(j, account, grace)
+	for i, place := range candidates {
+		if place.state != startable && (i == 0 || candidates[i-1].state == startable) && r.startOutside(j) {
+			return true
+		}
+		if !r.s.ledger.Claim(account, place.parts) {
+			continue
+		}
+		c.roundInside += j.spec.Accelerators
+		if place.state == startable {
+			r.start(j, place.parts)
+		} else {
+			r.makeRoom(j, place.parts, grace)
+		}
+		return true
+	}
+	return false
+}
+
+// findClaimable looks for available accelerators, in the blocks that the
+// customer has bound already and then where an open slot could be bound.
+func (r *round) findClaimable(j *job) []guarantee.Part {
+	c := j.customer
+	if r.s.ledger.Bound(c.account)-c.inside-c.roundInside >= j.spec.Accelerators {
+		look := r.freeView(j, c.account)
+		owned := func(at int, w *worker) guarantee.Mask {
+			return look(at, w) & r.s.ledger.Owned(c.account, at)
+		}
+		if parts := r.find(j.spec.Accelerators, owned); parts != nil {
+			return parts
+		}
+	}
+	if !r.s.ledger.MayHold(c.account, j.spec.Accelerators) {
+		return nil
+	}
+	return r.findFree(j, c.account)
+}
+
+// startOutside starts a job on available accelerators where it is not inside
+// its guarantee. Its guarantee stays unused, and nobody has to stop.
+func (r *round) startOutside(j *job) bool {
+	parts := r.findFree(j, noAccount)
+	if parts == nil {
+		return false
+	}
+	r.start(j, parts)
+	return true
+}
+
+// mayStop reports whether a job may be stopped for a requester.
+func (r *round) mayStop(requester, victim *job, account int) bool {
+	if r.leaving(victim) {
+		return true
+	}
+	if victim.inside {
+		return false
+	}
+	return account != noAccount || victim.spec.Priority < structs.PriorityUrgent
+}
+
+// reclaimView returns the accelerators that are free or held by jobs that may
+// be stopped.
+func (r *round) reclaimView(j *job, account int) view {
+	ownedOnly := account != noAccount && !r.s.ledger.MayHold(account, j.spec.Accelerators)
+	return func(at int, w *worker) guarantee.Mask {
+		if j.avoids(w) {
+			return 0
+		}
+		room := w.free
+		for _, o := range w.jobs {
+			if r.mayStop(j, o.job, account) {
+				room |= o.mask & w.usable
+			}
+		}
+		for _, o := range w.jobs {
+			if !r.mayStop(j, o.job, account) {
+				room &^= o.mask
+			}
+		}
+		room &^= w.taken
+		if account != noAccount {
+			room &^= r.s.ledger.Foreign(account, at)
+		}
+		if ownedOnly {
+			room &= r.s.ledger.Owned(account, at)
+		}
+		return room
+	}
+}
+
+// candidates returns the places for a gang, the best first.
+func (r *round) candidates(j *job, account int, grace time.Duration) []candidate {
+	look := r.reclaimView(j, account)
+	n := j.spec.Accelerators
+	var found []candidate
+	switch {
+	case n < r.s.perWorker:
+		found = r.cellCandidates(j, look, grace)
+	case r.s.fitsRack(n):
+		for i := range r.s.racks {
+			found = r.rackCandidate(found, j, &r.s.racks[i], n, look, grace)
+		}
+	default:
+		found = r.wideCandidate(j, n, look, grace)
+	}
+	slices.SortStableFunc(found, func(a, b candidate) int {
+		return cmp.Or(a.cost.Compare(b.cost), cmp.Compare(a.state, b.state), cmp.Compare(a.rank, b.rank))
+	})
+	return found
+}
+
+// cellCandidates lists the places inside one worker.
+func (r *round) cellCandidates(j *job, look view, grace time.Duration) []candidate {
+	n := j.spec.Accelerators
+	level := bits.Len(uint(n - 1))
+	var found []candidate
+	for at := range r.s.workers {
+		w := &r.s.workers[at]
+		room := look(at, w)
+		if bits.OnesCount64(room) < n {
+			continue
+		}
+		rank := bits.OnesCount64(room)
+		for start := 0; start < r.s.perWorker; start += 1 << level {
+			if mask, ok := guarantee.Fit(room&guarantee.CellAt(start, level), n); ok {
+				found = append(found, r.weigh(j, []guarantee.Part{{Worker: at, Mask: mask}}, rank, grace))
+			}
+		}
+		if mask, ok := guarantee.Fit(room, n); ok && n&(n-1) != 0 {
+			found = append(found, r.weigh(j, []guarantee.Part{{Worker: at, Mask: mask}}, rank+1, grace))
+		}
+	}
+	return found
+}
+
+// weigh returns a candidate with its cost.
+func (r *round) weigh(j *job, parts []guarantee.Part, rank int, grace time.Duration) candidate {
+	c := candidate{parts: parts, rank: rank}
+	var seen []*job
+	for _, p := range parts {
+		for _, o := range r.s.workers[p.Worker].jobs {
+			if o.mask&p.Mask == 0 || slices.Contains(seen, o.job) {
+				continue
+			}
+			c.state = max(c.state, leavingOnly)
+			if r.leaving(o.job) {
+				continue
+			}
+			c.state = occupied
+			seen = append(seen, o.job)
+			c.cost = c.cost.Add(r.assess(j, o.job, grace).Cost)
+		}
+	}
+	return c
+}
+
+// rackCandidate appends the cheapest place of a gang in a rack.
+func (r *round) rackCandidate(
+	found []candidate, j *job, k *rack, n int, look view, grace time.Duration,
+) []candidate {
+	needed, rest := n/r.s.perWorker, n%r.s.perWorker
+	units := r.wholeWorkers(k, look)
+	if len(units) < needed || len(units) > 64 {
+		return found
+	}
+	victims := r.victimsOf(j, units, grace)
+	chosen, _, ok := preemption.Choose(len(units), needed, victims)
+	if !ok {
+		return found
+	}
+	parts := make([]guarantee.Part, 0, needed+1)
+	full := guarantee.FullMask(r.s.perWorker)
+	for i, at := range units {
+		if chosen>>i&1 == 1 {
+			parts = append(parts, guarantee.Part{Worker: at, Mask: full})
+		}
+	}
+	if rest > 0 {
+		parts = r.cheapestRest(j, k, parts, rest, look, grace)
+		if parts == nil {
+			return found
+		}
+	}
+	return append(found, r.weigh(j, parts, len(units), grace))
+}
+
+// wholeWorkers lists the workers of a rack that can be given as a whole.
+func (r *round) wholeWorkers(k *rack, look view) []int {
+	var units []int
+	for _, at := range k.workers {
+		if r.s.isWhole(look(at, &r.s.workers[at])) {
+			units = append(units, at)
+		}
+	}
+	return units
+}
+
+// victimsOf lists the jobs on some workers that would have to stop.
+func (r *round) victimsOf(j *job, units []int, grace time.Duration) []preemption.Victim {
+	var victims []preemption.Victim
+	var jobs []*job
+	for i, at := range units {
+		for _, o := range r.s.workers[at].jobs {
+			if r.leaving(o.job) {
+				continue
+			}
+			known := slices.Index(jobs, o.job)
+			if known < 0 {
+				known = len(jobs)
+				jobs = append(jobs, o.job)
+				victims = append(victims, preemption.Victim{Cost: r.assess(j, o.job, grace).Cost})
+			}
+			victims[known].Units |= 1 << i
+		}
+	}
+	return victims
+}
+
+// cheapestRest adds the part of a gang that is smaller than a worker.
+func (r *round) cheapestRest(
+	j *job, k *rack, parts []guarantee.Part, rest int, look view, grace time.Duration,
+) []guarantee.Part {
+	var best []guarantee.Part
+	var bestCost preemption.Cost
+	for _, at := range k.workers {
+		used := slices.ContainsFunc(parts, func(p guarantee.Part) bool { return p.Worker == at })
+		mask, ok := guarantee.Fit(look(at, &r.s.workers[at]), rest)
+		if used || !ok {
+			continue
+		}
+		with := append(slices.Clone(parts), guarantee.Part{Worker: at, Mask: mask})
+		cost := r.weigh(j, with, 0, grace).cost
+		if best == nil || cost.Compare(bestCost) < 0 {
+			best, bestCost = with, cost
+		}
+	}
+	return best
+}
+
+// wideCandidate spreads a gang that is larger than a rack over the cheapest of
+// the racks that give the most whole workers.
+func (r *round) wideCandidate(j *job, n int, look view, grace time.Duration) []candidate {
+	type option struct{ rack, units int }
+	var options []option
+	for i := range r.s.racks {
+		if units := len(r.wholeWorkers(&r.s.racks[i], look)); units > 0 {
+			options = append(options, option{i, units})
+		}
+	}
+	slices.SortStableFunc(options, func(a, b option) int { return b.units - a.units })
+	var parts []guarantee.Part
+	for _, o := range options {
+		if n == 0 {
+			break
+		}
+		size := min(n, o.units*r.s.perWorker)
+		one := r.rackCandidate(nil, j, &r.s.racks[o.rack], size, look, grace)
+		if one == nil {
+			continue
+		}
+		parts = append(parts, one[0].parts...)
+		n -= size
+	}
+	if n > 0 {
+		return nil
+	}
+	return []candidate{r.weigh(j, parts, 0, grace)}
+}
--- /dev/null
+++ b/scheduler/placement/reserve.go
@@ -0,0 +1,231 @@
+package placement
+
+import (
+	"math"
+	"math/bits"
+	"slices"
+	"time"
+
+	"cranberrydrum.dev/scheduler/guarantee"
+)
+
+// overrunSlack is the assumed remaining time of a job that runs longer than
+// estimated.
+const overrunSlack = time.Minute
+
+// unknownEnd is the expected end of a job without an estimate.
+const unknownEnd = time.Duration(math.MaxInt64)
+
+// expectedEnd returns when a running job is expected to free its accelerators.
+func (r *round) expectedEnd(j *job) time.Duration {
+	switch {
+	case r.leaving(j):
+		return r.now + r.s.cfg.ReclaimGrace
+	case j.estimate <= 0:
+		return unknownEnd
+	default:
+		return max(j.started+j.estimate, r.now+overrunSlack)
+	}
+}
+
+// freeAt returns when some accelerators of a worker are expected to be free.
+func (r *round) freeAt(w *worker, mask guarantee.Mask) time.Duration {
+	at := r.now
+	for _, o := range w.jobs {
+		if o.mask&mask != 0 {
+			at = max(at, r.expectedEnd(o.job))
+		}
+	}
+	return at
+}
+
+// reserve holds the accelerators that are expected to be free first for a
+// starving gang.
+func (r *round) reserve(j *job) bool {
+	if r.reservations >= r.s.cfg.MaxReservations {
+		return false
+	}
+	parts, start := r.earliest(j)
+	if parts == nil {
+		return false
+	}
+	r.reservations++
+	for _, p := range parts {
+		w := r.touch(p.Worker)
+		if w.hold == 0 {
+			w.holdUntil = start
+			r.held = append(r.held, p.Worker)
+		}
+		w.holdUntil = min(w.holdUntil, start)
+		r.s.recount(w, func() { w.hold |= p.Mask })
+	}
+	r.wait(j, WaitReserved)
+	r.plan.Waiting[len(r.plan.Waiting)-1].ExpectedStart = start
+	return true
+}
+
+// earliest returns the place of a gang that is expected to be free first.
+func (r *round) earliest(j *job) ([]guarantee.Part, time.Duration) {
+	n := j.spec.Accelerators
+	switch {
+	case n < r.s.perWorker:
+		return r.earliestCell(j, n)
+	case r.s.fitsRack(n):
+		return r.earliestRack(j, n)
+	default:
+		return r.earliestWide(j, n)
+	}
+}
+
+// reservable returns the accelerators of a worker that can be reserved.
+func (r *round) reservable(j *job, w *worker) guarantee.Mask {
+	if j.avoids(w) {
+		return 0
+	}
+	return w.usable &^ (w.taken | w.hold)
+}
+
+// earliestCell looks for a place inside one worker.
+func (r *round) earliestCell(j *job, n int) ([]guarantee.Part, time.Duration) {
+	var best []guarantee.Part
+	bestAt := unknownEnd
+	level := bits.Len(uint(n - 1))
+	for at := range r.s.workers {
+		w := &r.s.workers[at]
+		room := r.reservable(j, w)
+		for start := 0; start < r.s.perWorker; start += 1 << level {
+			mask, ok := guarantee.Fit(room&guarantee.CellAt(start, level), n)
+			if !ok {
+				continue
+			}
+			if free := r.freeAt(w, mask); free < bestAt {
+				best, bestAt = []guarantee.Part{{Worker: at, Mask: mask}}, free
+			}
+		}
+	}
+	return best, bestAt
+}
+
+// opening is a worker that will be available as a whole.
+type opening struct {
+	worker int
+	at     time.Duration
+}
+
+// openings lists the workers of a rack that can be reserved as a whole, the
+// earliest first.
+func (r *round) openings(j *job, k *rack) []opening {
+	var list []opening
+	full := guarantee.FullMask(r.s.perWorker)
+	for _, at := range k.workers {
+		w := &r.s.workers[at]
+		if !r.s.isWhole(r.reservable(j, w)) {
+			continue
+		}
+		if free := r.freeAt(w, full); free < unknownEnd {
+			list = append(list, opening{at, free})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b opening) int {
+		switch {
+		case a.at < b.at:
+			return -1
+		case a.at > b.at:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return list
+}
+
+// earliestRack looks for the rack in which enough workers are free first. The
+// remainder of a gang reserves a whole worker.
+func (r *round) earliestRack(j *job, n int) ([]guarantee.Part, time.Duration) {
+	needed := (n + r.s.perWorker - 1) / r.s.perWorker
+	var best []opening
+	bestAt := unknownEnd
+	for i := range r.s.racks {
+		if r.s.racks[i].healthy < needed {
+			continue
+		}
+		list := r.openings(j, &r.s.racks[i])
+		if len(list) >= needed && list[needed-1].at < bestAt {
+			best, bestAt = list[:needed], list[needed-1].at
+		}
+	}
+	return r.partsOf(best), bestAt
+}
+
+// earliestWide takes the workers of all racks that are free first.
+func (r *round) earliestWide(j *job, n int) ([]guarantee.Part, time.Duration) {
+	needed := (n + r.s.perWorker - 1) / r.s.perWorker
+	var all []opening
+	for i := range r.s.racks {
+		all = append(all, r.openings(j, &r.s.racks[i])...)
+	}
+	if len(all) < needed {
+		return nil, unknownEnd
+	}
+	slices.SortStableFunc(all, func(a, b opening) int { return int(min(max(a.at-b.at, -1), 1)) })
+	return r.partsOf(all[:needed]), all[needed-1].at
+}
+
+// partsOf returns whole workers as parts.
+func (r *round) partsOf(list []opening) []guarantee.Part {
+	var parts []guarantee.Part
+	for _, o := range list {
+		parts = append(parts, guarantee.Part{Worker: o.worker, Mask: guarantee.FullMask(r.s.perWorker)})
+	}
+	return parts
+}
+
+// findFreeMemo looks for available accelerators outside a guarantee. Within a
+// round a size that was not found once is not found again, because the
+// available accelerators only become fewer.
+func (r *round) findFreeMemo(j *job) []guarantee.Part {
+	n := j.spec.Accelerators
+	if r.full[n] {
+		return nil
+	}
+	parts := r.findFree(j, noAccount)
+	if parts == nil && len(j.avoid) == 0 {
+		r.full[n] = true
+	}
+	return parts
+}
+
+// backfill looks for reserved accelerators that are free now, if the job is
+// expected to end before the reservation starts.
+func (r *round) backfill(j *job) []guarantee.Part {
+	if len(r.held) == 0 || j.estimate <= 0 {
+		return nil
+	}
+	end := r.now + j.estimate
+	look := func(_ int, w *worker) guarantee.Mask {
+		if j.avoids(w) {
+			return 0
+		}
+		if w.hold != 0 && end > w.holdUntil {
+			return w.avail()
+		}
+		return w.free &^ w.taken
+	}
+	n := j.spec.Accelerators
+	for _, at := range r.held {
+		w := &r.s.workers[at]
+		if end > w.holdUntil {
+			continue
+		}
+		if n < r.s.perWorker {
+			if mask, ok := guarantee.Fit(look(at, w), n); ok {
+				return []guarantee.Part{{Worker: at, Mask: mask}}
+			}
+			continue
+		}
+		if parts := r.gangInRack(&r.s.racks[w.rack], n, look); parts != nil {
+			return parts
+		}
+	}
+	return nil
+}
--- a/scheduler/placement/scheduler.go
+++ b/scheduler/placement/scheduler.go
@@ -1,8 +1,12 @@
 package placement
 
 import (
+	"reflect"
+	"slices"
+	"strings"
 	"time"
 
+	"cranberrydrum.dev/scheduler/guarantee"
 	"cranberrydrum.dev/scheduler/structs"
 )
 
@@ -10,36 +14,184 @@
 // safe for concurrent use. A round changes nothing that the next round sees:
 // the caller reports the accepted parts of a plan through SetRunning.
 type Scheduler struct {
-	cfg Config
+	cfg       Config
+	rules     Rules
+	topology  structs.FailureDomain
+	specs     map[string]structs.Worker
+	jobs      map[string]*job
+	customers map[string]*customer
+	names     []*customer // sorted by name
+
+	// stale asks for a rebuild of everything below, after a change of workers
+	// or rules.
+	stale     bool
+	workers   []worker // sorted by rack and ID
+	index     map[string]int
+	racks     []rack
+	perWorker int
+	capacity  int
+	ledger    *guarantee.Ledger
+
+	// claims holds the running jobs of customers with guarantees in the order
+	// of their claims. The first len(marks) are evaluated, and marks holds the
+	// position of the ledger before each.
+	claims []*job
+	marks  []int
+	stamp  uint64
 }
 
 // New returns a scheduler without rules, workers and jobs.
 func New(cfg Config) *Scheduler {
-	return &Scheduler{cfg: cfg.withDefaults()}
+	return &Scheduler{
+		cfg:       cfg.withDefaults(),
+		specs:     make(map[string]structs.Worker),
+		jobs:      make(map[string]*job),
+		customers: make(map[string]*customer),
+		stale:     true,
+	}
 }
 
 // SetRules replaces the rules.
-func (s *Scheduler) SetRules(rules Rules) {}
+func (s *Scheduler) SetRules(rules Rules) {
+	if reflect.DeepEqual(rules, s.rules) {
+		return
+	}
+	s.rules = rules
+	s.stale = true
+}
 
 // SetWorker adds a worker or replaces what is known of it.
-func (s *Scheduler) SetWorker(w structs.Worker) {}
+func (s *Scheduler) SetWorker(w structs.Worker) {
+	if known, ok := s.specs[w.ID]; ok && known == w {
+		return
+	}
+	s.specs[w.ID] = w
+	s.stale = true
+}
 
-// RemoveWorker removes a worker.
-func (s *Scheduler) RemoveWorker(id string) {}
+// RemoveWorker removes a worker. Its jobs stay until they are removed or queued.
+func (s *Scheduler) RemoveWorker(id string) {
+	if _, ok := s.specs[id]; !ok {
+		return
+	}
+	delete(s.specs, id)
+	s.stale = true
+}
 
 // SetQueued adds or replaces a waiting job. A running job of the same ID is
 // queued again.
-func (s *Scheduler) SetQueued(q Queued) {}
+func (s *Scheduler) SetQueued(q Queued) {
+	s.Remove(q.ID)
+	j := &job{id: q.ID, spec: q.Spec, since: q.Since, estimate: q.Estimate, avoid: q.Avoid}
+	s.register(j)
+	j.customer.enqueue(j)
+}
 
 // SetRunning adds or replaces a job that holds accelerators. A waiting job of
 // the same ID leaves the queue.
-func (s *Scheduler) SetRunning(r Running) {}
+func (s *Scheduler) SetRunning(r Running) {
+	if known, ok := s.jobs[r.ID]; ok && known.running && s.update(known, r) {
+		return
+	}
+	s.Remove(r.ID)
+	j := &job{
+		id: r.ID, spec: r.Spec, running: true, estimate: r.Estimate, members: r.Members,
+		order: r.Order, started: r.Started, checkpointed: r.Checkpointed, stopping: r.Stopping,
+	}
+	for _, m := range r.Members {
+		j.held += len(m.Accelerators)
+	}
+	s.register(j)
+	j.customer.held += j.held
+	if !s.stale {
+		s.occupy(j)
+	}
+}
+
+// update changes a running job in place if neither its accelerators nor its
+// claim change, which is the common case of a new checkpoint or estimate.
+func (s *Scheduler) update(j *job, r Running) bool {
+	same := j.order == r.Order && j.started == r.Started && j.stopping == r.Stopping &&
+		j.spec.Customer == r.Spec.Customer
+	if !same || !slices.EqualFunc(j.members, r.Members, equalMember) {
+		return false
+	}
+	j.spec = r.Spec
+	j.estimate = r.Estimate
+	j.checkpointed = r.Checkpointed
+	return true
+}
+
+// equalMember compares two members.
+func equalMember(a, b structs.Member) bool {
+	return a.Worker == b.Worker && slices.Equal(a.Accelerators, b.Accelerators)
+}
 
 // Remove forgets a job.
-func (s *Scheduler) Remove(job string) {}
+func (s *Scheduler) Remove(id string) {
+	j, ok := s.jobs[id]
+	if !ok {
+		return
+	}
+	delete(s.jobs, id)
+	j.customer.jobs--
+	if !j.running {
+		j.customer.dequeue(j)
+		return
+	}
+	j.customer.held -= j.held
+	if !s.stale {
+		s.vacate(j)
+	}
+}
 
-// Round decides what starts and what stops, at the given time.
-func (s *Scheduler) Round(now time.Duration) Plan { return Plan{} }
+// register adds a job to its customer.
+func (s *Scheduler) register(j *job) {
+	s.jobs[j.id] = j
+	j.customer = s.customerOf(j.spec.Customer)
+	j.customer.jobs++
+}
+
+// customerOf returns a customer, which is created if needed.
+func (s *Scheduler) customerOf(name string) *customer {
+	if c, ok := s.customers[name]; ok {
+		return c
+	}
+	c := &customer{name: name, account: noAccount}
+	s.applyRules(c)
+	s.customers[name] = c
+	at, _ := slices.BinarySearchFunc(s.names, name, func(c *customer, n string) int {
+		return strings.Compare(c.name, n)
+	})
+	s.names = slices.Insert(s.names, at, c)
+	return c
+}
+
+// applyRules sets weight and quota of a customer. A customer without a rule has
+// weight 1 and no quota; whether it may submit at all is decided elsewhere.
+func (s *Scheduler) applyRules(c *customer) {
+	c.weight = 1
+	for _, rule := range s.rules.Customers {
+		if rule.Name == c.name {
+			c.weight = max(rule.Weight, 1)
+		}
+	}
+	c.quota = quotaOf(s.rules, c.name)
+}
+
+// Inside returns the IDs of the running jobs inside their customer's
+// guarantee, sorted.
+func (s *Scheduler) Inside() []string {
+	s.flush()
+	var ids []string
+	for _, j := range s.claims {
+		if j.inside {
+			ids = append(ids, j.id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
 
 // Round is the stateless form of Scheduler.Round.
 func Round(snapshot Snapshot) Plan {
@@ -56,3 +208,14 @@
 	}
 	return s.Round(snapshot.Now)
 }
+
+// Round decides what starts and what stops, at the given time.
+func (s *Scheduler) Round(now time.Duration) Plan {
+	s.flush()
+	r := newRound(s, now)
+	r.guaranteed()
+	r.urgent()
+	r.fair()
+	r.rollBack()
+	return r.plan
+}
--- a/scheduler/placement/types.go
+++ b/scheduler/placement/types.go
@@ -44,7 +44,7 @@
 	// guarantee in the order (Order, Started, ID), so a later start never
 	// takes the protection of the guarantee from an earlier one.
 	Order uint64
-	// Started is when the run began and Checkpointed when its last checkpoint ended.
+	// Started is when the run began, 0 while the gang is only reserved, and Checkpointed when its last checkpoint ended.
 	Started      time.Duration
 	Checkpointed time.Duration
 	// Estimate is the expected run time, learned from measured ones; 0 if unknown.
