--- a/daemon/group/group.go
+++ b/daemon/group/group.go
@@ -64,6 +64,7 @@
 	jobs      chan func(now time.Duration)
 	stop      chan struct{}
 	done      chan struct{}
+	started   bool
 
 	// waiting maps the index of a proposal to its proposer. Only the
 	// goroutine of the group uses it.
@@ -103,11 +104,18 @@
 }
 
 // Start begins to run the group.
-func (g *Group) Start() { go g.run() }
+func (g *Group) Start() {
+	g.started = true
+	go g.run()
+}
 
 // Stop ends the group and closes its storage.
 func (g *Group) Stop() {
 	close(g.stop)
+	if !g.started {
+		g.closeStorage()
+		return
+	}
 	<-g.done
 }
 
--- a/daemon/node/backends.go
+++ b/daemon/node/backends.go
@@ -11,14 +11,10 @@
 )
 
 const (
-	// backendTTL bounds how long a backend server that fell silent, or whose
-	// drain did not reach this host, still receives new work.
-	backendTTL            = 3 * time.Second
-	backendTombstone      = 5 * time.Minute
-	maxBackends           = 4096
-	maxBackendBytes       = 1024
-	registryMessageBytes  = 64 << 10
-	registrySyncPerSecond = 2
+	backendTombstone     = 5 * time.Minute
+	maxBackends          = 4096
+	maxBackendBytes      = 1024
+	registryMessageBytes = 64 << 10
 )
 
 // backendDirectory holds the backend servers of this host's failure domain.
@@ -26,18 +22,22 @@
 // are reached through their hosts and need no entry here.
 type backendDirectory struct {
 	domain string
+	// ttl bounds how long a backend server that fell silent, or whose drain
+	// did not reach this host, still receives new work.
+	ttl time.Duration
 
 	mu       sync.Mutex
 	registry *registry.Registry
 }
 
-func newBackendDirectory(domain string) *backendDirectory {
+func newBackendDirectory(domain string, ttl time.Duration) *backendDirectory {
 	return &backendDirectory{
 		domain: domain,
+		ttl:    ttl,
 		registry: registry.New(registry.Config{
 			MaxEntries:         maxBackends,
 			MaxPayloadBytes:    maxBackendBytes,
-			MaxTTL:             backendTTL,
+			MaxTTL:             ttl,
 			TombstoneRetention: backendTombstone,
 		}),
 	}
@@ -57,7 +57,7 @@
 		Incarnation: b.Incarnation,
 		Sequence:    sequence,
 		State:       registryState(b.State),
-		TTL:         backendTTL,
+		TTL:         d.ttl,
 		Payload:     payload,
 	}
 	d.mu.Lock()
@@ -145,3 +145,38 @@
 	}
 	return structs.BackendUp
 }
+
+// entry returns the announcement of one backend server, for other hosts.
+func (d *backendDirectory) entry(now time.Duration, id string) []registry.Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.changesOf(now, id) {
+		return []registry.Entry{c.Entry}
+	}
+	return nil
+}
+
+func (d *backendDirectory) changesOf(now time.Duration, id string) []registry.Change {
+	changes, _ := d.registry.Changes(now, 0)
+	for _, c := range changes {
+		if c.ID == id {
+			return []registry.Change{c}
+		}
+	}
+	return nil
+}
+
+// find returns a live backend server and the sequence for its next change.
+func (d *backendDirectory) find(now time.Duration, service, id string) (structs.Backend, uint64, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.registry.Get(now, id)
+	if !ok {
+		return structs.Backend{}, 0, false
+	}
+	b, ok := decodeBackend(e)
+	if !ok || b.Service != service {
+		return structs.Backend{}, 0, false
+	}
+	return b, e.Sequence + 1, true
+}
--- a/daemon/node/calls.go
+++ b/daemon/node/calls.go
@@ -28,7 +28,6 @@
 	methodDomainStatus  = "domain.status"
 	methodMembers       = "members.list"
 	methodMemberChange  = "members.change"
-	methodBackends      = "backends.list"
 )
 
 // callHandler answers one method.
--- a/daemon/node/domainowner.go
+++ b/daemon/node/domainowner.go
@@ -37,9 +37,9 @@
 	metrics *metrics.Metrics
 	log     logr.Logger
 
-	controller *jobs.Controller
-	scheduler  *timedPlanner
-	term       uint64
+	controller   *jobs.Controller
+	scheduler    *timedPlanner
+	term         uint64
 	nextTakeOver time.Duration
 	nextExpire   time.Duration
 }
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -45,13 +45,15 @@
 	fetching    atomic.Bool
 	confirming  atomic.Bool
 
+	joining  sync.Mutex
 	mu       sync.Mutex
 	groups   map[string]*group.Group
 	domainOf map[string]*hostedDomain
 	services map[string]*service
 
-	inFlight sync.WaitGroup
+	inFlight *inFlight
 	stopping atomic.Bool
+	refusing atomic.Bool
 	refused  refusalCounts
 
 	stop   chan struct{}
@@ -74,6 +76,7 @@
 		groups:   map[string]*group.Group{},
 		domainOf: map[string]*hostedDomain{},
 		services: map[string]*service{},
+		inFlight: newInFlight(),
 		refused:  refusalCounts{counts: map[structs.Code]uint64{}},
 		stop:     make(chan struct{}),
 		failed:   make(chan error, 1),
@@ -370,6 +373,7 @@
 	n.broadcastStatus()
 	n.log.Info("stopping", "balancer_wait", n.cfg.BalancerWait.String())
 	n.wait(n.cfg.BalancerWait)
+	n.refusing.Store(true)
 	stopAccepting()
 	n.waitForRequests(ctx)
 	n.handOver()
@@ -380,14 +384,7 @@
 
 // waitForRequests waits until no request is in progress.
 func (n *Node) waitForRequests(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		n.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
+	if !n.inFlight.waitIdle(ctx.Done()) {
 		n.log.Info("requests are still in progress at the end of the stop timeout")
 	}
 }
--- a/daemon/node/requests.go
+++ b/daemon/node/requests.go
@@ -12,7 +12,7 @@
 	"cranberrydrum.dev/scheduler/structs"
 )
 
-// minForwardTime is left for the reply when a call to another host is bounded
+// replyMargin is left for the reply when a call to another host is bounded
 // by the deadline of a request.
 const replyMargin = 50 * time.Millisecond
 
@@ -40,8 +40,8 @@
 	if refusal := n.admit(&c); refusal != nil {
 		return nil, refusal
 	}
-	n.inFlight.Add(1)
-	defer n.inFlight.Done()
+	n.inFlight.begin()
+	defer n.inFlight.end()
 	start := n.now()
 	response, err := n.route(c)
 	if err == nil {
@@ -52,7 +52,7 @@
 
 // admit checks a request against the configuration and fills in its deadline.
 func (n *Node) admit(c *Call) *structs.Refusal {
-	if n.stopping.Load() {
+	if n.refusing.Load() {
 		return structs.NotRun(structs.CodeStopping, "this host is stopping")
 	}
 	cfg := n.config.current().Config
@@ -155,11 +155,11 @@
 
 // handleRequest serves an idempotent request that another host has forwarded.
 func (n *Node) handleRequest(_ string, r *remoteCall, remaining time.Duration) (any, error) {
-	if n.stopping.Load() {
+	if n.refusing.Load() {
 		return nil, structs.NotRun(structs.CodeStopping, "this host is stopping")
 	}
-	n.inFlight.Add(1)
-	defer n.inFlight.Done()
+	n.inFlight.begin()
+	defer n.inFlight.end()
 	response, err := n.serveLocally(r.call(remaining))
 	if err != nil {
 		return nil, err
@@ -170,8 +170,8 @@
 // handleKeyedRequest serves a non-idempotent request as the owner of its key.
 // A host that is stopping still serves, until it has handed over leadership.
 func (n *Node) handleKeyedRequest(_ string, r *remoteCall, remaining time.Duration) (any, error) {
-	n.inFlight.Add(1)
-	defer n.inFlight.Done()
+	n.inFlight.begin()
+	defer n.inFlight.end()
 	c := r.call(remaining)
 	seen, err := n.recordedAnswer(c)
 	if err != nil {
--- /dev/null
+++ b/daemon/node/sync.go
@@ -0,0 +1,216 @@
+package node
+
+import (
+	"strings"
+	"time"
+
+	"cranberrydrum.dev/coord/registry"
+	"cranberrydrum.dev/daemon/transport"
+	"cranberrydrum.dev/scheduler/serving"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// registryMessage carries announcements of backend servers between the hosts
+// of one failure domain: a digest asks for what its sender lacks.
+type registryMessage struct {
+	Digest  []registry.Version `msgpack:"d,omitempty"`
+	Ask     bool               `msgpack:"a,omitempty"`
+	Entries []registry.Entry   `msgpack:"e,omitempty"`
+}
+
+// broadcastStatus tells all hosts what is in force and who leads here.
+func (n *Node) broadcastStatus() {
+	body, err := encodeMessage(n.ownStatus())
+	if err != nil {
+		n.log.Error(err, "the host status cannot be encoded")
+		return
+	}
+	for _, p := range n.cfg.Peers {
+		_ = n.transport.Send(p.ID, transport.KindHostStatus, body)
+	}
+}
+
+func (n *Node) ownStatus() *hostStatus {
+	current := n.config.current()
+	status := &hostStatus{ConfigVersion: current.Version, ConfigDigest: current.Digest, Stopping: n.stopping.Load()}
+	for _, g := range n.allGroups() {
+		s := g.Status()
+		status.Groups = append(status.Groups, groupView{Name: g.Name(), Term: s.Term, Leader: s.Leader})
+	}
+	for _, s := range n.allServices() {
+		status.Services = append(status.Services, loadOf(s.status()))
+	}
+	return status
+}
+
+// loadOf summarises a dispatcher for the hosts of other failure domains.
+func loadOf(s serving.Snapshot) serviceStatus {
+	load := serviceStatus{Service: s.Service}
+	for _, e := range s.Executors {
+		if e.State != structs.BackendUp {
+			continue
+		}
+		load.Executors++
+		load.FreeSlots += max(0, e.Limit+e.Borrowed-e.Running)
+	}
+	for _, queued := range s.Queued {
+		load.Queued += queued
+	}
+	return load
+}
+
+func (n *Node) receiveStatus(from string, body []byte) {
+	var status hostStatus
+	if err := decodeMessage("host status", body, &status); err != nil {
+		n.metrics.FrameDropped(transport.KindHostStatus.String(), "malformed")
+		return
+	}
+	n.hosts.update(n.now(), from, status)
+	n.followConfig(from, status.ConfigVersion)
+}
+
+// syncBackends asks the hosts of the own failure domain for announcements that
+// this host lacks.
+func (n *Node) syncBackends() {
+	message := &registryMessage{Ask: true, Digest: n.backends.digest()}
+	n.sendToDomain(message)
+}
+
+func (n *Node) sendToDomain(message *registryMessage) {
+	body, err := encodeMessage(message)
+	if err != nil {
+		n.log.Error(err, "announcements cannot be encoded")
+		return
+	}
+	for _, h := range n.hosts.inDomain(n.cfg.Domain) {
+		_ = n.transport.Send(h.ID, transport.KindRegistry, body)
+	}
+}
+
+func (n *Node) receiveRegistry(from string, body []byte) {
+	var message registryMessage
+	if err := decodeMessage("announcements", body, &message); err != nil {
+		n.metrics.FrameDropped(transport.KindRegistry.String(), "malformed")
+		return
+	}
+	n.backends.merge(n.now(), message.Entries)
+	if !message.Ask {
+		return
+	}
+	entries := n.backends.delta(n.now(), message.Digest)
+	if len(entries) == 0 {
+		return
+	}
+	answer, err := encodeMessage(&registryMessage{Entries: entries})
+	if err == nil {
+		_ = n.transport.Send(from, transport.KindRegistry, answer)
+	}
+}
+
+// Announce takes the announcement of a backend server. A change of state goes
+// to the other hosts of the failure domain at once, so that a leaving backend
+// server gets nothing new there either.
+func (n *Node) Announce(b structs.Backend, sequence uint64) error {
+	if refusal := n.backends.announce(n.now(), b, sequence); refusal != nil {
+		return refusal
+	}
+	if b.State == structs.BackendUp {
+		return nil
+	}
+	n.sendToDomain(&registryMessage{Entries: n.backends.entry(n.now(), b.ID)})
+	return nil
+}
+
+// Drain changes the state of an announced backend server.
+func (n *Node) Drain(service, id string, incarnation uint64, state structs.BackendState) error {
+	b, sequence, found := n.backends.find(n.now(), service, id)
+	if !found || (incarnation != 0 && incarnation != b.Incarnation) {
+		return structs.NotRun(structs.CodeNotFound, "no backend server "+id+" of service "+service)
+	}
+	b.State = state
+	return n.Announce(b, sequence)
+}
+
+// publishGroups sets the metrics of the replicated logs.
+func (n *Node) publishGroups() {
+	for _, g := range n.allGroups() {
+		n.metrics.SetGroup(g.Name(), g.Leads(), g.Status().Term)
+	}
+	for _, s := range n.allServices() {
+		for class, queued := range s.status().Queued {
+			n.metrics.SetQueued(s.name, class, queued)
+		}
+	}
+}
+
+// observer counts frames and the bytes that cross the link between regions.
+type observer struct{ node *Node }
+
+// FrameSent implements transport.Observer.
+func (o *observer) FrameSent(peer string, kind transport.Kind, bytes int) {
+	o.node.metrics.FrameSent(peer, kind.String(), bytes)
+	if o.node.otherRegion(peer) {
+		o.node.metrics.RegionLinkBytes(kind.String(), bytes)
+	}
+}
+
+// FrameReceived implements transport.Observer.
+func (o *observer) FrameReceived(peer string, kind transport.Kind, bytes int) {
+	o.node.metrics.FrameReceived(peer, kind.String(), bytes)
+}
+
+// FrameDropped implements transport.Observer.
+func (o *observer) FrameDropped(_ string, kind transport.Kind, reason string) {
+	o.node.metrics.FrameDropped(kind.String(), reason)
+}
+
+// ConnectionClosed implements transport.Observer.
+func (o *observer) ConnectionClosed(_, reason string) { o.node.metrics.ConnectionClosed(reason) }
+
+func (n *Node) otherRegion(peer string) bool {
+	for _, p := range n.cfg.Peers {
+		if p.ID == peer {
+			return p.Region != n.cfg.Region
+		}
+	}
+	return false
+}
+
+// forwardTarget returns the host of another failure domain that should serve a
+// request, or nothing.
+func (n *Node) forwardTarget(service string, e serving.Forward) string {
+	best, most := "", 0
+	for _, h := range n.hosts.all() {
+		if !n.mayForward(h) {
+			continue
+		}
+		for _, s := range h.status.Services {
+			if s.Service == service && s.FreeSlots > most {
+				best, most = h.ID, s.FreeSlots
+			}
+		}
+	}
+	return best
+}
+
+// mayForward keeps requests within the region.
+func (n *Node) mayForward(h host) bool {
+	return h.Region == n.cfg.Region && h.Domain != n.cfg.Domain && h.fresh(n.now()) && !h.status.Stopping
+}
+
+// groupName returns the failure domain of a log, or nothing.
+func groupDomain(name string) string {
+	domainName, found := strings.CutPrefix(name, domainGroupPrefix)
+	if !found {
+		return ""
+	}
+	return domainName
+}
+
+// age returns how long ago a host was heard of, or -1.
+func (n *Node) age(h host) time.Duration {
+	if !h.seen {
+		return -1
+	}
+	return n.now() - h.received
+}
