--- a/daemon/api/doc.go
+++ b/daemon/api/doc.go
@@ -40,6 +40,8 @@
 	HeaderDeadline      = "X-Deadline-Ms"
 	HeaderKey           = "Idempotency-Key"
 	HeaderNonIdempotent = "X-Non-Idempotent"
+	// HeaderCustomer names the customer when the token names none.
+	HeaderCustomer = "X-Customer"
 	// HeaderRefusal carries the code of a refusal. Its presence tells a
 	// refusal from an error response of an executor.
 	HeaderRefusal = "X-Refusal"
--- /dev/null
+++ b/daemon/httpapi/jobs.go
@@ -0,0 +1,158 @@
+package httpapi
+
+import (
+	"slices"
+
+	"github.com/valyala/fasthttp"
+
+	"cranberrydrum.dev/daemon/api"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+func (s *Server) submitJob(ctx *fasthttp.RequestCtx) (any, error) {
+	who, err := s.auth.require(ctx, structs.RoleCaller)
+	if err != nil {
+		return nil, err
+	}
+	var request api.JobSubmitRequest
+	if err := decode(ctx, &request); err != nil {
+		return nil, err
+	}
+	spec, refusal := request.Spec()
+	if refusal != nil {
+		return nil, refusal
+	}
+	if spec.Customer, err = who.customerOf(spec.Customer); err != nil {
+		return nil, err
+	}
+	job, err := s.node.SubmitJob(spec, clientTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return api.JobOf(job), nil
+}
+
+func (s *Server) showJob(ctx *fasthttp.RequestCtx, id string) (any, error) {
+	who, err := s.auth.require(ctx, structs.RoleCaller, structs.RoleOperator)
+	if err != nil {
+		return nil, err
+	}
+	job, err := s.node.ShowJob(id, who.customer, clientTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return api.JobOf(job), nil
+}
+
+func (s *Server) cancelJob(ctx *fasthttp.RequestCtx, id string) (any, error) {
+	who, err := s.auth.require(ctx, structs.RoleCaller, structs.RoleOperator)
+	if err != nil {
+		return nil, err
+	}
+	job, err := s.node.CancelJob(id, who.customer, clientTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return api.JobOf(job), nil
+}
+
+func (s *Server) listJobs(ctx *fasthttp.RequestCtx) (any, error) {
+	who, err := s.auth.require(ctx, structs.RoleCaller, structs.RoleOperator)
+	if err != nil {
+		return nil, err
+	}
+	customer, err := who.customerOf(string(ctx.QueryArgs().Peek(api.QueryCustomer)))
+	if err != nil {
+		return nil, err
+	}
+	status := structs.JobStatus(ctx.QueryArgs().Peek(api.QueryStatus))
+	list, unreachable := s.node.ListJobs(customer, clientTimeout)
+	response := api.JobListResponse{Jobs: []api.Job{}, Unreachable: unreachable}
+	for _, job := range list {
+		if status == "" || job.Status == status {
+			response.Jobs = append(response.Jobs, api.JobOf(job))
+		}
+	}
+	slices.SortFunc(response.Jobs, func(a, b api.Job) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return response, nil
+}
+
+func (s *Server) renewWorker(ctx *fasthttp.RequestCtx) (any, error) {
+	if _, err := s.auth.require(ctx, structs.RoleWorker); err != nil {
+		return nil, err
+	}
+	var report api.WorkerRenewRequest
+	if err := decode(ctx, &report); err != nil {
+		return nil, err
+	}
+	orders, err := s.node.RenewWorker(report, clientTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return orders, nil
+}
+
+func (s *Server) leaveWorker(ctx *fasthttp.RequestCtx) (any, error) {
+	if _, err := s.auth.require(ctx, structs.RoleWorker); err != nil {
+		return nil, err
+	}
+	var request api.WorkerLeaveRequest
+	if err := decode(ctx, &request); err != nil {
+		return nil, err
+	}
+	if err := s.node.LeaveWorker(request.Worker, clientTimeout); err != nil {
+		return nil, err
+	}
+	return api.Done{Done: true}, nil
+}
+
+func (s *Server) announceBackend(ctx *fasthttp.RequestCtx) (any, error) {
+	if _, err := s.auth.require(ctx, structs.RoleBackend); err != nil {
+		return nil, err
+	}
+	var request api.BackendAnnounceRequest
+	if err := decode(ctx, &request); err != nil {
+		return nil, err
+	}
+	backend := structs.Backend{
+		ID:          request.ID,
+		Service:     request.Service,
+		Domain:      request.FailureDomain,
+		Address:     request.Address,
+		Slots:       request.Slots,
+		Connections: request.Connections,
+		State:       structs.BackendUp,
+		Incarnation: request.Incarnation,
+	}
+	if err := s.node.Announce(backend, request.Sequence); err != nil {
+		return nil, err
+	}
+	return api.BackendAnnounceResponse{TTLMS: api.Milliseconds(s.node.Settings().Timeouts.BackendTTL)}, nil
+}
+
+func (s *Server) drainBackend(ctx *fasthttp.RequestCtx) (any, error) {
+	return s.changeBackend(ctx, structs.BackendDraining)
+}
+
+func (s *Server) leaveBackend(ctx *fasthttp.RequestCtx) (any, error) {
+	return s.changeBackend(ctx, structs.BackendLeft)
+}
+
+func (s *Server) changeBackend(ctx *fasthttp.RequestCtx, state structs.BackendState) (any, error) {
+	if _, err := s.auth.require(ctx, structs.RoleBackend, structs.RoleOperator); err != nil {
+		return nil, err
+	}
+	var request api.BackendRequest
+	if err := decode(ctx, &request); err != nil {
+		return nil, err
+	}
+	if err := s.node.Drain(request.Service, request.ID, request.Incarnation, state); err != nil {
+		return nil, err
+	}
+	return api.Done{Done: true}, nil
+}
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -20,8 +20,6 @@
 	"cranberrydrum.dev/daemon/transport"
 	"cranberrydrum.dev/daemon/upstream"
 	"cranberrydrum.dev/scheduler/configstate"
-	"cranberrydrum.dev/scheduler/guarantee"
-	"cranberrydrum.dev/scheduler/rules"
 	"cranberrydrum.dev/scheduler/structs"
 )
 
@@ -86,7 +84,7 @@
 	if err := n.openIdentity(); err != nil {
 		return nil, err
 	}
-	n.configState = configstate.New(checkGuarantees)
+	n.configState = configstate.New(CheckGuarantees)
 	if err := n.openGroups(); err != nil {
 		n.closeGroups()
 		return nil, err
@@ -95,11 +93,6 @@
 	return n, nil
 }
 
-// checkGuarantees refuses rules whose guarantees do not fit together.
-func checkGuarantees(cfg *structs.Config) []rules.GuaranteeProblem {
-	return guarantee.Check(cfg)
-}
-
 func (n *Node) openIdentity() error {
 	n.identity = identity{Host: n.cfg.HostID, Store: storeIDAbsent}
 	if n.cfg.DataDir != "" {
--- a/daemon/node/service.go
+++ b/daemon/node/service.go
@@ -109,7 +109,7 @@
 }
 
 func (s *service) untilWake() time.Duration {
-	wake, ok := s.dispatcher.NextWake()
+	wake, ok := s.dispatcher.NextWake(s.node.now())
 	if !ok {
 		return maxServiceTick
 	}
--- a/daemon/settings/errors.go
+++ b/daemon/settings/errors.go
@@ -39,3 +39,9 @@
 
 // Error implements error.
 func (e *HelpRequested) Error() string { return "help requested" }
+
+// VersionRequested is returned for --version.
+type VersionRequested struct{}
+
+// Error implements error.
+func (e *VersionRequested) Error() string { return "version requested" }
--- a/daemon/settings/parse.go
+++ b/daemon/settings/parse.go
@@ -14,8 +14,11 @@
 
 // Parse reads the settings from the arguments after the program name and from
 // an environment in the form of os.Environ. It returns *Error for a refused
-// setting and *HelpRequested for --help.
+// setting, *HelpRequested for --help and *VersionRequested for --version.
 func Parse(args, env []string) (*Settings, error) {
+	if slices.Contains(args, "--version") {
+		return nil, &VersionRequested{}
+	}
 	opts := options()
 	flags, values := flagSet(opts)
 	if err := parseFlags(flags, args); err != nil {
@@ -43,7 +46,7 @@
 	return "cranberrydrumd runs one host of a deployment.\n\n" +
 		"Each flag can also be given as an environment variable, for example\n" +
 		"--host-id as " + EnvName(flagHostID) + ". The key shared by all hosts is read\n" +
-		"only from " + EnvName(flagPeerKey) + ".\n\nFlags:\n" + flags.FlagUsages()
+		"only from " + EnvName(flagPeerKey) + ".\n--version prints the version.\n\nFlags:\n" + flags.FlagUsages()
 }
 
 func flagSet(opts []option) (*pflag.FlagSet, map[string]*[]string) {
--- a/daemon/standin/executor.go
+++ b/daemon/standin/executor.go
@@ -72,6 +72,7 @@
 	draining bool
 	mute     bool
 	connIDs  map[uint64]struct{}
+	sequence uint64
 }
 
 // NewExecutor starts an executor on a free loopback port and announces it.
@@ -146,13 +147,13 @@
 // Drain announces that the executor takes no new work.
 func (e *Executor) Drain() error {
 	e.set(&e.draining, true)
-	return e.announce("/v1/backends/drain")
+	return e.depart("/v1/backends/drain")
 }
 
 // Close leaves and stops the executor.
 func (e *Executor) Close() {
 	e.set(&e.draining, true)
-	_ = e.announce("/v1/backends/leave")
+	_ = e.depart("/v1/backends/leave")
 	e.Kill()
 }
 
@@ -255,11 +256,18 @@
 type announcement struct {
 	ID          string `json:"id"`
 	Service     string `json:"service"`
-	Domain      string `json:"domain"`
+	Domain      string `json:"failure_domain"`
 	Address     string `json:"address"`
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
 	Incarnation uint64 `json:"incarnation"`
+	Sequence    uint64 `json:"sequence"`
+}
+
+// departure is the body of the drain and leave calls.
+type departure struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
 }
 
 func (e *Executor) announceLoop() {
@@ -268,7 +276,7 @@
 	defer ticker.Stop()
 	for {
 		if !e.quiet() {
-			_ = e.announce("/v1/backends/announce")
+			_ = e.announce()
 		}
 		select {
 		case <-ticker.C:
@@ -284,8 +292,12 @@
 	return e.mute || e.draining
 }
 
-// announce posts to the first host that takes it.
-func (e *Executor) announce(path string) error {
+// announce posts the announcement to the first host that takes it.
+func (e *Executor) announce() error {
+	e.mu.Lock()
+	e.sequence++
+	sequence := e.sequence
+	e.mu.Unlock()
 	body, err := json.Marshal(announcement{
 		ID:          e.cfg.ID,
 		Service:     e.cfg.Service,
@@ -294,9 +306,19 @@
 		Slots:       e.cfg.Slots,
 		Connections: e.cfg.Connections,
 		Incarnation: e.born,
+		Sequence:    sequence,
 	})
 	if err != nil {
 		return &SetupError{What: "announcement", Cause: err}
 	}
+	return postAny(e.client, e.cfg.Hosts, "/v1/backends/announce", e.cfg.Token, body, nil)
+}
+
+// depart posts a drain or leave call to the first host that takes it.
+func (e *Executor) depart(path string) error {
+	body, err := json.Marshal(departure{ID: e.cfg.ID, Service: e.cfg.Service})
+	if err != nil {
+		return &SetupError{What: "departure", Cause: err}
+	}
 	return postAny(e.client, e.cfg.Hosts, path, e.cfg.Token, body, nil)
 }
