--- /dev/null
+++ b/daemon/standin/worker.go
@@ -0,0 +1,271 @@
+package standin
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cranberrydrum.dev/scheduler/agent"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// WorkerConfig describes a stand-in worker.
+type WorkerConfig struct {
+	Worker structs.Worker
+	// Hosts are the base URLs of the entry hosts that it renews with.
+	Hosts []string
+	Token string
+	// RenewInterval is the time between renewals.
+	RenewInterval time.Duration
+	// TaskTime is how long a task without a stated time takes. A job states
+	// its time as the second word of its command, for example "run 200ms".
+	TaskTime time.Duration
+	// CheckpointTime is how long a checkpoint takes.
+	CheckpointTime time.Duration
+	// FailAll makes every task fail shortly after its start.
+	FailAll bool
+	Log     *TaskLog
+}
+
+// Worker runs tasks that do nothing but take time, under a lease.
+type Worker struct {
+	cfg    WorkerConfig
+	client *fasthttp.Client
+	agent  *agent.Agent
+	start  time.Time
+	events chan agent.Event
+	stop   chan struct{}
+	done   chan struct{}
+	seq    uint64
+	tasks  map[agent.StopTask]*workerTask
+
+	mu     sync.Mutex
+	frozen chan struct{}
+}
+
+type workerTask struct {
+	started time.Time
+	resumed time.Duration
+	timer   *time.Timer
+}
+
+const (
+	defaultRenewInterval = time.Second
+	failAfter            = 20 * time.Millisecond
+	workerEvents         = 256
+)
+
+// NewWorker starts a worker.
+func NewWorker(cfg WorkerConfig) *Worker {
+	if cfg.RenewInterval <= 0 {
+		cfg.RenewInterval = defaultRenewInterval
+	}
+	w := &Worker{
+		cfg:    cfg,
+		client: &fasthttp.Client{ReadTimeout: announceTimeout, WriteTimeout: announceTimeout, MaxIdemponentCallAttempts: 1},
+		agent:  agent.New(cfg.Worker, uint64(time.Now().UnixNano())),
+		start:  time.Now(),
+		events: make(chan agent.Event, workerEvents),
+		stop:   make(chan struct{}),
+		done:   make(chan struct{}),
+		tasks:  map[agent.StopTask]*workerTask{},
+	}
+	go w.run()
+	return w
+}
+
+// Kill ends the worker and its tasks without a word to the system.
+func (w *Worker) Kill() {
+	close(w.stop)
+	<-w.done
+}
+
+// Freeze suspends the whole machine, tasks included, until the returned
+// function is called.
+func (w *Worker) Freeze() (resume func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	frozen := make(chan struct{})
+	w.frozen = frozen
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.frozen == frozen {
+			w.frozen = nil
+			close(frozen)
+		}
+	}
+}
+
+func (w *Worker) now() time.Duration { return time.Since(w.start) }
+
+func (w *Worker) run() {
+	defer close(w.done)
+	defer w.endAll()
+	renew := time.NewTicker(w.cfg.RenewInterval)
+	defer renew.Stop()
+	w.renew()
+	for {
+		lease := w.leaseTimer()
+		select {
+		case <-w.stop:
+			return
+		case <-renew.C:
+			w.waitWhileFrozen()
+			w.renew()
+		case event := <-w.events:
+			w.waitWhileFrozen()
+			w.step(event)
+		case <-lease:
+			w.waitWhileFrozen()
+			w.step(agent.Timer{})
+		}
+	}
+}
+
+func (w *Worker) waitWhileFrozen() {
+	w.mu.Lock()
+	frozen := w.frozen
+	w.mu.Unlock()
+	if frozen == nil {
+		return
+	}
+	suspended := w.suspend()
+	select {
+	case <-frozen:
+	case <-w.stop:
+		return
+	}
+	w.step(agent.Timer{})
+	w.resume(suspended)
+}
+
+// suspend takes the tasks out of the log, because a frozen machine runs nothing.
+func (w *Worker) suspend() []TaskStart {
+	var suspended []TaskStart
+	for id := range w.tasks {
+		if s, ok := w.cfg.Log.ended(w.cfg.Worker.ID, id.Job, id.Run); ok {
+			suspended = append(suspended, s)
+		}
+	}
+	return suspended
+}
+
+// resume puts back the tasks that the agent did not stop on waking.
+func (w *Worker) resume(suspended []TaskStart) {
+	for _, s := range suspended {
+		if w.tasks[agent.StopTask{Job: s.Job, Run: s.Run}] != nil {
+			w.cfg.Log.started(s)
+		}
+	}
+}
+
+func (w *Worker) leaseTimer() <-chan time.Time {
+	deadline, ok := w.agent.Deadline()
+	if !ok {
+		return nil
+	}
+	return time.After(max(0, deadline-w.now()))
+}
+
+// renew sends the report on a goroutine of its own, so that a host that does
+// not answer cannot keep the worker from ending its tasks in time.
+func (w *Worker) renew() {
+	w.seq++
+	seq := w.seq
+	w.step(agent.RenewalSent{Seq: seq})
+	body, err := json.Marshal(w.agent.Report())
+	if err != nil {
+		return
+	}
+	go func() {
+		var orders structs.WorkerOrders
+		if err := postAny(w.client, w.cfg.Hosts, "/v1/workers/renew", w.cfg.Token, body, &orders); err != nil {
+			return
+		}
+		w.post(agent.OrdersReceived{Seq: seq, Orders: orders})
+	}()
+}
+
+func (w *Worker) post(event agent.Event) {
+	select {
+	case w.events <- event:
+	case <-w.done:
+	}
+}
+
+func (w *Worker) step(event agent.Event) {
+	if exited, ok := event.(agent.TaskExited); ok {
+		w.end(agent.StopTask{Job: exited.Job, Run: exited.Run})
+	}
+	for _, effect := range w.agent.Step(w.now(), event) {
+		switch e := effect.(type) {
+		case agent.StartTask:
+			w.startTask(e)
+		case agent.StopTask:
+			w.stopTask(e)
+		case agent.CheckpointTask:
+			w.checkpointTask(e)
+		}
+	}
+}
+
+func (w *Worker) startTask(e agent.StartTask) {
+	id := agent.StopTask{Job: e.Job, Run: e.Run}
+	task := &workerTask{started: time.Now(), resumed: w.cfg.Log.resumeFrom(e.Job)}
+	w.tasks[id] = task
+	w.cfg.Log.started(TaskStart{Worker: w.cfg.Worker.ID, Job: e.Job, Run: e.Run, Accelerators: e.Accelerators, At: task.started})
+	exit := agent.TaskExited{Job: e.Job, Run: e.Run}
+	left := w.taskTime(e.Command) - task.resumed
+	if w.cfg.FailAll {
+		exit.Failed = true
+		exit.Error = "the accelerator does not respond"
+		left = failAfter
+	}
+	task.timer = time.AfterFunc(max(left, 0), func() { w.post(exit) })
+}
+
+func (w *Worker) taskTime(command []string) time.Duration {
+	if len(command) > 1 {
+		if d, err := time.ParseDuration(command[1]); err == nil {
+			return d
+		}
+	}
+	return w.cfg.TaskTime
+}
+
+func (w *Worker) stopTask(e agent.StopTask) {
+	task := w.tasks[e]
+	if task == nil {
+		return
+	}
+	task.timer.Stop()
+	w.end(e)
+	// Posted from another goroutine: this one drains the events.
+	go w.post(agent.TaskExited{Job: e.Job, Run: e.Run, Failed: true, Error: "stopped"})
+}
+
+func (w *Worker) end(id agent.StopTask) {
+	delete(w.tasks, id)
+	w.cfg.Log.ended(w.cfg.Worker.ID, id.Job, id.Run)
+}
+
+func (w *Worker) checkpointTask(e agent.CheckpointTask) {
+	task := w.tasks[agent.StopTask(e)]
+	if task == nil {
+		return
+	}
+	time.AfterFunc(w.cfg.CheckpointTime, func() {
+		w.cfg.Log.checkpoint(e.Job, task.resumed+time.Since(task.started))
+		w.post(agent.CheckpointDone(e))
+	})
+}
+
+func (w *Worker) endAll() {
+	for id, task := range w.tasks {
+		task.timer.Stop()
+		w.cfg.Log.ended(w.cfg.Worker.ID, id.Job, id.Run)
+	}
+}
