Test placement against a brute-force oracle

The first runs of the state machine found four faults: customers first seen after a rebuild had no guarantee account; guaranteed jobs that started outside their guarantee were stopped and restarted without end; a customer's urgent gang and its own guaranteed job stopped each other in turn; a small gang used up a worker slot although a small slot was open. All are mended.

--- a/scheduler/guarantee/claim.go
+++ b/scheduler/guarantee/claim.go
@@ -48,6 +48,25 @@
 	return false
 }
 
+// ClaimTight is a Claim that binds no larger slots while smaller open ones
+// would do. It fails where only larger slots leave enough room for the others,
+// so that a small gang does not use up a slot that the customer may need for a
+// large one.
+func (l *Ledger) ClaimTight(customer int, parts []Part) bool {
+	mark := l.Mark()
+	for s := range strategies {
+		if l.cover(customer, parts, s) {
+			if l.feasible() {
+				return true
+			}
+			break
+		}
+		l.Undo(mark)
+	}
+	l.Undo(mark)
+	return false
+}
+
 // cover binds slots until all parts lie in blocks of the customer.
 func (l *Ledger) cover(customer int, parts []Part, s strategy) bool {
 	for _, p := range parts {
--- a/scheduler/guarantee/doc.go
+++ b/scheduler/guarantee/doc.go
@@ -21,7 +21,8 @@
 // can be preempted for any open slot, and therefore all open slots can be
 // reclaimed at the same time whatever placement does. A finished job only
 // releases blocks. Jobs that are not accepted may be preempted for a guaranteed
-// claim, including one of their own customer.
+// claim of another customer; for one of their own customer only if they are
+// less important, so a customer can only get in the way of itself.
 //
 // A slot guarantees gangs up to its own size. Two worker slots may be bound in
 // different racks, so a gang of two workers is guaranteed only by a rack slot.
--- a/scheduler/guarantee/ledger.go
+++ b/scheduler/guarantee/ledger.go
@@ -253,18 +253,23 @@
 // considered.
 func (l *Ledger) MayHold(customer, n int) bool {
 	open := &l.accounts[customer].open
+	if n > l.perWorker*l.workersPerRack {
+		return l.room(customer, l.rack) >= n
+	}
 	if open[l.rack] > 0 {
 		return true
 	}
 	if n > l.perWorker {
-		return (open[l.worker]+open[l.top])*l.perWorker >= n
-	}
-	if open[l.worker] > 0 {
-		return true
+		return l.room(customer, l.worker) >= n
 	}
+	return open[l.worker] > 0 || l.room(customer, l.top) >= n
+}
+
+// room returns the accelerators of the open slots up to a level.
+func (l *Ledger) room(customer, level int) int {
 	room := 0
-	for level := l.top; level >= 0; level-- {
-		room += open[level] << level
+	for ; level >= 0; level-- {
+		room += l.accounts[customer].open[level] * l.size(level)
 	}
-	return room >= n
+	return room
 }
--- a/scheduler/placement/index.go
+++ b/scheduler/placement/index.go
@@ -30,10 +30,6 @@
 	for _, c := range s.names {
 		s.applyRules(c)
 		c.inside = 0
-		c.account = noAccount
-		if account, ok := s.ledger.Customer(c.name); ok {
-			c.account = account
-		}
 	}
 	s.addJobs()
 }
--- /dev/null
+++ b/scheduler/placement/model_test.go
@@ -0,0 +1,412 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/bits"
+	"reflect"
+	"slices"
+	"sort"
+	"testing"
+	"time"
+
+	"cranberrydrum.dev/scheduler/guarantee"
+	"cranberrydrum.dev/scheduler/placement"
+	"cranberrydrum.dev/scheduler/structs"
+	"pgregory.net/rapid"
+)
+
+// model is the state that the caller of the scheduler would hold.
+type model struct {
+	s       *placement.Scheduler
+	cfg     placement.Config
+	now     time.Duration
+	rules   placement.Rules
+	workers map[string]structs.Worker
+	queued  map[string]placement.Queued
+	running map[string]placement.Running
+	next    int
+	order   uint64
+}
+
+var topology = structs.FailureDomain{Name: "d", Racks: 2, WorkersPerRack: 2, AcceleratorsPerWorker: 4}
+
+// shapes are guarantees of customers a, b and c that fit the topology together.
+var shapes = [][3]structs.Shape{
+	{},
+	{{Racks: 1}, {Workers: 1}, {Accelerators: 3}},
+	{{Workers: 1, Accelerators: 2}, {Accelerators: 7}, {Accelerators: 2}},
+	{{Racks: 1}, {Racks: 1}, {}},
+	{{Accelerators: 6}, {Workers: 2}, {Accelerators: 1}},
+}
+
+func newModel() *model {
+	m := &model{
+		now:     time.Second,
+		workers: map[string]structs.Worker{},
+		queued:  map[string]placement.Queued{},
+		running: map[string]placement.Running{},
+	}
+	m.s = placement.New(m.cfg)
+	m.setRules(1, 0)
+	for _, id := range []string{"r0w0", "r0w1", "r1w0", "r1w1"} {
+		m.setWorker(id, false)
+	}
+	return m
+}
+
+func (m *model) setRules(shape, quota int) {
+	m.rules = placement.Rules{Domain: "d", Topology: topology}
+	for i, name := range []string{"a", "b", "c"} {
+		m.rules.Customers = append(m.rules.Customers, structs.Customer{Name: name, Weight: i + 1})
+		g := structs.Guarantee{Customer: name, Domain: "d", Shape: shapes[shape][i]}
+		m.rules.Guarantees = append(m.rules.Guarantees, g)
+	}
+	if quota > 0 {
+		m.rules.Quotas = []structs.Quota{{Customer: "c", Accelerators: quota}}
+	}
+	m.s.SetRules(m.rules)
+}
+
+func (m *model) setWorker(id string, quarantined bool) {
+	w := structs.Worker{ID: id, Rack: id[:2], Accelerators: 4, Quarantined: quarantined}
+	m.workers[id] = w
+	m.s.SetWorker(w)
+}
+
+func (m *model) submit(spec structs.JobSpec, estimate time.Duration, avoid []string) string {
+	m.next++
+	id := fmt.Sprintf("j%04d", m.next)
+	m.queue(placement.Queued{ID: id, Spec: spec, Since: m.now, Estimate: estimate, Avoid: avoid})
+	return id
+}
+
+func (m *model) queue(q placement.Queued) {
+	m.queued[q.ID] = q
+	delete(m.running, q.ID)
+	m.s.SetQueued(q)
+}
+
+func (m *model) run(r placement.Running) {
+	m.running[r.ID] = r
+	delete(m.queued, r.ID)
+	m.s.SetRunning(r)
+}
+
+func (m *model) remove(id string) {
+	delete(m.queued, id)
+	delete(m.running, id)
+	m.s.Remove(id)
+}
+
+// requeue puts a stopped job back into the queue.
+func (m *model) requeue(r placement.Running) {
+	m.queue(placement.Queued{ID: r.ID, Spec: r.Spec, Since: m.now, Estimate: r.Estimate})
+}
+
+func (m *model) workerIDs() []string { return keys(m.workers) }
+
+func keys[V any](all map[string]V) []string {
+	ids := make([]string, 0, len(all))
+	for id := range all {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// state is the input of the reclaim check.
+func (m *model) state() guarantee.State {
+	s := guarantee.State{Topology: m.rules.Topology, Guarantees: m.rules.Guarantees}
+	for _, id := range m.workerIDs() {
+		s.Workers = append(s.Workers, m.workers[id])
+	}
+	for _, r := range m.running {
+		if !r.Stopping {
+			s.Jobs = append(s.Jobs, guarantee.Job{
+				ID: r.ID, Customer: r.Spec.Customer, Order: r.Order, Started: r.Started, Members: r.Members,
+			})
+		}
+	}
+	return s
+}
+
+// snapshot is the input of the stateless round.
+func (m *model) snapshot() placement.Snapshot {
+	s := placement.Snapshot{Config: m.cfg, Now: m.now, Rules: m.rules}
+	for _, w := range m.workers {
+		s.Workers = append(s.Workers, w)
+	}
+	for _, q := range m.queued {
+		s.Queued = append(s.Queued, q)
+	}
+	for _, r := range m.running {
+		s.Running = append(s.Running, r)
+	}
+	return s
+}
+
+// busy returns the accelerators held on a worker by jobs that are not left out.
+func (m *model) busy(worker string, leftOut map[string]bool) uint64 {
+	var mask uint64
+	for _, r := range m.running {
+		for _, member := range r.Members {
+			if member.Worker == worker && !leftOut[r.ID] {
+				mask |= guarantee.MaskOf(member.Accelerators)
+			}
+		}
+	}
+	return mask
+}
+
+// placeable reports whether a gang of a power of two fits if some jobs stop.
+func (m *model) placeable(job placement.Queued, stopped map[string]bool) bool {
+	n := job.Spec.Accelerators
+	out := map[string]bool{}
+	for id, r := range m.running {
+		out[id] = stopped[id] || r.Stopping
+	}
+	whole := map[string]int{}
+	for _, id := range m.workerIDs() {
+		if m.workers[id].Quarantined || slices.Contains(job.Avoid, id) {
+			continue
+		}
+		free := ^m.busy(id, out) & 0xf
+		for start := 0; n <= 4 && start < 4; start += n {
+			if cell := uint64(1<<n-1) << start; free&cell == cell {
+				return true
+			}
+		}
+		if free == 0xf {
+			whole[id[:2]]++
+		}
+	}
+	return n > 4 && n <= 8 && max(whole["r0"], whole["r1"])*4 >= n
+}
+
+// round runs a round, checks the plan and applies it.
+func (m *model) round(t *rapid.T) placement.Plan {
+	m.now += time.Second
+	plan := m.s.Round(m.now)
+	if stateless := placement.Round(m.snapshot()); !reflect.DeepEqual(plan, stateless) {
+		t.Fatalf("incremental plan %+v differs from stateless plan %+v", plan, stateless)
+	}
+	m.checkPreempts(t, plan)
+	for _, s := range plan.Starts {
+		m.start(t, s)
+	}
+	for _, p := range plan.Preempts {
+		r := m.running[p.Job]
+		r.Stopping = true
+		m.run(r)
+	}
+	return plan
+}
+
+// checkPreempts checks that victims exist, are outside their guarantee, stop
+// within the grace, and that none is stopped in vain.
+func (m *model) checkPreempts(t *rapid.T, plan placement.Plan) {
+	inside := guarantee.Inside(m.state())
+	victims := map[string][]string{}
+	for _, p := range plan.Preempts {
+		r, ok := m.running[p.Job]
+		if !ok || r.Stopping || slices.Contains(inside, p.Job) {
+			t.Fatalf("victim %s is unknown, stopping already or inside its guarantee", p.Job)
+		}
+		if m.queued[p.For].Spec.Priority == structs.PriorityUrgent && p.Grace > 2*time.Second {
+			t.Fatalf("grace %v of a victim of urgent work", p.Grace)
+		}
+		victims[p.For] = append(victims[p.For], p.Job)
+	}
+	for id, list := range victims {
+		n := m.queued[id].Spec.Accelerators
+		alone := len(victims) == 1 && len(plan.Starts) == 0
+		if alone && n&(n-1) == 0 && len(inside) == 0 && !m.guaranteed() && !minimalVictims(m, m.queued[id], list) {
+			t.Fatalf("job %s could run with fewer victims than %v", id, list)
+		}
+	}
+}
+
+// guaranteed reports whether the rules hold any guarantee.
+func (m *model) guaranteed() bool {
+	for _, g := range m.rules.Guarantees {
+		if g.Shape != (structs.Shape{}) {
+			return true
+		}
+	}
+	return false
+}
+
+// start checks and applies one start.
+func (m *model) start(t *rapid.T, s placement.Start) {
+	q, ok := m.queued[s.Job]
+	if !ok {
+		t.Fatalf("start of %s, which does not wait", s.Job)
+	}
+	racks := map[string]bool{}
+	size := 0
+	for _, member := range s.Members {
+		mask := guarantee.MaskOf(member.Accelerators)
+		w, known := m.workers[member.Worker]
+		if !known || w.Quarantined || slices.Contains(q.Avoid, w.ID) || mask&^0xf != 0 {
+			t.Fatalf("job %s on unusable worker %s", s.Job, member.Worker)
+		}
+		if m.busy(w.ID, nil)&mask != 0 {
+			t.Fatalf("accelerators of %s used twice by %s", w.ID, s.Job)
+		}
+		size += bits.OnesCount64(mask)
+		racks[w.Rack] = true
+	}
+	n := q.Spec.Accelerators
+	if size != n || (n <= 4 && len(s.Members) != 1) {
+		t.Fatalf("gang of %d placed as %+v", n, s.Members)
+	}
+	if n <= 4 && n&(n-1) == 0 && s.Members[0].Accelerators[0]%n != 0 {
+		t.Fatalf("gang of %d is not aligned: %+v", n, s.Members)
+	}
+	if len(racks) > 1 && n <= m.largestRack() {
+		t.Fatalf("gang of %d spread over racks: %+v", n, s.Members)
+	}
+	m.order++
+	m.run(placement.Running{
+		ID: s.Job, Spec: q.Spec, Members: s.Members, Order: m.order, Started: m.now, Estimate: q.Estimate,
+	})
+	m.checkQuota(t)
+}
+
+func (m *model) largestRack() int {
+	sizes := map[string]int{}
+	for id, w := range m.workers {
+		if !w.Quarantined {
+			sizes[id[:2]] += 4
+		}
+	}
+	return max(sizes["r0"], sizes["r1"])
+}
+
+func (m *model) checkQuota(t *rapid.T) {
+	held := 0
+	for _, r := range m.running {
+		if r.Spec.Customer == "c" {
+			held += r.Spec.Accelerators
+		}
+	}
+	for _, q := range m.rules.Quotas {
+		if held > q.Accelerators && m.running[keys(m.running)[len(m.running)-1]].Started == m.now {
+			t.Fatalf("customer c holds %d of quota %d", held, q.Accelerators)
+		}
+	}
+}
+
+// check compares the indexes of the scheduler with the oracle.
+func (m *model) check(t *rapid.T) {
+	inside := guarantee.Inside(m.state())
+	if got := m.s.Inside(); !slices.Equal(got, inside) {
+		t.Fatalf("inside %v, want %v", got, inside)
+	}
+	set := map[string]bool{}
+	for _, id := range inside {
+		set[id] = true
+	}
+	if len(m.workers) < 4 || slices.ContainsFunc(keys(m.workers), func(id string) bool { return m.workers[id].Quarantined }) {
+		return
+	}
+	if !reclaimable(m, set) {
+		t.Fatalf("guarantees %+v cannot be reclaimed around %+v", m.rules.Guarantees, m.running)
+	}
+}
+
+// askAll submits jobs for the whole unused guarantee of a customer and checks
+// that all start once the chosen victims have stopped. The customer's own jobs
+// outside the guarantee end before, because they are not stopped for it.
+func (m *model) askAll(t *rapid.T, customer string) {
+	inside := guarantee.Inside(m.state())
+	for id, r := range m.running {
+		if r.Spec.Customer == customer && !slices.Contains(inside, id) {
+			m.remove(id)
+		}
+	}
+	for id, q := range m.queued {
+		if q.Spec.Customer == customer {
+			m.remove(id)
+		}
+	}
+	var asked []string
+	for _, n := range guarantee.Open(m.state(), customer) {
+		spec := structs.JobSpec{Customer: customer, Priority: structs.PriorityNormal, Accelerators: n}
+		asked = append(asked, m.submit(spec, 0, nil))
+	}
+	for range 4 {
+		m.round(t)
+		for _, id := range keys(m.running) {
+			if r := m.running[id]; r.Stopping {
+				m.requeue(r)
+			}
+		}
+	}
+	for _, id := range asked {
+		if _, waits := m.queued[id]; waits {
+			t.Fatalf("job %s (%d) inside the guarantee of %s does not start; running %+v",
+				id, m.queued[id].Spec.Accelerators, customer, m.running)
+		}
+	}
+}
+
+// TestPlacementKeepsInvariants guards against double use of accelerators, split
+// gangs, exceeded quotas, lost guarantees and stale indexes over random
+// sequences of submissions, ends, cancellations, worker and rule changes.
+func TestPlacementKeepsInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel()
+		pick := func(t *rapid.T, ids []string) string {
+			if len(ids) == 0 {
+				t.Skip("nothing to choose from")
+			}
+			return rapid.SampledFrom(ids).Draw(t, "id")
+		}
+		customers := rapid.SampledFrom([]string{"a", "b", "c", "other"})
+		worker := rapid.SampledFrom([]string{"r0w0", "r0w1", "r1w0", "r1w1"})
+		t.Repeat(map[string]func(*rapid.T){
+			"": m.check,
+			"submit": func(t *rapid.T) {
+				spec := structs.JobSpec{
+					Customer:       customers.Draw(t, "customer"),
+					Priority:       structs.Priority(rapid.IntRange(0, 2).Draw(t, "priority")),
+					Accelerators:   rapid.SampledFrom([]int{1, 1, 2, 2, 3, 4, 4, 5, 8, 8, 12, 16, 17}).Draw(t, "size"),
+					CheckpointTime: time.Duration(rapid.IntRange(0, 3).Draw(t, "checkpoint")) * time.Second,
+				}
+				var avoid []string
+				if rapid.IntRange(0, 5).Draw(t, "avoids") == 0 {
+					avoid = []string{worker.Draw(t, "avoided")}
+				}
+				m.submit(spec, time.Duration(rapid.IntRange(0, 900).Draw(t, "estimate"))*time.Second, avoid)
+			},
+			"round":  func(t *rapid.T) { m.round(t) },
+			"wait":   func(t *rapid.T) { m.now += time.Duration(rapid.IntRange(1, 9000).Draw(t, "s")) * time.Second },
+			"finish": func(t *rapid.T) { m.remove(pick(t, keys(m.running))) },
+			"cancel": func(t *rapid.T) { m.remove(pick(t, keys(m.queued))) },
+			"stop":   func(t *rapid.T) { m.requeue(m.running[pick(t, keys(m.running))]) },
+			"checkpoint": func(t *rapid.T) {
+				r := m.running[pick(t, keys(m.running))]
+				r.Checkpointed = m.now
+				m.run(r)
+			},
+			"lose": func(t *rapid.T) {
+				id := pick(t, m.workerIDs())
+				delete(m.workers, id)
+				m.s.RemoveWorker(id)
+				for _, job := range keys(m.running) {
+					r := m.running[job]
+					if slices.ContainsFunc(r.Members, func(p structs.Member) bool { return p.Worker == id }) {
+						m.requeue(r)
+					}
+				}
+			},
+			"add":        func(t *rapid.T) { m.setWorker(worker.Draw(t, "worker"), false) },
+			"quarantine": func(t *rapid.T) { m.setWorker(pick(t, m.workerIDs()), rapid.Bool().Draw(t, "on")) },
+			"rules": func(t *rapid.T) {
+				m.setRules(rapid.IntRange(0, len(shapes)-1).Draw(t, "shape"), rapid.SampledFrom([]int{0, 8}).Draw(t, "quota"))
+			},
+			"askAll": func(t *rapid.T) { m.askAll(t, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer")) },
+		})
+	})
+}
--- a/scheduler/placement/phases.go
+++ b/scheduler/placement/phases.go
@@ -101,20 +101,23 @@
 }
 
 // guaranteed serves jobs inside the guarantee of their customer, urgent ones
-// first. They may preempt any job outside its own guarantee.
+// first. They may preempt any job outside its own guarantee. Jobs that need no
+// victims come first, so that accelerators which were freed for one of them are
+// not claimed by another.
 func (r *round) guaranteed() {
 	withAccount := r.byShare(func(c *customer) bool { return c.account != noAccount })
 	urgent := func(b *bucket) bool { return b.priority >= structs.PriorityUrgent }
-	for _, c := range withAccount {
-		r.serveGuarantee(c, urgent)
-	}
-	for _, c := range withAccount {
-		r.serveGuarantee(c, nil)
+	for _, withVictims := range []bool{false, true} {
+		for _, accept := range []func(*bucket) bool{urgent, nil} {
+			for _, c := range withAccount {
+				r.serveGuarantee(c, accept, withVictims)
+			}
+		}
 	}
 }
 
 // serveGuarantee starts jobs of a customer while its guarantee has room.
-func (r *round) serveGuarantee(c *customer, accept func(*bucket) bool) {
+func (r *round) serveGuarantee(c *customer, accept func(*bucket) bool, withVictims bool) {
 	c.resetCursors()
 	for !r.done() {
 		b, j := r.next(c, accept)
@@ -125,7 +128,7 @@
 		case r.never(j):
 		case !r.entitled(c, b.size) || !c.fits(b.size):
 			b.close()
-		case !r.claim(j):
+		case !r.claim(j, withVictims):
 			r.passOver(b, j)
 		}
 	}
--- a/scheduler/placement/reclaim.go
+++ b/scheduler/placement/reclaim.go
@@ -31,12 +31,14 @@
 	occupied
 )
 
-// claim starts a job inside its customer's guarantee, or makes room for it.
-func (r *round) claim(j *job) bool {
+// claim starts a job inside its customer's guarantee, or makes room for it if
+// victims are allowed. It never starts the job on free accelerators outside the
+// guarantee instead: there the job could be stopped for others again and again.
+func (r *round) claim(j *job, withVictims bool) bool {
 	c := j.customer
 	account := c.account
 	parts := r.findClaimable(j)
-	if parts != nil && r.s.ledger.Claim(account, parts) {
+	if parts != nil && r.s.ledger.ClaimTight(account, parts) {
 		c.roundInside += j.spec.Accelerators
 		r.start(j, parts)
 		return true
@@ -46,14 +48,24 @@
 		grace = r.s.cfg.UrgentGrace
 	}
 	candidates := r.candidates(j, account, grace)
-	for i, place := range candidates {
-		if place.state != startable && (i == 0 || candidates[i-1].state == startable) && r.startOutside(j) {
-			return true
-		}
-		if !r.s.ledger.Claim(account, place.parts) {
+	if r.claimFirst(j, candidates, grace, r.s.ledger.ClaimTight, leavingOnly) {
+		return true
+	}
+	return withVictims && (r.claimFirst(j, candidates, grace, r.s.ledger.ClaimTight, occupied) ||
+		r.claimFirst(j, candidates, grace, r.s.ledger.Claim, occupied))
+}
+
+// claimFirst claims the first place, up to a state, that leaves room for all
+// other guarantees.
+func (r *round) claimFirst(
+	j *job, candidates []candidate, grace time.Duration,
+	claim func(int, []guarantee.Part) bool, worst candidateState,
+) bool {
+	for _, place := range candidates {
+		if place.state > worst || !claim(j.customer.account, place.parts) {
 			continue
 		}
-		c.roundInside += j.spec.Accelerators
+		j.customer.roundInside += j.spec.Accelerators
 		if place.state == startable {
 			r.start(j, place.parts)
 		} else {
@@ -83,18 +95,10 @@
 	return r.findFree(j, c.account)
 }
 
-// startOutside starts a job on available accelerators where it is not inside
-// its guarantee. Its guarantee stays unused, and nobody has to stop.
-func (r *round) startOutside(j *job) bool {
-	parts := r.findFree(j, noAccount)
-	if parts == nil {
-		return false
-	}
-	r.start(j, parts)
-	return true
-}
-
-// mayStop reports whether a job may be stopped for a requester.
+// mayStop reports whether a job may be stopped for a requester: jobs that stop
+// already, and jobs outside their guarantee. An urgent job outside its own
+// guarantee spares other urgent jobs, and a customer's job is stopped for
+// another of the same customer only if it is less important.
 func (r *round) mayStop(requester, victim *job, account int) bool {
 	if r.leaving(victim) {
 		return true
@@ -102,6 +106,9 @@
 	if victim.inside {
 		return false
 	}
+	if victim.customer == requester.customer && victim.spec.Priority >= requester.spec.Priority {
+		return false
+	}
 	return account != noAccount || victim.spec.Priority < structs.PriorityUrgent
 }
 
--- a/scheduler/placement/scheduler.go
+++ b/scheduler/placement/scheduler.go
@@ -157,7 +157,7 @@
 	if c, ok := s.customers[name]; ok {
 		return c
 	}
-	c := &customer{name: name, account: noAccount}
+	c := &customer{name: name}
 	s.applyRules(c)
 	s.customers[name] = c
 	at, _ := slices.BinarySearchFunc(s.names, name, func(c *customer, n string) int {
@@ -167,7 +167,7 @@
 	return c
 }
 
-// applyRules sets weight and quota of a customer. A customer without a rule has
+// applyRules sets weight, quota and account of a customer. A customer without a rule has
 // weight 1 and no quota; whether it may submit at all is decided elsewhere.
 func (s *Scheduler) applyRules(c *customer) {
 	c.weight = 1
@@ -177,6 +177,13 @@
 		}
 	}
 	c.quota = quotaOf(s.rules, c.name)
+	c.account = noAccount
+	if s.ledger == nil {
+		return
+	}
+	if account, ok := s.ledger.Customer(c.name); ok {
+		c.account = account
+	}
 }
 
 // Inside returns the IDs of the running jobs inside their customer's
