--- a/scheduler/rules/parse.go
+++ b/scheduler/rules/parse.go
@@ -23,6 +23,9 @@
 // Parse reads a rules file. It returns either a configuration or all errors
 // found, sorted by position. The name only serves to label errors.
 func Parse(name string, text []byte, checks ...GuaranteeCheck) (*structs.Config, []*Error) {
+	if err := checkSize(name, text); err != nil {
+		return nil, []*Error{err}
+	}
 	statements, errs := parseStatements(name, text)
 	cfg := build(statements)
 	c := newChecker(name, statements)
@@ -42,6 +45,9 @@
 // the checks between rules, so that a host with stricter checks than the one
 // that accepted the text can still use it.
 func Load(name string, text []byte) (*structs.Config, []*Error) {
+	if err := checkSize(name, text); err != nil {
+		return nil, []*Error{err}
+	}
 	statements, errs := parseStatements(name, text)
 	if len(errs) > 0 {
 		sortErrors(errs)
@@ -50,13 +56,18 @@
 	return build(statements), nil
 }
 
-func parseStatements(name string, text []byte) ([]*statement, []*Error) {
-	if len(text) > MaxTextBytes || len(Format(text)) > MaxTextBytes {
-		return nil, []*Error{{
-			Code: CodeTooLarge, File: name,
-			Message: "rules are larger than " + strconv.Itoa(MaxTextBytes) + " bytes",
-		}}
+// checkSize bounds the text as written and in canonical form, which can be longer.
+func checkSize(name string, text []byte) *Error {
+	if len(text) <= MaxTextBytes && len(Format(text)) <= MaxTextBytes {
+		return nil
+	}
+	return &Error{
+		Code: CodeTooLarge, File: name,
+		Message: "rules are larger than " + strconv.Itoa(MaxTextBytes) + " bytes in canonical form",
 	}
+}
+
+func parseStatements(name string, text []byte) ([]*statement, []*Error) {
 	var statements []*statement
 	var errs []*Error
 	for i, line := range splitLines(text) {
