--- a/scheduler/serving/attempts.go
+++ b/scheduler/serving/attempts.go
@@ -98,11 +98,11 @@
 // withdrawn ends a request whose caller decided not to send it, and undoes
 // what the attempt did to the budget.
 func (d *Dispatcher) withdrawn(now time.Duration, r *request, a *attempt, refusal *structs.Refusal) {
-	if a.hedge || r.counted > 1 {
-		d.budget.refund(now)
-	} else {
+	if a.first {
 		d.budget.undoFirst(now)
 		d.counters.FirstAttempts--
+	} else {
+		d.budget.refund(now)
 	}
 	r.counted--
 	if r.liveAttempts() > 0 {
--- a/scheduler/serving/dispatch.go
+++ b/scheduler/serving/dispatch.go
@@ -125,6 +125,10 @@
 	var bestScore float64
 	bestLease := -1
 	count := len(d.order)
+	// The list may have become shorter since the last search.
+	if d.next >= count {
+		d.next = 0
+	}
 	for i := range count {
 		index := d.next + i
 		if index >= count {
@@ -189,7 +193,8 @@
 	if e.ownRunning < e.own {
 		return e, -1
 	}
-	if r.nonIdempotent {
+	// After a cut of the share, attempts beyond it count against the leases.
+	if r.nonIdempotent || e.ownRunning > e.own {
 		return nil, -1
 	}
 	if i := e.borrowed(now + d.safeTime(r.flow)); i >= 0 {
@@ -215,6 +220,7 @@
 		number:   r.sends,
 		executor: e,
 		tier:     r.flow.tier,
+		first:    r.counted == 1,
 		hedge:    mode.hedge,
 		aged:     mode.aged,
 		sent:     now,
--- /dev/null
+++ b/scheduler/serving/dispatcher_rapid_test.go
@@ -0,0 +1,392 @@
+package serving_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cranberrydrum.dev/scheduler/serving"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// The oracle keeps the plainest possible account of what was sent and checks
+// every effect against the promises, without knowing how the decision is made.
+
+type modelAttempt struct {
+	request  string
+	number   int
+	executor string
+	end      time.Duration
+	first    bool
+}
+
+type modelRequest struct {
+	nonIdempotent bool
+	deadline      time.Duration
+	finals        int
+	sends         int
+	// maySent counts ended attempts that may have reached an executor.
+	maySent int
+}
+
+type modelExecutor struct {
+	backend structs.Backend
+	own     int
+	leases  []serving.Lease
+}
+
+type machine struct {
+	d         *serving.Dispatcher
+	now       time.Duration
+	serial    int
+	requests  map[string]*modelRequest
+	live      []modelAttempt
+	ended     []modelAttempt
+	executors map[string]*modelExecutor
+	firsts    int
+	retries   int
+	share     float64
+}
+
+var hosts = []string{"host-a", "host-b"}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{requests: map[string]*modelRequest{}, executors: map[string]*modelExecutor{}}
+	m.share = rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "budget")
+	m.d = serving.NewDispatcher(serving.Config{
+		Self: "host-b", Hosts: hosts, Domain: "zrh-oerlikon", Seed: 7, Hedging: true,
+		Forwarding: rapid.Bool().Draw(t, "forwarding"), MaxQueued: 25,
+		Service: structs.Service{Name: "basket-planner", Slots: 8, Connections: 64, RetryBudget: m.share, MaxAttempts: 3, AttemptTimeout: 2 * time.Second},
+		Classes: []structs.ClassRule{
+			{Class: structs.ClassUrgent, ReservedSlots: 0.2, MaxQueue: 10},
+			{Class: structs.ClassBulk, MaxQueue: 10},
+		},
+		Customers: []structs.Customer{{Name: "a", Weight: 3}, {Name: "b", Weight: 1}},
+	})
+	return m
+}
+
+func (m *machine) step(t *rapid.T, ev serving.Event) {
+	for _, effect := range m.d.Step(m.now, ev) {
+		switch effect := effect.(type) {
+		case serving.Send:
+			m.checkSend(t, effect)
+		case serving.Answer:
+			m.checkAnswer(t, ev, effect)
+		case serving.Refuse:
+			m.checkRefuse(t, effect)
+		case serving.CloseConnection:
+			if i := m.find(m.live, effect.RequestID, effect.Attempt); i >= 0 {
+				m.end(i, true)
+			}
+		}
+	}
+}
+
+func (m *machine) find(list []modelAttempt, request string, number int) int {
+	return slices.IndexFunc(list, func(a modelAttempt) bool { return a.request == request && a.number == number })
+}
+
+// end moves an attempt from the live to the ended ones.
+func (m *machine) end(i int, mayHaveRun bool) {
+	a := m.live[i]
+	m.live = slices.Delete(m.live, i, i+1)
+	m.ended = append(m.ended, a)
+	if mayHaveRun {
+		m.requests[a.request].maySent++
+	}
+}
+
+func (m *machine) liveOf(request string) int {
+	count := 0
+	for _, a := range m.live {
+		if a.request == request {
+			count++
+		}
+	}
+	return count
+}
+
+func (m *machine) checkSend(t *rapid.T, s serving.Send) {
+	r, e := m.requests[s.RequestID], m.executors[s.Backend]
+	if r == nil || r.finals > 0 {
+		t.Fatalf("attempt of an unknown or finished request: %+v", s)
+	}
+	if e == nil || e.backend.State != structs.BackendUp || e.backend.Address != s.Address {
+		t.Fatalf("send to an executor that is not up: %+v", s)
+	}
+	if m.now >= r.deadline || s.Timeout <= 0 || m.now+s.Timeout > r.deadline {
+		t.Fatalf("attempt at %v runs past the deadline %v: %+v", m.now, r.deadline, s)
+	}
+	if r.nonIdempotent && (r.maySent > 0 || m.liveOf(s.RequestID) > 0) {
+		t.Fatalf("second attempt of a non-idempotent request: %+v", s)
+	}
+	r.sends++
+	if s.Attempt != r.sends || r.sends > 3+len(m.ended) {
+		t.Fatalf("attempt number %d after %d attempts", s.Attempt, r.sends-1)
+	}
+	first := s.Attempt == 1
+	if first {
+		m.firsts++
+	} else {
+		m.retries++
+	}
+	m.live = append(m.live, modelAttempt{s.RequestID, s.Attempt, s.Backend, m.now + s.Timeout, first})
+	m.checkSlots(t, s.Backend, e)
+	m.checkBudget(t)
+}
+
+// checkSlots checks the share now and at the end of each lease.
+func (m *machine) checkSlots(t *rapid.T, id string, e *modelExecutor) {
+	times := []time.Duration{m.now}
+	for _, l := range e.leases {
+		times = append(times, l.Until)
+	}
+	for _, at := range times {
+		allowed, running := e.own, 0
+		for _, l := range e.leases {
+			if l.Until > at {
+				allowed += l.Count
+			}
+		}
+		for _, a := range m.live {
+			if a.executor == id && a.end > at {
+				running++
+			}
+		}
+		if running > allowed {
+			t.Fatalf("executor %s has %d attempts at %v, share is %d", id, running, at, allowed)
+		}
+	}
+}
+
+func (m *machine) checkBudget(t *rapid.T) {
+	allowed := 3 + m.share*float64(m.firsts) + m.now.Seconds()
+	if float64(m.retries) > allowed+1e-6 {
+		t.Fatalf("%d retries after %d first attempts in %v", m.retries, m.firsts, m.now)
+	}
+}
+
+func (m *machine) checkAnswer(t *rapid.T, ev serving.Event, a serving.Answer) {
+	fromAttempt, fromForward := false, false
+	switch ev := ev.(type) {
+	case serving.AttemptFinished:
+		fromAttempt = ev.RequestID == a.RequestID && ev.Attempt == a.Attempt && ev.Result == serving.ResultOK
+	case serving.ForwardFinished:
+		fromForward = ev.RequestID == a.RequestID && ev.Result == serving.ResultOK
+	}
+	if !fromAttempt && !fromForward {
+		t.Fatalf("answer %+v does not belong to %+v", a, ev)
+	}
+	m.final(t, a.RequestID)
+}
+
+func (m *machine) checkRefuse(t *rapid.T, f serving.Refuse) {
+	r := m.requests[f.RequestID]
+	ran := r.maySent > 0 || m.liveOf(f.RequestID) > 0
+	if f.Refusal.Outcome == structs.OutcomeNotRun && ran {
+		t.Fatalf("refused as not run after an attempt that may have run: %+v", f)
+	}
+	if f.Refusal.Outcome != structs.OutcomeNotRun && r.sends == 0 && f.Refusal.Code == structs.CodeRetryBudget {
+		t.Fatalf("unknown outcome without an attempt: %+v", f)
+	}
+	m.final(t, f.RequestID)
+}
+
+func (m *machine) final(t *rapid.T, id string) {
+	r := m.requests[id]
+	r.finals++
+	if r.finals != 1 {
+		t.Fatalf("request %s has %d final effects", id, r.finals)
+	}
+}
+
+func (m *machine) arrive(t *rapid.T) {
+	m.serial++
+	id := fmt.Sprintf("r%d", m.serial)
+	nonIdempotent := rapid.IntRange(0, 3).Draw(t, "nonIdempotent") == 0
+	remaining := time.Duration(rapid.IntRange(1, 3000).Draw(t, "remaining")) * time.Millisecond
+	m.requests[id] = &modelRequest{nonIdempotent: nonIdempotent, deadline: m.now + remaining}
+	m.step(t, serving.RequestArrived{
+		Request: structs.Request{
+			ID: id, Service: "basket-planner", Remaining: remaining, NonIdempotent: nonIdempotent,
+			Class:    rapid.SampledFrom([]structs.Class{structs.ClassUrgent, structs.ClassNormal, structs.ClassBulk}).Draw(t, "class"),
+			Customer: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer"),
+		},
+		BodyBytes:       100,
+		AttemptAffinity: rapid.Bool().Draw(t, "affinity"),
+		Forwarded:       rapid.Bool().Draw(t, "forwarded"),
+	})
+}
+
+var results = []serving.Result{
+	serving.ResultOK, serving.ResultOK, serving.ResultOK, serving.ResultNotSent, serving.ResultTimeout, serving.ResultBroken,
+	serving.ResultIncomplete, serving.ResultBackendError, serving.ResultWithdrawn,
+}
+
+func (m *machine) finish(t *rapid.T) {
+	if len(m.live) == 0 {
+		t.Skip("no attempt")
+	}
+	i := rapid.IntRange(0, len(m.live)-1).Draw(t, "attempt")
+	a := m.live[i]
+	result := rapid.SampledFrom(results).Draw(t, "result")
+	m.end(i, result != serving.ResultNotSent && result != serving.ResultWithdrawn)
+	if result == serving.ResultWithdrawn {
+		if a.first {
+			m.firsts--
+		} else {
+			m.retries--
+		}
+	}
+	m.step(t, serving.AttemptFinished{RequestID: a.request, Attempt: a.number, Result: result, ServiceTime: time.Millisecond})
+}
+
+// finishAgain delivers a result that is late, repeated or unknown.
+func (m *machine) finishAgain(t *rapid.T) {
+	a := modelAttempt{request: "unknown", number: 1}
+	if len(m.ended) > 0 {
+		a = m.ended[rapid.IntRange(0, len(m.ended)-1).Draw(t, "ended")]
+	}
+	result := rapid.SampledFrom(results).Draw(t, "result")
+	m.step(t, serving.AttemptFinished{RequestID: a.request, Attempt: a.number, Result: result})
+}
+
+func (m *machine) known(id string) bool {
+	return slices.ContainsFunc(m.d.Snapshot().Executors, func(s serving.ExecutorSnapshot) bool { return s.ID == id })
+}
+
+func (m *machine) updateBackend(t *rapid.T) {
+	id := fmt.Sprintf("executor-%d", rapid.IntRange(0, 3).Draw(t, "executor"))
+	state := rapid.SampledFrom([]structs.BackendState{structs.BackendUp, structs.BackendUp, structs.BackendUp, structs.BackendDraining, structs.BackendLeft}).Draw(t, "state")
+	e := m.executors[id]
+	if e == nil {
+		e = &modelExecutor{}
+		m.executors[id] = e
+	}
+	if e.backend.State != structs.BackendUp && state == structs.BackendUp {
+		e.backend.Incarnation++
+	}
+	incarnation := e.backend.Incarnation
+	e.backend = structs.Backend{ID: id, Service: "basket-planner", Domain: "zrh-oerlikon", Address: fmt.Sprintf("%s:%d", id, incarnation), Slots: 4, Connections: 64, State: state, Incarnation: incarnation}
+	// An executor that the Dispatcher has forgotten starts with the static share.
+	if !m.known(id) {
+		e.own, e.leases = 2, nil
+	}
+	m.step(t, serving.BackendUpdated{Backend: e.backend})
+}
+
+func (m *machine) updateSlots(t *rapid.T) {
+	id := fmt.Sprintf("executor-%d", rapid.IntRange(0, 3).Draw(t, "executor"))
+	if !m.known(id) {
+		t.Skip("unknown executor")
+	}
+	e := m.executors[id]
+	e.own = rapid.IntRange(1, 2).Draw(t, "own")
+	e.leases = slices.DeleteFunc(e.leases, func(l serving.Lease) bool { return l.Until <= m.now })
+	if rapid.Bool().Draw(t, "lend") {
+		m.serial++
+		e.leases = append(slices.Clone(e.leases), serving.Lease{ID: fmt.Sprintf("l%d", m.serial), Count: 1, Until: m.now + time.Second})
+	}
+	m.step(t, serving.SlotsUpdated{Executor: id, Own: e.own, Leases: e.leases})
+}
+
+// advance lets time pass; attempts whose timeout passes end without a result.
+func (m *machine) advance(t *rapid.T, by time.Duration) {
+	m.now += by
+	for i := 0; i < len(m.live); i++ {
+		if m.live[i].end <= m.now {
+			m.end(i, true)
+			i--
+		}
+	}
+	m.step(t, serving.Tick{})
+}
+
+func (m *machine) anyRequest(t *rapid.T) string {
+	return fmt.Sprintf("r%d", rapid.IntRange(1, max(1, m.serial)).Draw(t, "request"))
+}
+
+func (m *machine) changeRules(t *rapid.T) {
+	policy := structs.Policy{Crest: rapid.Float64Range(0, 1).Draw(t, "crest"), Completion: rapid.Float64Range(0, 1).Draw(t, "completion")}
+	service := structs.Service{Name: "basket-planner", Slots: 8, Connections: 64, RetryBudget: m.share, MaxAttempts: 3, AttemptTimeout: time.Second}
+	m.d.SetRules(service, []structs.ClassRule{{Class: structs.ClassUrgent, ReservedSlots: 0.1, MaxQueue: 5}}, nil, policy)
+}
+
+// TestDispatcherKeepsPromises guards against every breach of the promises that
+// a caller, an executor or an operator could see, under arbitrary events.
+func TestDispatcherKeepsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		for range 2 {
+			m.updateBackend(t)
+		}
+		if rapid.Bool().Draw(t, "measured") {
+			m.warmUp(t)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": m.arrive, "arrive2": m.arrive, "arrive3": m.arrive,
+			"finish": m.finish, "finish2": m.finish, "finish3": m.finish,
+			"late":    m.finishAgain,
+			"backend": m.updateBackend,
+			"slots":   m.updateSlots,
+			"rules":   m.changeRules,
+			"advance": func(t *rapid.T) {
+				m.advance(t, time.Duration(rapid.IntRange(1, 300).Draw(t, "ms"))*time.Millisecond)
+			},
+			"cancel": func(t *rapid.T) { m.step(t, serving.RequestCancelled{RequestID: m.anyRequest(t)}) },
+			"duplicate": func(t *rapid.T) {
+				id := m.anyRequest(t)
+				if r := m.requests[id]; r == nil || r.finals > 0 {
+					t.Skip("not in progress")
+				}
+				m.step(t, serving.RequestArrived{Request: structs.Request{ID: id, Remaining: time.Second}})
+			},
+			"forwarded": func(t *rapid.T) {
+				m.step(t, serving.ForwardFinished{RequestID: m.anyRequest(t), Result: rapid.SampledFrom(results).Draw(t, "result")})
+			},
+		})
+		m.drain(t)
+	})
+}
+
+// warmUp lets the urgent requests of a customer be measured, without which
+// nothing is hedged or refused early.
+func (m *machine) warmUp(t *rapid.T) {
+	for range 45 {
+		m.serial++
+		id := fmt.Sprintf("r%d", m.serial)
+		m.requests[id] = &modelRequest{deadline: m.now + time.Second}
+		m.step(t, serving.RequestArrived{Request: structs.Request{ID: id, Customer: "a", Class: structs.ClassUrgent, Remaining: time.Second}})
+		m.now += 10 * time.Millisecond
+		if i := m.find(m.live, id, 1); i >= 0 {
+			m.end(i, true)
+			m.step(t, serving.AttemptFinished{RequestID: id, Attempt: 1, Result: serving.ResultOK})
+		}
+	}
+}
+
+// drain lets all deadlines pass: every request must have ended, and no slot
+// may stay taken.
+func (m *machine) drain(t *rapid.T) {
+	for range 40 {
+		m.advance(t, 250*time.Millisecond)
+	}
+	for id, r := range m.requests {
+		if r.finals != 1 {
+			t.Fatalf("request %s has %d final effects after its deadline", id, r.finals)
+		}
+	}
+	s := m.d.Snapshot()
+	if s.Running != 0 || s.Forwarded != 0 || s.Queued[structs.ClassUrgent]+s.Queued[structs.ClassNormal]+s.Queued[structs.ClassBulk] != 0 {
+		t.Fatalf("left over after all deadlines: %+v", s)
+	}
+	for _, e := range s.Executors {
+		if e.Running != 0 {
+			t.Fatalf("slot of %s leaked", e.ID)
+		}
+	}
+}
--- a/scheduler/serving/ledger.go
+++ b/scheduler/serving/ledger.go
@@ -25,6 +25,11 @@
 	// stays at its old size, so that no host counts a slot as its own before
 	// the others have given it up; 0 means the default.
 	ShareDelay time.Duration
+	// ShareFrom is when the host may begin to use its share. The caller sets
+	// it to the start plus ShareDelay if the list of hosts may have changed
+	// less than ShareDelay before the start, as other hosts may still use
+	// slots of the old division.
+	ShareFrom time.Duration
 }
 
 // Defaults of LedgerConfig. ShareDelay is above the 3 s within which a
@@ -219,6 +224,9 @@
 
 // own returns the slots that the Dispatcher may use as its own.
 func (l *SlotLedger) own(now time.Duration, e *ledgerExecutor) int {
+	if now < l.cfg.ShareFrom {
+		return 0
+	}
 	own := e.share
 	for i := range e.lent {
 		own -= e.lent[i].count
--- a/scheduler/serving/ledger_step.go
+++ b/scheduler/serving/ledger_step.go
@@ -88,7 +88,7 @@
 	if e == nil || !slices.Contains(l.cfg.Hosts, ev.From) || ev.From == l.cfg.Self {
 		return
 	}
-	if now < l.started+l.cfg.LendFor+l.cfg.Margin {
+	if now < max(l.cfg.ShareFrom, l.started+l.cfg.LendFor+l.cfg.Margin) {
 		return
 	}
 	out := 0
--- a/scheduler/serving/refresh.go
+++ b/scheduler/serving/refresh.go
@@ -200,6 +200,18 @@
 	return time.Duration(ahead / d.slotsFor(f) * float64(time.Second))
 }
 
+// Outlook returns what a new request would meet here, for the choice of the
+// failure domain: the expected wait and service time, and the executors that
+// are up with slots for this host.
+func (d *Dispatcher) Outlook(class structs.Class, customer string) (wait, service time.Duration, executors int) {
+	c := indexOf(class)
+	f := d.queues[c].flows[customer]
+	if f == nil {
+		f = &flow{class: c, customer: customer, weight: d.weightOf(customer)}
+	}
+	return d.waitFor(f), d.expected(f), d.up
+}
+
 func (d *Dispatcher) slotsFor(f *flow) float64 {
 	slots := d.capacity
 	for other := range classCount {
--- a/scheduler/serving/request.go
+++ b/scheduler/serving/request.go
@@ -65,6 +65,9 @@
 	// lease is the borrowed slot; empty for an own one.
 	lease string
 	tier  tier
+	// first marks an attempt that was credited to the retry budget; all others
+	// were paid from it.
+	first bool
 	hedge bool
 	probe bool
 	// aged marks an attempt that was dispatched because of the wait.
