--- a/scheduler/serving/ledger.go
+++ b/scheduler/serving/ledger.go
@@ -33,11 +33,12 @@
 }
 
 // Defaults of LedgerConfig. ShareDelay is above the 3 s within which a
-// configuration is in force everywhere, plus one lend and its margin.
+// configuration is in force everywhere, plus the longest attempt that may run
+// on a slot of the old division (10 s by default), plus one lend and its margin.
 const (
 	DefaultLendFor    = 5 * time.Second
 	DefaultLendMargin = time.Second
-	DefaultShareDelay = 10 * time.Second
+	DefaultShareDelay = 20 * time.Second
 	// askInterval bounds how often one host asks for slots of one executor.
 	askInterval = 200 * time.Millisecond
 	// askTimeout is when an unanswered question is forgotten.
