--- a/scheduler/serving/ledger.go
+++ b/scheduler/serving/ledger.go
@@ -25,14 +25,20 @@
 	// stays at its old size, so that no host counts a slot as its own before
 	// the others have given it up; 0 means the default.
 	ShareDelay time.Duration
+	// ShareFrom is when the host may begin to use its share. The caller sets
+	// it to the start plus ShareDelay if the list of hosts may have changed
+	// less than ShareDelay before the start, as other hosts may still use
+	// slots of the old division.
+	ShareFrom time.Duration
 }
 
 // Defaults of LedgerConfig. ShareDelay is above the 3 s within which a
-// configuration is in force everywhere, plus one lend and its margin.
+// configuration is in force everywhere, plus the longest attempt that may run
+// on a slot of the old division (10 s by default), plus one lend and its margin.
 const (
 	DefaultLendFor    = 5 * time.Second
 	DefaultLendMargin = time.Second
-	DefaultShareDelay = 10 * time.Second
+	DefaultShareDelay = 20 * time.Second
 	// askInterval bounds how often one host asks for slots of one executor.
 	askInterval = 200 * time.Millisecond
 	// askTimeout is when an unanswered question is forgotten.
@@ -219,6 +225,9 @@
 
 // own returns the slots that the Dispatcher may use as its own.
 func (l *SlotLedger) own(now time.Duration, e *ledgerExecutor) int {
+	if now < l.cfg.ShareFrom {
+		return 0
+	}
 	own := e.share
 	for i := range e.lent {
 		own -= e.lent[i].count
