wal: judge an interrupted rollover by record sequence

The first write of a new segment can be persisted with an unreadable header and a readable first record, which recovery took for a segment in use and reported as damage. Recovery now looks for a second record.

--- a/coord/wal/recover.go
+++ b/coord/wal/recover.go
@@ -126,8 +126,10 @@
 // seal is synced before the first entry goes to the new segment, so the new
 // one may hold its first record at most.
 func (s *Store) examineRollover(previous, last *segmentScan, out *findings) error {
-	used := len(last.frames) > 1 || last.validAfter
-	used = used || (len(last.frames) == 1 && last.size > last.end)
+	used, err := s.segmentUsed(last, previous.nextSeq()+2)
+	if err != nil {
+		return err
+	}
 	if used {
 		return intact(previous)
 	}
@@ -135,6 +137,22 @@
 	return s.examineLast(previous, out)
 }
 
+// segmentUsed reports whether a segment holds more than its first record.
+// Its header can be unreadable although the first record is readable, because
+// a crash can persist parts of an unsynced write out of order.
+func (s *Store) segmentUsed(scan *segmentScan, secondSeq uint64) (bool, error) {
+	if scan.headerOK {
+		more := len(scan.frames) == 1 && scan.size > scan.end
+		return more || len(scan.frames) > 1 || scan.validAfter, nil
+	}
+	data, err := s.fs.ReadFile(scan.file)
+	if err != nil {
+		return false, &IOError{Op: "read", File: scan.file, Err: err}
+	}
+	seed := segmentSeed(s.id, scan.number)
+	return anyFrameAfter(data, 0, seed, secondSeq), nil
+}
+
 // examineLast replays the last segment, whose tail may be torn.
 func (s *Store) examineLast(scan *segmentScan, out *findings) error {
 	if scan.sealed {
--- a/coord/wal/segment.go
+++ b/coord/wal/segment.go
@@ -81,6 +81,9 @@
 	return payload, binary.BigEndian.Uint64(rest[4:]), true
 }
 
+// nextSeq is the sequence expected after the last valid record.
+func (s *segmentScan) nextSeq() uint64 { return s.firstSeq + uint64(len(s.frames)) }
+
 // frame is one valid record of a segment.
 type frame struct {
 	offset  int64
@@ -111,7 +114,6 @@
 	seed := segmentSeed(storeID, number)
 	if !s.readHeader(data, seed) {
 		s.problem = ReasonHeader
-		s.validAfter = anyFrameAfter(data, 0, seed, 0)
 		return s
 	}
 	s.readFrames(data, seed)
@@ -162,7 +164,7 @@
 	for p := offset; p+frameHeaderBytes <= len(data); p++ {
 		seq := binary.BigEndian.Uint64(data[p+4:])
 		reach := uint64(len(data)) / frameHeaderBytes
-		if minSeq > 0 && (seq < minSeq || seq-minSeq > reach) {
+		if seq < minSeq || seq-minSeq > reach {
 			continue
 		}
 		if _, _, ok := frameAt(data, p, seed); ok {
