--- /dev/null
+++ b/scheduler/configstate/state_test.go
@@ -0,0 +1,167 @@
+package configstate_test
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	"cranberrydrum.dev/scheduler/configstate"
+	"cranberrydrum.dev/scheduler/rules"
+	"cranberrydrum.dev/scheduler/structs"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// TestMain fixes the seed and the number of cases, unless they are given, so
+// that CI has the same verdict each time.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "4711", "rapid.checks": "150", "rapid.steps": "60"} {
+		if !given[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func TestConfigState(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "configstate")
+}
+
+// content selects one of the texts below. Texts are equal exactly if their
+// contents are, apart from the spelling.
+type content struct {
+	customers string // one letter for each customer
+	reason    string
+	homes     string // "on" or "off" for the second failure domain
+	broken    bool
+}
+
+func (c content) text(spelling string) string {
+	domain := " region=r racks=1 workers-per-rack=8 accelerators-per-worker=8 keys="
+	lines := []string{
+		"region r # Mira Roth: " + c.reason,
+		"failure-domain one" + domain + "on # Mira Roth: hall",
+		"failure-domain two" + domain + c.homes + " # Mira Roth: hall",
+		"token " + strings.Repeat("0a", 32) + " role=operator # Mira Roth: example",
+		"keys retention=1d max-keys=1000 # Mira Roth: clients resend",
+		"policy peak-demand=50% completion=50% # Mira Roth: balanced",
+	}
+	for _, name := range c.customers {
+		lines = append(lines, "customer "+string(name)+" weight=1 # Mira Roth: contract")
+	}
+	if c.broken {
+		lines = append(lines, "customer # Mira Roth: no name")
+	}
+	return strings.ReplaceAll(strings.Join(lines, "\n")+"\n", " ", spelling)
+}
+
+func apply(s *configstate.State, index uint64, c configstate.Command) configstate.Result {
+	data, err := configstate.EncodeCommand(c)
+	if err != nil {
+		panic(err)
+	}
+	result, err := configstate.DecodeResult(s.Apply(index, 1, data))
+	if err != nil {
+		panic(err)
+	}
+	return result
+}
+
+func command(base uint64, c content) configstate.Command {
+	return configstate.Command{BaseVersion: base, Text: []byte(c.text(" ")), Author: "mira", RequestID: "r1"}
+}
+
+var _ = Describe("State", func() {
+	plain := content{customers: "a", reason: "site", homes: "off"}
+
+	It("repeats the first answer to a resend, and knows when it cannot", func() {
+		s := configstate.New()
+		first := command(0, plain)
+		answer := apply(s, 1, first)
+		Expect(answer.Version).To(BeEquivalentTo(1))
+		for v := uint64(1); v < configstate.MaxHistory; v++ {
+			c := plain
+			c.customers = string(rune('a' + v%20))
+			Expect(apply(s, v+1, command(v, c)).Refusal).To(BeNil())
+		}
+		Expect(apply(s, 600, first)).To(Equal(answer))
+		Expect(apply(s, 601, command(configstate.MaxHistory, plain)).Refusal).To(BeNil())
+		late := apply(s, 602, first)
+		Expect(late.Refusal).To(And(HaveField("Code", structs.CodeVersionConflict), HaveField("Outcome", structs.OutcomeUnknown)))
+		Expect(s.History()).To(HaveLen(configstate.MaxHistory))
+		snapshot, err := s.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(snapshot)).To(BeNumerically("<", configstate.MaxHistoryBytes))
+	})
+
+	It("counts the changed rules and comments of a version", func() {
+		s := configstate.New()
+		apply(s, 1, command(0, content{customers: "ab", reason: "site", homes: "off"}))
+		apply(s, 2, command(1, content{customers: "bcd", reason: "other site", homes: "off"}))
+		Expect(s.History()[1]).To(And(
+			HaveField("Added", 2), HaveField("Removed", 1), HaveField("Changed", 1), HaveField("Comments", 1),
+			HaveField("Author", "mira"), HaveField("Index", uint64(2)),
+		))
+	})
+
+	DescribeTable("refuses without a change", func(change func(*configstate.Command), code structs.Code) {
+		s := configstate.New(func(cfg *structs.Config) []rules.GuaranteeProblem {
+			if len(cfg.Customers) < 3 {
+				return nil
+			}
+			return []rules.GuaranteeProblem{{Line: 1, Message: "does not fit"}}
+		})
+		Expect(apply(s, 1, command(0, plain)).Refusal).To(BeNil())
+		before, _ := s.Snapshot()
+		c := command(1, plain)
+		change(&c)
+		result := apply(s, 2, c)
+		Expect(result.Refusal).To(And(HaveField("Code", code), HaveField("Outcome", structs.OutcomeNotRun)))
+		after, _ := s.Snapshot()
+		Expect(after).To(Equal(before))
+	},
+		Entry("no author", func(c *configstate.Command) { c.Author = "" }, structs.CodeInvalid),
+		Entry("long author", func(c *configstate.Command) { c.Author = strings.Repeat("a", 65) }, structs.CodeInvalid),
+		Entry("long request id", func(c *configstate.Command) { c.RequestID = strings.Repeat("a", 65) }, structs.CodeInvalid),
+		Entry("empty text", func(c *configstate.Command) { c.Text = nil }, structs.CodeRulesInvalid),
+		Entry("guarantees", func(c *configstate.Command) { c.Text = []byte(content{"abc", "site", "off", false}.text(" ")) }, structs.CodeGuaranteeUnfit),
+		Entry("key homes", func(c *configstate.Command) { c.Text = []byte(content{"a", "site", "on", false}.text(" ")) }, structs.CodeKeyHomesFixed),
+		Entry("future base", func(c *configstate.Command) { c.BaseVersion = 2 }, structs.CodeVersionConflict),
+	)
+
+	It("refuses damaged commands and snapshots", func() {
+		s := configstate.New()
+		result, err := configstate.DecodeResult(s.Apply(1, 1, []byte{0xc1}))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Refusal.Code).To(Equal(structs.CodeInvalid))
+		apply(s, 2, command(0, plain))
+		snapshot, _ := s.Snapshot()
+		damaged := []byte(strings.Replace(string(snapshot), "Mira", "Mara", 1))
+		var snapshotError *configstate.SnapshotError
+		Expect(s.Restore(damaged)).To(BeAssignableToTypeOf(snapshotError))
+		var codecError *configstate.CodecError
+		Expect(s.Restore(snapshot[:9])).To(BeAssignableToTypeOf(codecError))
+		Expect(s.Version()).To(BeEquivalentTo(1))
+	})
+})
+
+var _ = Describe("Follower", func() {
+	It("is ready only with the version that it was told to be the latest", func() {
+		text := []byte(content{customers: "a", reason: "site", homes: "off"}.text(" "))
+		f := configstate.NewFollower()
+		f.Confirm(configstate.SourceQuorum, 0)
+		Expect(f.Readiness().Ready).To(BeFalse(), "there is no configuration yet")
+		f.Confirm(configstate.SourceQuorum, 2)
+		Expect(f.Offer(1, rules.Digest(text), text)).To(BeTrue())
+		Expect(f.Readiness().Ready).To(BeFalse())
+		Expect(f.Offer(2, rules.Digest(text), text)).To(BeTrue())
+		Expect(f.Readiness()).To(Equal(configstate.Readiness{Ready: true, Source: configstate.SourceQuorum, Version: 2, Required: 2}))
+		f.Confirm(configstate.SourceDomain, 3)
+		Expect(f.Readiness()).To(Equal(configstate.Readiness{Ready: true, Source: configstate.SourceDomain, Version: 2, Required: 3}))
+	})
+})
--- a/scheduler/rules/line.go
+++ b/scheduler/rules/line.go
@@ -209,8 +209,8 @@
 func (p *lineParser) parseComment(s *statement, comment string, present bool, column int) {
 	const form = "end the rule with a comment of the form # <who>: <why>"
 	who, why, hasColon := strings.Cut(comment, ":")
-	s.who = strings.Trim(who, blanks)
-	s.why = strings.Trim(why, blanks)
+	s.who = singleSpaces(who)
+	s.why = singleSpaces(why)
 	switch {
 	case !present || strings.Trim(comment, blanks) == "":
 		p.fail(column, CodeMissingComment, "rule has no comment", form)
@@ -221,6 +221,12 @@
 	}
 }
 
+// singleSpaces replaces each run of blanks by one space and drops those at the ends.
+func singleSpaces(s string) string {
+	words := strings.FieldsFunc(s, func(r rune) bool { return strings.ContainsRune(blanks, r) })
+	return strings.Join(words, " ")
+}
+
 func hasLetter(s string) bool {
 	return strings.IndexFunc(s, unicode.IsLetter) >= 0
 }
