Refuse late answers in the dispatcher's oracle

A hand-made fault that treated results of given-up attempts as current was not noticed, because the oracle accepted any successful result of the request.

--- a/scheduler/serving/dispatcher_rapid_test.go
+++ b/scheduler/serving/dispatcher_rapid_test.go
@@ -49,6 +49,8 @@
 	firsts    int
 	retries   int
 	share     float64
+	// late marks a step whose result belongs to no live attempt.
+	late bool
 }
 
 var hosts = []string{"host-a", "host-b"}
@@ -178,7 +180,7 @@
 	case serving.ForwardFinished:
 		fromForward = ev.RequestID == a.RequestID && ev.Result == serving.ResultOK
 	}
-	if !fromAttempt && !fromForward {
+	if m.late || (!fromAttempt && !fromForward) {
 		t.Fatalf("answer %+v does not belong to %+v", a, ev)
 	}
 	m.final(t, a.RequestID)
@@ -252,7 +254,9 @@
 		a = m.ended[rapid.IntRange(0, len(m.ended)-1).Draw(t, "ended")]
 	}
 	result := rapid.SampledFrom(results).Draw(t, "result")
+	m.late = true
 	m.step(t, serving.AttemptFinished{RequestID: a.request, Attempt: a.number, Result: result})
+	m.late = false
 }
 
 func (m *machine) known(id string) bool {
