dedup: tie outcomes to one run of a key

Cause: a run whose begin entry timed out is released as not run in the background. The caller may send the same key again meanwhile, and a late copy of the release would then mark the second run as not run while it is being sent, so that a third could be sent. Change: each begin carries a token that finish must repeat; a key whose run was not sent can be sent again. The oracle draws stale tokens.

--- a/coord/dedup/doc.go
+++ b/coord/dedup/doc.go
@@ -6,7 +6,9 @@
 // # Life of a key
 //
 // Begin records a new key as sending and returns Send, once. Finish records
-// the outcome. MarkUnknown turns the keys that an earlier leader left in
+// the outcome of the run that began with its token. A run that ended as not run
+// frees the key: the next Begin of the same content returns Send again, because
+// nothing has run. MarkUnknown turns the keys that an earlier leader left in
 // sending into unknown. A known outcome (answered or not run) may replace
 // unknown; nothing else changes a recorded outcome.
 //
--- a/coord/dedup/machine_test.go
+++ b/coord/dedup/machine_test.go
@@ -24,10 +24,16 @@
 type fact struct {
 	digest  dedup.Digest
 	term    uint64
+	token   string
 	changed time.Duration
 	outcome dedup.Outcome
 }
 
+// free reports whether the key may be sent again, because nothing has run.
+func (f fact) free(digest dedup.Digest) bool {
+	return f.outcome.Kind == dedup.NotRun && f.digest == digest
+}
+
 // machine compares a table with a map that forgets nothing. Dead keys are
 // those that must never be sent again.
 type machine struct {
@@ -36,6 +42,7 @@
 	fence uint64
 	facts map[string]fact
 	keys  []string
+	sends int
 }
 
 func (m *machine) live(key string) (fact, bool) {
@@ -97,8 +104,14 @@
 	if m.fence > 0 {
 		term--
 	}
-	d := m.table.Begin(m.now, dedup.Request{Key: key, Digest: digest, Owner: "host-1", Term: term})
+	m.sends++
+	token := fmt.Sprintf("run-%d", m.sends)
+	d := m.table.Begin(m.now, dedup.Request{Key: key, Digest: digest, Owner: "host-1", Term: term, Token: token})
 	f, ok := m.live(key)
+	if ok && f.free(digest) {
+		m.checkRepeat(t, key, term, d, fact{digest: digest, term: term, token: token, changed: m.now})
+		return
+	}
 	if ok {
 		m.checkKnown(t, f, digest, d)
 		return
@@ -109,7 +122,22 @@
 		t.Fatalf("begin %s: decision %d, want %d", key, d.Kind, want)
 	}
 	if d.Kind == dedup.Send {
-		m.noteSend(t, key, fact{digest: digest, term: term, changed: m.now})
+		m.noteSend(t, key, fact{digest: digest, term: term, token: token, changed: m.now})
+	}
+}
+
+// checkRepeat expects a key whose earlier run was not sent to be sent again,
+// unless the request comes from a leader that was replaced.
+func (m *machine) checkRepeat(t *rapid.T, key string, term uint64, d dedup.Decision, f fact) {
+	want := dedup.Send
+	if term < m.fence {
+		want = dedup.StaleTerm
+	}
+	if d.Kind != want {
+		t.Fatalf("begin %s after not run: decision %d, want %d", key, d.Kind, want)
+	}
+	if d.Kind == dedup.Send {
+		m.facts[key] = f
 	}
 }
 
@@ -157,12 +185,18 @@
 	}
 	m.table.Expire(m.now)
 	usage := m.table.Usage().Bytes
-	got := m.table.Finish(m.now, key, o)
 	f, ok := m.live(key)
+	token := f.token
+	stale := rapid.IntRange(0, 3).Draw(t, "token") == 0
+	if stale {
+		token = "run-of-another-begin"
+	}
+	got := m.table.Finish(m.now, key, token, o)
 	want := dedup.Unchanged
 	switch {
 	case !ok:
 		want = dedup.NoRecord
+	case stale:
 	case f.outcome.Kind == 0, f.outcome.Kind == dedup.Unknown && o.Kind != dedup.Unknown:
 		want = dedup.Stored
 	}
--- a/coord/dedup/snapshot.go
+++ b/coord/dedup/snapshot.go
@@ -39,6 +39,7 @@
 	Body    []byte
 	Dropped bool
 	Changed time.Duration
+	Token   string
 }
 
 type wireExpired struct {
@@ -85,6 +86,7 @@
 		Body:    r.outcome.Body,
 		Dropped: r.outcome.BodyDropped,
 		Changed: r.changed,
+		Token:   r.token,
 	}
 }
 
@@ -127,7 +129,7 @@
 }
 
 func fromWire(w *wireRecord) (*record, bool) {
-	r := &record{key: w.Key, owner: w.Owner, term: w.Term, changed: w.Changed}
+	r := &record{key: w.Key, owner: w.Owner, term: w.Term, token: w.Token, changed: w.Changed}
 	r.outcome = Outcome{Kind: w.Kind, Status: w.Status, Body: w.Body, BodyDropped: w.Dropped}
 	copy(r.digest[:], w.Digest)
 	valid := validName(w.Key) && w.Kind <= Unknown && len(w.Digest) == len(r.digest)
--- a/coord/dedup/table.go
+++ b/coord/dedup/table.go
@@ -37,13 +37,14 @@
 	digest  Digest
 	owner   string
 	term    uint64
+	token   string
 	outcome Outcome
 	// changed is the logical time of the last change.
 	changed time.Duration
 }
 
 func (r *record) bytes() int64 {
-	return fullRecordBytes + int64(len(r.key)+len(r.owner)+len(r.outcome.Body))
+	return fullRecordBytes + int64(len(r.key)+len(r.owner)+len(r.token)+len(r.outcome.Body))
 }
 
 // expired is the compact record of a key without issue time.
@@ -81,23 +82,53 @@
 // Now returns the highest logical time seen.
 func (t *Table) Now() time.Duration { return t.now }
 
-// Begin decides about a request at logical time now. It returns Send at most
-// once for a key, within the limits stated in the package comment.
+// Begin decides about a request at logical time now. Within the limits stated
+// in the package comment it returns Send again for a key only after the run
+// before was recorded as not run.
 func (t *Table) Begin(now time.Duration, r Request) Decision {
 	t.Expire(now)
-	if !validName(r.Key) || len(r.Owner) > MaxNameBytes {
+	if !validName(r.Key) || len(r.Owner) > MaxNameBytes || len(r.Token) > MaxNameBytes {
 		return Decision{Kind: Invalid}
 	}
 	if element, ok := t.records[r.Key]; ok {
-		return known(element.Value.(*record), r.Digest)
+		return t.repeat(element, r)
 	}
 	if kind := t.refusal(r); kind != 0 {
 		return Decision{Kind: kind}
 	}
-	t.insert(&record{key: r.Key, digest: r.Digest, owner: r.Owner, term: r.Term, changed: t.now})
+	t.insert(&record{key: r.Key, digest: r.Digest, owner: r.Owner, term: r.Term, token: r.Token, changed: t.now})
 	return Decision{Kind: Send, Owner: r.Owner, Term: r.Term}
 }
 
+// repeat answers a Begin for a key that has a full record. A run that was not
+// sent leaves the key free for another.
+func (t *Table) repeat(element *list.Element, r Request) Decision {
+	old := element.Value.(*record)
+	if old.digest != r.Digest || old.outcome.Kind != NotRun {
+		return known(old, r.Digest)
+	}
+	if r.Term < t.term {
+		return Decision{Kind: StaleTerm}
+	}
+	t.drop(element)
+	t.insert(&record{key: r.Key, digest: r.Digest, owner: r.Owner, term: r.Term, token: r.Token, changed: t.now})
+	return Decision{Kind: Send, Owner: r.Owner, Term: r.Term}
+}
+
+// Lookup returns the decision about a key that has a full record, without
+// changing anything. A key that may be sent again counts as not known.
+func (t *Table) Lookup(key string, digest Digest) (Decision, bool) {
+	element, ok := t.records[key]
+	if !ok {
+		return Decision{}, false
+	}
+	r := element.Value.(*record)
+	if r.digest == digest && r.outcome.Kind == NotRun {
+		return Decision{}, false
+	}
+	return known(r, digest), true
+}
+
 func validName(name string) bool { return name != "" && len(name) <= MaxNameBytes }
 
 // known answers a request whose key has a full record.
@@ -132,7 +163,7 @@
 	if r.Term < t.term {
 		return StaleTerm
 	}
-	size := fullRecordBytes + int64(len(r.Key)+len(r.Owner))
+	size := fullRecordBytes + int64(len(r.Key)+len(r.Owner)+len(r.Token))
 	full := len(t.records) >= t.cfg.MaxKeys
 	full = full || len(t.records)+len(t.compact) >= t.cfg.MaxRecords
 	if full || t.bytes+size > t.cfg.MaxBytes {
@@ -141,15 +172,15 @@
 	return 0
 }
 
-// Finish records the outcome of a key.
-func (t *Table) Finish(now time.Duration, key string, o Outcome) FinishResult {
+// Finish records the outcome of the run of a key that began with the token.
+func (t *Table) Finish(now time.Duration, key, token string, o Outcome) FinishResult {
 	t.Expire(now)
 	element, ok := t.records[key]
 	if !ok {
 		return NoRecord
 	}
 	r := element.Value.(*record)
-	if !mayReplace(r.outcome.Kind, o.Kind) {
+	if r.token != token || !mayReplace(r.outcome.Kind, o.Kind) {
 		return Unchanged
 	}
 	t.store(element, t.bounded(o))
@@ -246,6 +277,17 @@
 // remove deletes a full record and leaves a compact one if the key has no
 // issue time.
 func (t *Table) remove(e *list.Element) {
+	r := e.Value.(*record)
+	t.drop(e)
+	if _, hasIssue := IssueTime(r.key); hasIssue {
+		return
+	}
+	until := r.changed + t.cfg.Retention + t.cfg.ExpiredRetention
+	t.fade(expired{hash: hashOf(r.key), until: until})
+}
+
+// drop deletes a full record without a trace.
+func (t *Table) drop(e *list.Element) {
 	r := e.Value.(*record)
 	t.order.Remove(e)
 	delete(t.records, r.key)
@@ -253,11 +295,6 @@
 	if r.outcome.Kind == sending {
 		t.sending--
 	}
-	if _, hasIssue := IssueTime(r.key); hasIssue {
-		return
-	}
-	until := r.changed + t.cfg.Retention + t.cfg.ExpiredRetention
-	t.fade(expired{hash: hashOf(r.key), until: until})
 }
 
 func (t *Table) fade(x expired) {
--- a/coord/dedup/table_test.go
+++ b/coord/dedup/table_test.go
@@ -61,7 +61,7 @@
 	for i := range keys {
 		key := fmt.Sprintf("0123456789abcdef-%015d", i)
 		table.Begin(0, dedup.Request{Key: key, Owner: "host-1", Term: 1})
-		table.Finish(0, key, dedup.Outcome{Kind: dedup.Answered, Status: 200, Body: make([]byte, 128)})
+		table.Finish(0, key, "", dedup.Outcome{Kind: dedup.Answered, Status: 200, Body: make([]byte, 128)})
 	}
 	if compact {
 		table.Expire(time.Hour + 1)
--- a/coord/dedup/types.go
+++ b/coord/dedup/types.go
@@ -11,7 +11,8 @@
 // Decisions of Begin. Only Send permits the request to be sent; Capacity,
 // Expired, Conflict, StaleTerm and Invalid refuse it without running it now.
 const (
-	// Send means that the key is new and now recorded as sending.
+	// Send means that the key is now recorded as sending: it is new, or its
+	// earlier run ended with the certainty that nothing was sent.
 	Send DecisionKind = iota + 1
 	// InProgress means that the request is being run by Decision.Owner.
 	InProgress
@@ -86,6 +87,10 @@
 	Digest Digest
 	Owner  string
 	Term   uint64
+	// Token identifies this Begin among all of the same key. Finish must
+	// repeat it, so that a late outcome of one run cannot be taken for that
+	// of another.
+	Token string
 }
 
 // Config bounds a table. All replicas must use the same values.
--- /dev/null
+++ b/daemon/demo/client.go
@@ -0,0 +1,84 @@
+package demo
+
+import (
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cranberrydrum.dev/daemon/api"
+)
+
+// callTimeout is longer than any deadline that the demo states.
+const callTimeout = 40 * time.Second
+
+// client calls the HTTP API as an outside program would.
+type client struct {
+	http *fasthttp.Client
+}
+
+func newClient() *client {
+	return &client{http: &fasthttp.Client{
+		ReadTimeout:               callTimeout,
+		MaxConnsPerHost:           4096,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}}
+}
+
+// reply is what an API call returned.
+type reply struct {
+	status  int
+	refusal api.RefusalBody
+	body    []byte
+}
+
+// refused reports whether the reply is a refusal of the system.
+func (r *reply) refused() bool { return r.refusal.Code != "" }
+
+func (c *client) do(method, url, token string, headers [][2]string, body []byte) (*reply, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(url)
+	req.Header.SetMethod(method)
+	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+token)
+	for _, h := range headers {
+		req.Header.Set(h[0], h[1])
+	}
+	req.SetBody(body)
+	if err := c.http.DoTimeout(req, resp, callTimeout); err != nil {
+		return nil, err
+	}
+	r := &reply{status: resp.StatusCode(), body: append([]byte(nil), resp.Body()...)}
+	if len(resp.Header.Peek(api.HeaderRefusal)) > 0 {
+		if err := json.Unmarshal(r.body, &r.refusal); err != nil {
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+// call sends a value and decodes the answer into result.
+func (c *client) call(method, url, token string, value, result any) error {
+	var body []byte
+	if value != nil {
+		var err error
+		if body, err = json.Marshal(value); err != nil {
+			return err
+		}
+	}
+	r, err := c.do(method, url, token, nil, body)
+	if err != nil {
+		return err
+	}
+	if r.refused() {
+		return r.refusal.Refusal()
+	}
+	return json.Unmarshal(r.body, result)
+}
+
+// isTimeout tells a lost answer from a refused connection.
+func isTimeout(err error) bool { return errors.Is(err, fasthttp.ErrTimeout) }
--- /dev/null
+++ b/daemon/demo/deployment.go
@@ -0,0 +1,282 @@
+// Package demo runs a whole deployment in one process on loopback addresses,
+// with stand-in executors and workers, and checks the promises of the system
+// while a failure domain is cut off.
+package demo
+
+import (
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"cranberrydrum.dev/daemon/httpapi"
+	"cranberrydrum.dev/daemon/node"
+	"cranberrydrum.dev/daemon/settings"
+	"cranberrydrum.dev/daemon/standin"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+const hostsPerDomain = 2
+
+// SetupError reports a demo that could not be set up.
+type SetupError struct {
+	What  string
+	Cause error
+}
+
+// Error implements error.
+func (e *SetupError) Error() string { return "demo: " + e.What + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *SetupError) Unwrap() error { return e.Cause }
+
+// demoHost is one host of the deployment.
+type demoHost struct {
+	id, domain, region string
+	peerAddress        string
+	node               *node.Node
+	server             *httpapi.Server
+}
+
+func (h *demoHost) url() string { return "http://" + h.server.Address() }
+
+// deployment is the whole system with its surroundings.
+type deployment struct {
+	profile   profile
+	cfg       *structs.Config
+	folder    string
+	hosts     []*demoHost
+	links     map[[2]string]*standin.Link
+	relays    []*standin.Relay
+	executors []*standin.Executor
+	workers   []*standin.Worker
+	tasks     *standin.TaskLog
+}
+
+// newDeployment starts the hosts.
+func newDeployment(p profile, cfg *structs.Config) (*deployment, error) {
+	folder, err := os.MkdirTemp("", "cranberrydrum-demo-")
+	if err != nil {
+		return nil, &SetupError{What: "temporary folder", Cause: err}
+	}
+	d := &deployment{profile: p, cfg: cfg, folder: folder, links: map[[2]string]*standin.Link{}, tasks: standin.NewTaskLog()}
+	if err := d.reserveHosts(); err != nil {
+		d.close()
+		return nil, err
+	}
+	for _, h := range d.hosts {
+		if err := d.startHost(h); err != nil {
+			d.close()
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+func (d *deployment) reserveHosts() error {
+	for _, domain := range d.cfg.Domains {
+		for i := range hostsPerDomain {
+			address, err := freeAddress()
+			if err != nil {
+				return err
+			}
+			id := domain.Name + "-" + strconv.Itoa(i+1)
+			d.hosts = append(d.hosts, &demoHost{id: id, domain: domain.Name, region: domain.Region, peerAddress: address})
+		}
+	}
+	return nil
+}
+
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", &SetupError{What: "free port", Cause: err}
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+func (d *deployment) startHost(h *demoHost) error {
+	cfg, err := d.settingsOf(h)
+	if err != nil {
+		return err
+	}
+	h.node, err = node.New(*cfg, logr.Discard())
+	if err != nil {
+		return err
+	}
+	h.server, err = httpapi.New(h.node, logr.Discard())
+	if err != nil {
+		return err
+	}
+	if err := h.node.Start(); err != nil {
+		return err
+	}
+	go func() { _ = h.server.Serve() }()
+	return nil
+}
+
+func (d *deployment) settingsOf(h *demoHost) (*settings.Settings, error) {
+	args := []string{
+		"--host-id=" + h.id,
+		"--failure-domain=" + h.domain,
+		"--region=" + h.region,
+		"--http-listen=127.0.0.1:0",
+		"--peer-listen=" + h.peerAddress,
+		"--data-dir=" + filepath.Join(d.folder, h.id),
+		"--bootstrap",
+		"--balancer-wait=0s",
+	}
+	for _, other := range d.hosts {
+		if other == h {
+			continue
+		}
+		address, err := d.relayTo(h, other)
+		if err != nil {
+			return nil, err
+		}
+		args = append(args, "--peer="+other.id+"="+other.domain+"/"+other.region+"@"+address+",disk")
+	}
+	return settings.Parse(args, nil)
+}
+
+// relayTo puts a relay with the latency of the link between two hosts.
+func (d *deployment) relayTo(from, to *demoHost) (string, error) {
+	link := d.linkBetween(from, to)
+	relay, err := standin.NewRelay(to.peerAddress, link)
+	if err != nil {
+		return "", err
+	}
+	d.relays = append(d.relays, relay)
+	return relay.Address(), nil
+}
+
+// linkBetween returns the link of a direction between two failure domains; the
+// hosts of a failure domain share it.
+func (d *deployment) linkBetween(from, to *demoHost) *standin.Link {
+	key := [2]string{from.domain, to.domain}
+	if link := d.links[key]; link != nil {
+		return link
+	}
+	link := standin.NewLink(0, 0)
+	switch {
+	case from.region != to.region:
+		link = standin.NewLink(d.profile.regionLatency, d.profile.regionBytesPerSecond)
+	case from.domain != to.domain:
+		link = standin.NewLink(d.profile.domainLatency, 0)
+	}
+	d.links[key] = link
+	return link
+}
+
+// cut separates a failure domain from all others, or joins it again.
+func (d *deployment) cut(domain string, on bool) {
+	for key, link := range d.links {
+		if key[0] != key[1] && (key[0] == domain || key[1] == domain) {
+			link.SetCut(on)
+		}
+	}
+}
+
+// regionBytes returns the bytes that crossed the link between the regions.
+func (d *deployment) regionBytes() int64 {
+	region := map[string]string{}
+	for _, domain := range d.cfg.Domains {
+		region[domain.Name] = domain.Region
+	}
+	total := int64(0)
+	for key, link := range d.links {
+		if region[key[0]] != region[key[1]] {
+			total += link.Bytes()
+		}
+	}
+	return total
+}
+
+// urls returns the entry hosts of a failure domain, the given one first.
+func (d *deployment) urls(domain string, first int) []string {
+	var urls []string
+	for _, h := range d.hosts {
+		if h.domain == domain {
+			urls = append(urls, h.url())
+		}
+	}
+	first %= len(urls)
+	return append(urls[first:], urls[:first]...)
+}
+
+// startBackends starts the executors and workers of all failure domains.
+func (d *deployment) startBackends() error {
+	for i := range d.profile.executors {
+		domain := d.cfg.Domains[i%len(d.cfg.Domains)].Name
+		executor, err := standin.NewExecutor(standin.ExecutorConfig{
+			ID:          domain + "-executor-" + strconv.Itoa(i),
+			Service:     d.profile.service,
+			Domain:      domain,
+			Hosts:       d.urls(domain, i),
+			Token:       d.profile.token("backend"),
+			Slots:       8,
+			Connections: 64,
+			ServiceTime: 20 * time.Millisecond,
+			Seed:        uint64(i),
+		})
+		if err != nil {
+			return err
+		}
+		d.executors = append(d.executors, executor)
+	}
+	for i := range d.profile.workers {
+		d.startWorker(i)
+	}
+	return nil
+}
+
+func (d *deployment) startWorker(i int) {
+	domain := d.cfg.Domains[i%len(d.cfg.Domains)].Name
+	position := i / len(d.cfg.Domains)
+	d.workers = append(d.workers, standin.NewWorker(standin.WorkerConfig{
+		Worker: structs.Worker{
+			ID:           domain + "-worker-" + strconv.Itoa(position),
+			Domain:       domain,
+			Rack:         "rack-" + strconv.Itoa(position/8),
+			Accelerators: 8,
+			Cores:        64,
+			MemoryMB:     d.profile.workerMemoryMB,
+		},
+		Hosts:          d.urls(domain, i),
+		Token:          d.profile.token("worker"),
+		RenewInterval:  500 * time.Millisecond,
+		TaskTime:       time.Second,
+		CheckpointTime: 100 * time.Millisecond,
+		Log:            d.tasks,
+	}))
+}
+
+const closeTimeout = 5 * time.Second
+
+func (d *deployment) close() {
+	for _, w := range d.workers {
+		w.Kill()
+	}
+	for _, e := range d.executors {
+		e.Kill()
+	}
+	bound, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, h := range d.hosts {
+		if h.server != nil {
+			h.server.Shutdown(bound)
+		}
+		if h.node != nil {
+			h.node.Close()
+		}
+	}
+	for _, r := range d.relays {
+		r.Close()
+	}
+	_ = os.RemoveAll(d.folder)
+}
--- /dev/null
+++ b/daemon/demo/profile.go
@@ -0,0 +1,121 @@
+package demo
+
+import (
+	"time"
+
+	"cranberrydrum.dev/examples"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// profile is what differs between the demo deployments.
+type profile struct {
+	name    string
+	service string
+	// rules is the text of the example rules file.
+	rules string
+	// cutDomain is the failure domain that is cut off.
+	cutDomain            string
+	domainLatency        time.Duration
+	regionLatency        time.Duration
+	regionBytesPerSecond int64
+	executors            int
+	workers              int
+	workerMemoryMB       int
+	requests             []requestKind
+	jobs                 []jobKind
+	// charge is the customer that sends non-idempotent requests.
+	charge string
+}
+
+// requestKind is a stream of similar requests.
+type requestKind struct {
+	name     string
+	customer string
+	class    structs.Class
+	work     time.Duration
+	interval time.Duration
+	deadline time.Duration
+	// short marks the requests whose latency the table shows.
+	short bool
+}
+
+// jobKind is a set of similar jobs.
+type jobKind struct {
+	customer     string
+	domain       string
+	priority     string
+	accelerators int
+	count        int
+	runtime      time.Duration
+}
+
+// megabit is the number of bytes per second of 1 Mbit/s.
+const megabit = 1_000_000 / 8
+
+// token returns the example token of a role or customer.
+func (p profile) token(name string) string { return "example-" + p.name + "-" + name }
+
+// profileOf returns the profile of a deployment.
+func profileOf(name string) (profile, bool) {
+	switch name {
+	case "korbfrisch":
+		return korbfrisch(), true
+	case "remada":
+		return remada(), true
+	}
+	return profile{}, false
+}
+
+func korbfrisch() profile {
+	return profile{
+		name:                 "korbfrisch",
+		service:              "basket-planner",
+		rules:                examples.Korbfrisch,
+		cutDomain:            "zrh-altstetten",
+		domainLatency:        1500 * time.Microsecond,
+		regionLatency:        30 * time.Millisecond,
+		regionBytesPerSecond: 30 * megabit,
+		executors:            50,
+		workers:              50,
+		workerMemoryMB:       256_000,
+		charge:               "menuplan",
+		requests: []requestKind{
+			{name: "route check", customer: "tourwerk", class: structs.ClassUrgent, work: 15 * time.Millisecond, interval: 4 * time.Millisecond, deadline: 800 * time.Millisecond, short: true},
+			{name: "basket proposal", customer: "menuplan", class: structs.ClassNormal, work: 80 * time.Millisecond, interval: 15 * time.Millisecond, deadline: 10 * time.Second},
+			{name: "ripeness scoring", customer: "reifegrad", class: structs.ClassBulk, work: time.Second, interval: 20 * time.Millisecond, deadline: 30 * time.Second},
+		},
+		jobs: []jobKind{
+			{customer: "menuplan", domain: "zrh-oerlikon", priority: "normal", accelerators: 32, count: 2, runtime: 2 * time.Second},
+			{customer: "tourwerk", domain: "zrh-altstetten", priority: "urgent", accelerators: 16, count: 2, runtime: time.Second},
+			{customer: "reifegrad", domain: "zrh-oerlikon", priority: "bulk", accelerators: 4, count: 8, runtime: time.Second},
+			{customer: "reifegrad", domain: "lsn-renens", priority: "bulk", accelerators: 8, count: 4, runtime: time.Second},
+		},
+	}
+}
+
+func remada() profile {
+	return profile{
+		name:                 "remada",
+		service:              "entry-desk",
+		rules:                examples.Remada,
+		cutDomain:            "recife-olinda",
+		domainLatency:        time.Millisecond,
+		regionLatency:        30 * time.Millisecond,
+		regionBytesPerSecond: 30 * megabit,
+		executors:            50,
+		workers:              50,
+		workerMemoryMB:       128_000,
+		charge:               "river-masters",
+		requests: []requestKind{
+			{name: "fee pricing", customer: "regatta-league", class: structs.ClassUrgent, work: 20 * time.Millisecond, interval: 5 * time.Millisecond, deadline: 1500 * time.Millisecond, short: true},
+			{name: "entry", customer: "river-masters", class: structs.ClassNormal, work: 100 * time.Millisecond, interval: 20 * time.Millisecond, deadline: 15 * time.Second},
+			{name: "eligibility list", customer: "harbour-schools", class: structs.ClassBulk, work: time.Second, interval: 40 * time.Millisecond, deadline: 30 * time.Second},
+		},
+		jobs: []jobKind{
+			{customer: "regatta-league", domain: "recife-boa-viagem", priority: "urgent", accelerators: 64, count: 1, runtime: 2 * time.Second},
+			{customer: "regatta-league", domain: "fortaleza-meireles", priority: "normal", accelerators: 32, count: 2, runtime: 2 * time.Second},
+			{customer: "river-masters", domain: "recife-olinda", priority: "normal", accelerators: 16, count: 2, runtime: time.Second},
+			{customer: "harbour-schools", domain: "recife-boa-viagem", priority: "bulk", accelerators: 8, count: 4, runtime: time.Second},
+		},
+	}
+}
--- a/daemon/httpapi/requests.go
+++ b/daemon/httpapi/requests.go
@@ -13,7 +13,7 @@
 
 const (
 	maxDeadline = 24 * time.Hour
-	maxKeyBytes = 200
+	maxKeyBytes = 180
 	// passedPrefix marks headers that executors receive unchanged.
 	passedPrefix = "X-Work-"
 )
--- a/daemon/node/keys.go
+++ b/daemon/node/keys.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"strconv"
 	"time"
 
 	"cranberrydrum.dev/coord/dedup"
@@ -41,7 +42,8 @@
 func (s *service) keyedAttempt(p *pendingRequest, e serving.Send, a upstream.Attempt) finishedAttempt {
 	n := s.node
 	event := serving.AttemptFinished{RequestID: e.RequestID, Attempt: e.Attempt, Result: serving.ResultWithdrawn}
-	decision, refusal := n.beginKey(p.call)
+	token := n.newToken()
+	decision, refusal := n.beginKey(p.call, token)
 	if refusal != nil {
 		event.Refusal = refusal
 		return finishedAttempt{event: event}
@@ -52,7 +54,7 @@
 		return finishedAttempt{event: event, recorded: response}
 	}
 	if !n.group(domainGroup(n.cfg.Domain)).HoldsLease() {
-		n.finishKey(p.call, dedup.Outcome{Kind: dedup.NotRun})
+		n.finishKey(p.call, token, dedup.Outcome{Kind: dedup.NotRun})
 		event.Refusal = structs.NotRun(structs.CodeNotLeader, "this host lost the ownership of the key before it sent the request")
 		return finishedAttempt{event: event}
 	}
@@ -60,7 +62,7 @@
 	response, err := n.pool.Do(a)
 	event.ServiceTime = n.now() - start
 	event.Result = keyedResult(response, err)
-	n.finishKey(p.call, outcomeOf(event.Result, response))
+	n.finishKey(p.call, token, outcomeOf(event.Result, response))
 	if event.Result != serving.ResultOK {
 		response = nil
 	}
@@ -86,10 +88,15 @@
 	return dedup.Outcome{Kind: dedup.Unknown}
 }
 
+// newToken names one run of a key. It is unique among all hosts and restarts.
+func (n *Node) newToken() string {
+	return n.cfg.HostID + "/" + strconv.FormatInt(n.start.UnixNano(), 36) + "/" + strconv.FormatUint(n.tokens.Add(1), 36)
+}
+
 // beginKey makes the decision to send durable. If it cannot be confirmed in
 // time, nothing was sent; the key is then released in the background, because
 // the entry may still be committed.
-func (n *Node) beginKey(c Call) (dedup.Decision, *structs.Refusal) {
+func (n *Node) beginKey(c Call, token string) (dedup.Decision, *structs.Refusal) {
 	var command []byte
 	err := n.asOwner(n.cfg.Domain, func(now time.Duration, o *domainOwner) error {
 		var err error
@@ -98,6 +105,7 @@
 			Digest: digestOf(c),
 			Owner:  n.cfg.HostID,
 			Term:   o.term,
+			Token:  token,
 		})
 		return err
 	})
@@ -106,7 +114,7 @@
 	}
 	data, err := n.group(domainGroup(n.cfg.Domain)).Propose(command, keyLogTimeout)
 	if err != nil {
-		go n.finishKey(c, dedup.Outcome{Kind: dedup.NotRun})
+		go n.finishKey(c, token, dedup.Outcome{Kind: dedup.NotRun})
 		return dedup.Decision{}, notRun(err)
 	}
 	decision, err := domain.DecodeDecision(data)
@@ -162,14 +170,15 @@
 type keyOutcome struct {
 	Domain  string        `msgpack:"d"`
 	Key     string        `msgpack:"k"`
+	Token   string        `msgpack:"n"`
 	Outcome dedup.Outcome `msgpack:"o"`
 }
 
 // finishKey records the outcome of a key, with the present owner if this host
 // has lost the ownership meanwhile. A lost record leaves the key unknown,
 // which is safe.
-func (n *Node) finishKey(c Call, o dedup.Outcome) {
-	report := &keyOutcome{Domain: n.cfg.Domain, Key: storedKey(c.Request), Outcome: o}
+func (n *Node) finishKey(c Call, token string, o dedup.Outcome) {
+	report := &keyOutcome{Domain: n.cfg.Domain, Key: storedKey(c.Request), Token: token, Outcome: o}
 	_, err := callLeader[empty](n, domainGroup(n.cfg.Domain), methodKeyFinish, report, keyFinishTimeout, true)
 	if err != nil {
 		n.log.Info("the outcome of a request key could not be recorded", "key", report.Key, "error", err.Error())
@@ -180,7 +189,7 @@
 	var command []byte
 	err := n.asOwner(k.Domain, func(now time.Duration, o *domainOwner) error {
 		var err error
-		command, err = domain.EncodeFinish(o.controller.Clock(now), k.Key, k.Outcome)
+		command, err = domain.EncodeFinish(o.controller.Clock(now), k.Key, k.Token, k.Outcome)
 		return err
 	})
 	if err != nil {
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -53,6 +53,7 @@
 	stopping atomic.Bool
 	refusing atomic.Bool
 	refused  refusalCounts
+	tokens   atomic.Uint64
 
 	stop   chan struct{}
 	wg     sync.WaitGroup
--- a/scheduler/domain/command.go
+++ b/scheduler/domain/command.go
@@ -32,6 +32,7 @@
 // keyFinish records the outcome of a key.
 type keyFinish struct {
 	Key     string        `msgpack:"k"`
+	Token   string        `msgpack:"n"`
 	Outcome dedup.Outcome `msgpack:"o"`
 }
 
@@ -54,9 +55,10 @@
 	return encodeBody(KindKeyBegin, clock, &r)
 }
 
-// EncodeFinish returns the log entry that records the outcome of a key.
-func EncodeFinish(clock time.Duration, key string, o dedup.Outcome) ([]byte, error) {
-	return encodeBody(KindKeyFinish, clock, &keyFinish{Key: key, Outcome: o})
+// EncodeFinish returns the log entry that records the outcome of the run of a
+// key that began with the token.
+func EncodeFinish(clock time.Duration, key, token string, o dedup.Outcome) ([]byte, error) {
+	return encodeBody(KindKeyFinish, clock, &keyFinish{Key: key, Token: token, Outcome: o})
 }
 
 // EncodeTakeOver returns the log entry with which a new leader ends the keys
--- a/scheduler/domain/state.go
+++ b/scheduler/domain/state.go
@@ -83,7 +83,7 @@
 	if err := msgpack.Unmarshal(body, &f); err != nil {
 		return nil
 	}
-	return encodePlain(s.keys.Finish(s.Clock(), f.Key, f.Outcome))
+	return encodePlain(s.keys.Finish(s.Clock(), f.Key, f.Token, f.Outcome))
 }
 
 func (s *State) applyTakeOver(body []byte) []byte {
