--- a/daemon/node/service.go
+++ b/daemon/node/service.go
@@ -101,6 +101,7 @@
 			event()
 		case <-refresh.C:
 			s.refreshBackends()
+			s.publish()
 		case <-timer.C:
 			s.step(serving.Tick{})
 		}
@@ -158,9 +159,10 @@
 	for _, effect := range s.dispatcher.Step(s.node.now(), event) {
 		s.execute(effect)
 	}
-	s.publish()
 }
 
+// publish refreshes what status, metrics and other hosts see. It runs on a
+// timer, because a snapshot costs more than a step.
 func (s *service) publish() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
