--- a/daemon/api/doc.go
+++ b/daemon/api/doc.go
@@ -4,6 +4,7 @@
 package api
 
 import (
+	"net/url"
 	"time"
 
 	"cranberrydrum.dev/scheduler/structs"
@@ -29,10 +30,12 @@
 )
 
 // RequestsPath returns the path for requests to a service.
-func RequestsPath(service string) string { return PathServices + service + requestsSuffix }
+func RequestsPath(service string) string {
+	return PathServices + url.PathEscape(service) + requestsSuffix
+}
 
 // JobPath returns the path of one job.
-func JobPath(id string) string { return PathJobs + "/" + id }
+func JobPath(id string) string { return PathJobs + "/" + url.PathEscape(id) }
 
 // Headers of requests and responses.
 const (
--- /dev/null
+++ b/daemon/api/errors.go
@@ -0,0 +1,94 @@
+package api
+
+import (
+	"strconv"
+
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// UnreachableError reports that no server could be connected to. Nothing was sent.
+type UnreachableError struct {
+	Server string
+	Cause  error
+}
+
+// Error implements error.
+func (e *UnreachableError) Error() string {
+	return "server " + e.Server + " is not reachable: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Cause }
+
+// LostError reports that a request was sent, at least in part, and no complete
+// answer arrived. The request may have run.
+type LostError struct {
+	Server string
+	Cause  error
+}
+
+// Error implements error.
+func (e *LostError) Error() string {
+	return "no answer from server " + e.Server + ", the outcome is unknown: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error { return e.Cause }
+
+// RefusedError reports a refusal by a server.
+type RefusedError struct {
+	Server string
+	Status int
+	Body   RefusalBody
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return e.Body.Refusal().Error() }
+
+// Unwrap returns the refusal.
+func (e *RefusedError) Unwrap() error { return e.Body.Refusal() }
+
+// AnswerError reports an answer that is not in the expected form. The request
+// may have run.
+type AnswerError struct {
+	Server string
+	Status int
+	Reason string
+}
+
+// Error implements error.
+func (e *AnswerError) Error() string {
+	return "unexpected answer from server " + e.Server + " with status " + strconv.Itoa(e.Status) + ": " + e.Reason
+}
+
+// ConfigError reports a client that cannot be used as configured.
+type ConfigError struct {
+	Field  string
+	Value  string
+	Reason string
+}
+
+// Error implements error.
+func (e *ConfigError) Error() string {
+	return e.Field + " " + strconv.Quote(e.Value) + ": " + e.Reason
+}
+
+// EncodeError reports a request that has no JSON form.
+type EncodeError struct{ Cause error }
+
+// Error implements error.
+func (e *EncodeError) Error() string { return "the request cannot be encoded: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *EncodeError) Unwrap() error { return e.Cause }
+
+// OutcomeUnknown reports whether the request behind an error may have run.
+func OutcomeUnknown(err error) bool {
+	switch e := err.(type) {
+	case *LostError, *AnswerError:
+		return true
+	case *RefusedError:
+		return e.Body.Outcome != structs.OutcomeNotRun
+	}
+	return false
+}
--- /dev/null
+++ b/daemon/settings/settings_test.go
@@ -0,0 +1,115 @@
+package settings_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"cranberrydrum.dev/daemon/settings"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "settings")
+}
+
+const key = "a-key-of-twenty-bytes"
+
+// valid are the arguments of a host with a disk and two peers.
+func valid(more ...string) []string {
+	return append([]string{
+		"--host-id=a", "--failure-domain=one", "--region=r", "--data-dir=/data",
+		"--peer=b=one/r@127.0.0.1:7411", "--peer", "c=two/r@127.0.0.1:7421,disk",
+	}, more...)
+}
+
+// without drops the arguments that start with a prefix.
+func without(prefix string, args []string) []string {
+	return slices.DeleteFunc(args, func(a string) bool { return strings.HasPrefix(a, prefix) })
+}
+
+var _ = Describe("Parse", func() {
+	It("reads flags, variables and defaults; a flag wins", func() {
+		s, err := settings.Parse(
+			valid("--http-listen=10.0.0.1:80", "--peer=a=one/r@127.0.0.1:7401,disk", "--bootstrap", "--election-timeout=2s"),
+			[]string{"CRANBERRYDRUM_HTTP_LISTEN=10.9.9.9:80", "CRANBERRYDRUM_PEER_KEY=" + key, "CRANBERRYDRUM_LOG_LEVEL=debug", "CRANBERRYDRUM_SERVER=ignored", "HOME=/root"},
+		)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.HTTPListen).To(Equal("10.0.0.1:80"))
+		Expect(s.LogLevel).To(Equal("debug"))
+		Expect(s.Bootstrap).To(BeTrue())
+		Expect(s.PeerAdvertise).To(Equal("127.0.0.1:7401"))
+		Expect(s.Timeouts.Election).To(Equal(2 * time.Second))
+		Expect(s.Timeouts.WorkerLease).To(Equal(6 * time.Second))
+		Expect(s.Peers).To(Equal([]settings.Peer{
+			{ID: "b", Domain: "one", Region: "r", Address: "127.0.0.1:7411"},
+			{ID: "c", Domain: "two", Region: "r", Address: "127.0.0.1:7421", Disk: true},
+		}), "the entry of the host itself is dropped")
+		s, err = settings.Parse(valid(), []string{"CRANBERRYDRUM_PEER=x=one/r@127.0.0.1:1 y=one/r@127.0.0.1:2,disk"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Peers).To(HaveLen(2), "flags replace the list of the variable")
+	})
+
+	It("never prints the peer key", func() {
+		s, err := settings.Parse(valid(), []string{"CRANBERRYDRUM_PEER_KEY=" + key})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.PeerKey.Reveal()).To(Equal(key))
+		data, err := json.Marshal(s)
+		Expect(err).NotTo(HaveOccurred())
+		printed := string(data) + fmt.Sprintf("%v %+v %#v %s %q %x %d", s, s, *s, s.PeerKey, s.PeerKey, s.PeerKey, s.PeerKey)
+		Expect(printed).NotTo(Or(ContainSubstring(key), ContainSubstring(fmt.Sprintf("%x", key)), ContainSubstring(fmt.Sprintf("%d", []byte(key)))))
+		_, err = settings.Parse(valid(), []string{"CRANBERRYDRUM_PEER_KEY=short secret"})
+		Expect(err).To(MatchError(And(ContainSubstring("CRANBERRYDRUM_PEER_KEY"), Not(ContainSubstring("short secret")))))
+	})
+
+	// Each case has one bad setting; the error must name it, its value and
+	// what is allowed, in one line.
+	DescribeTable("refuses a bad setting", func(args []string, env string, text, allowed string) {
+		_, err := settings.Parse(args, []string{env})
+		var refused *settings.Error
+		Expect(errors.As(err, &refused)).To(BeTrue(), "%v", err)
+		Expect(err.Error()).To(HavePrefix(text))
+		Expect(err.Error()).NotTo(ContainSubstring("\n"))
+		Expect(refused.Allowed).To(ContainSubstring(allowed))
+	},
+		Entry("missing", without("--host-id", valid()), "", "--host-id: is required", "letters"),
+		Entry("name", valid("--region=R"), "", `--region "R": is given twice`, "one value"),
+		Entry("bad name", append(without("--region", valid()), "--region=R"), "", `--region "R": is not a valid name`, "lower-case"),
+		Entry("variable", valid(), "CRANBERRYDRUM_LOG_LEVEL=loud", `CRANBERRYDRUM_LOG_LEVEL "loud": is not one`, "debug, info, error"),
+		Entry("misspelled variable", valid(), "CRANBERRYDRUM_LOG_LEVLE=info", "CRANBERRYDRUM_LOG_LEVLE: is not a setting", "--help"),
+		Entry("unknown flag", valid("--peer-key=x"), "", "argument: unknown flag: --peer-key", "--help"),
+		Entry("stray argument", valid("start"), "", `argument "start": is not a flag`, "flags only"),
+		Entry("host name", valid("--http-listen=localhost:80"), "", `--http-listen "localhost:80": is not an IP address`, "127.0.0.1:7400"),
+		Entry("peer port 0", valid("--peer-listen=127.0.0.1:0"), "", `--peer-listen "127.0.0.1:0": has no port`, "port"),
+		Entry("unit", valid("--dial-timeout=5"), "", `--dial-timeout "5": is not a duration with a unit`, "10ms to 1m0s"),
+		Entry("range", valid("--worker-lease=1ms"), "", `--worker-lease "1ms": is out of range`, "100ms"),
+		Entry("boolean", valid("--bootstrap=maybe"), "", `--bootstrap "maybe": is not a truth value`, "true or false"),
+		Entry("relative folder", append(without("--data", valid()), "--data-dir=data"), "", `--data-dir "data": is not an absolute path`, "absolute"),
+		Entry("peer", valid("--peer=d=one@127.0.0.1:1"), "", `--peer "d=one@127.0.0.1:1": is not a peer`, "<id>="),
+		Entry("peer mark", valid("--peer=d=one/r@127.0.0.1:1,ssd"), "", "--peer", "disk"),
+		Entry("peer twice", valid("--peer=b=one/r@127.0.0.1:9"), "", `--peer "b=one/r@127.0.0.1:9": is listed twice`, "once"),
+		Entry("address twice", valid("--peer=d=one/r@127.0.0.1:7411"), "", "--peer", "once"),
+		Entry("own entry", valid("--peer=a=two/r@127.0.0.1:7401,disk"), "", "--peer", "describes itself"),
+		Entry("domain in two regions", valid("--peer=d=one/s@127.0.0.1:9"), "", "--peer", "once"),
+		Entry("bootstrap without disk", append(without("--data", valid()), "--bootstrap"), "", "--bootstrap", "--data-dir"),
+		Entry("no disk anywhere", []string{"--host-id=a", "--failure-domain=o", "--region=r"}, "", "--data-dir: is empty", "at least one"),
+		Entry("open HTTP address", valid("--http-listen=0.0.0.0:80"), "", `--http-listen "0.0.0.0:80": is not a loopback address`, "CRANBERRYDRUM_PEER_KEY"),
+		Entry("open peer address", valid("--peer=d=two/r@10.0.0.1:9"), "", `--peer "10.0.0.1:9": is not a loopback address`, "CRANBERRYDRUM_PEER_KEY"),
+		Entry("unreachable address", valid("--peer-listen=[::]:9"), "CRANBERRYDRUM_PEER_KEY="+key, `--peer-advertise "[::]:9": cannot be reached`, "address of this host"),
+		Entry("silence", valid("--peer-silence=1400ms"), "", `--peer-silence "1.4s": is too short`, "3 times --peer-heartbeat"),
+		Entry("election", valid("--clock-error=600ms"), "", `--election-timeout "1s": is too short`, "--raft-heartbeat"),
+	)
+
+	It("describes every flag", func() {
+		_, err := settings.Parse([]string{"--help"}, nil)
+		var help *settings.HelpRequested
+		Expect(errors.As(err, &help)).To(BeTrue())
+		Expect(help.Usage).To(And(ContainSubstring("--worker-lease"), ContainSubstring("CRANBERRYDRUM_PEER_KEY")))
+	})
+})
