cmd/cranberrydrum: command line with commands and queries

Cause: operators need to check, apply and read rules, submit jobs, send requests, change members and read the state. Change: one file per command, output as table or JSON, exit statuses 0 done, 1 refused or failed, 2 usage, 3 outcome unknown. rules apply requires the base version that the file was edited from, so that it cannot revert another change.

--- /dev/null
+++ b/cmd/cranberrydrum/commands/members_remove.go
@@ -0,0 +1,19 @@
+package commands
+
+import (
+	"cranberrydrum.dev/cmd/cranberrydrum/cli"
+	"cranberrydrum.dev/daemon/api"
+	"github.com/spf13/cobra"
+)
+
+// MembersRemove removes a host from a replicated log.
+func MembersRemove(env *cli.Env) *cobra.Command {
+	return &cobra.Command{
+		Use:   "remove GROUP HOST",
+		Short: "Remove a host from a replicated log",
+		Args:  cli.Args("GROUP", "HOST"),
+		RunE: func(_ *cobra.Command, args []string) error {
+			return changeMembers(env, (*api.Client).RemoveMember, api.MemberRequest{Group: args[0], Host: args[1]})
+		},
+	}
+}
--- a/cmd/cranberrydrum/main.go
+++ b/cmd/cranberrydrum/main.go
@@ -1,3 +1,19 @@
+// Command cranberrydrum operates a deployment: it applies rules, submits jobs,
+// sends requests and shows the state.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"cranberrydrum.dev/cmd/cranberrydrum/cli"
+)
+
+func main() {
+	env := &cli.Env{
+		Stdin:  os.Stdin,
+		Stdout: os.Stdout,
+		Stderr: os.Stderr,
+		Getenv: os.Getenv,
+	}
+	os.Exit(run(env, os.Args[1:]))
+}
--- /dev/null
+++ b/cmd/cranberrydrum/queries/job_list.go
@@ -0,0 +1,37 @@
+package queries
+
+import (
+	"io"
+	"strings"
+
+	"cranberrydrum.dev/cmd/cranberrydrum/cli"
+	"cranberrydrum.dev/scheduler/structs"
+	"github.com/spf13/cobra"
+)
+
+// JobList lists jobs.
+func JobList(env *cli.Env) *cobra.Command {
+	var customer, status string
+	cmd := &cobra.Command{
+		Use:   "list",
+		Short: "List jobs",
+		Args:  cli.Args(),
+		RunE: func(*cobra.Command, []string) error {
+			client, err := env.Client()
+			if err != nil {
+				return err
+			}
+			list, err := client.Jobs(customer, structs.JobStatus(status))
+			if err != nil {
+				return cli.Query(err)
+			}
+			if len(list.Unreachable) > 0 {
+				_, _ = io.WriteString(env.Stderr, "warning: jobs of these failure domains are missing: "+strings.Join(list.Unreachable, ", ")+"\n")
+			}
+			return env.Print(list, cli.JobsTable(list.Jobs))
+		},
+	}
+	cmd.Flags().StringVar(&customer, "customer", "", "only jobs of this customer")
+	cmd.Flags().StringVar(&status, "status", "", "only jobs in this state")
+	return cmd
+}
--- /dev/null
+++ b/cmd/cranberrydrum/queries/rules_diff.go
@@ -0,0 +1,69 @@
+package queries
+
+import (
+	"strings"
+
+	"cranberrydrum.dev/cmd/cranberrydrum/cli"
+	"cranberrydrum.dev/scheduler/rules"
+	"github.com/spf13/cobra"
+)
+
+// RulesDiff compares two files, or the rules in force with a file.
+func RulesDiff(env *cli.Env) *cobra.Command {
+	return &cobra.Command{
+		Use:   "diff [OLD] NEW",
+		Short: "Compare two rules files, or the rules in force with a file",
+		Args: func(cmd *cobra.Command, args []string) error {
+			if len(args) == 1 {
+				return nil
+			}
+			return cli.Args("OLD", "NEW")(cmd, args)
+		},
+		RunE: func(_ *cobra.Command, args []string) error {
+			old, err := oldRules(env, args)
+			if err != nil {
+				return err
+			}
+			text, err := env.ReadFile(args[len(args)-1])
+			if err != nil {
+				return err
+			}
+			changes := rules.Diff(old, text)
+			return env.PrintText(cli.List(changes), diffText(changes))
+		},
+	}
+}
+
+func oldRules(env *cli.Env, args []string) ([]byte, error) {
+	if len(args) > 1 {
+		return env.ReadFile(args[0])
+	}
+	client, err := env.Client()
+	if err != nil {
+		return nil, err
+	}
+	current, err := client.Rules()
+	return []byte(current.Text), cli.Query(err)
+}
+
+// diffText marks removed rules with "-" and added ones with "+"; a changed
+// rule has both.
+func diffText(changes []rules.Change) string {
+	var b strings.Builder
+	for _, c := range changes {
+		if c.Kind != rules.Added {
+			b.WriteString("- " + line(c.Old, c.OldComment))
+		}
+		if c.Kind != rules.Removed {
+			b.WriteString("+ " + line(c.New, c.NewComment))
+		}
+	}
+	return b.String()
+}
+
+func line(rule, comment string) string {
+	if comment == "" {
+		return rule + "\n"
+	}
+	return rule + " # " + comment + "\n"
+}
--- /dev/null
+++ b/cmd/cranberrydrum/queries/rules_history.go
@@ -0,0 +1,33 @@
+package queries
+
+import (
+	"cranberrydrum.dev/cmd/cranberrydrum/cli"
+	"github.com/spf13/cobra"
+)
+
+// RulesHistory lists accepted versions.
+func RulesHistory(env *cli.Env) *cobra.Command {
+	return &cobra.Command{
+		Use:   "history",
+		Short: "List the accepted versions, oldest first",
+		Args:  cli.Args(),
+		RunE: func(*cobra.Command, []string) error {
+			client, err := env.Client()
+			if err != nil {
+				return err
+			}
+			history, err := client.RulesHistory()
+			if err != nil {
+				return cli.Query(err)
+			}
+			t := cli.Table{Header: []string{"VERSION", "AUTHOR", "ADDED", "REMOVED", "CHANGED", "COMMENTS", "REQUEST", "DIGEST"}}
+			for _, e := range history.Entries {
+				t.Rows = append(t.Rows, []string{
+					cli.Number(e.Version), e.Author, cli.Number(e.Added), cli.Number(e.Removed),
+					cli.Number(e.Changed), cli.Number(e.Comments), e.RequestID, e.Digest,
+				})
+			}
+			return env.Print(history, t)
+		},
+	}
+}
--- /dev/null
+++ b/cmd/cranberrydrum/queries/workers_list.go
@@ -0,0 +1,33 @@
+package queries
+
+import (
+	"cranberrydrum.dev/cmd/cranberrydrum/cli"
+	"github.com/spf13/cobra"
+)
+
+// WorkersList lists workers.
+func WorkersList(env *cli.Env) *cobra.Command {
+	var quarantined bool
+	cmd := &cobra.Command{
+		Use:   "list",
+		Short: "List workers",
+		Args:  cli.Args(),
+		RunE: func(*cobra.Command, []string) error {
+			client, err := env.Client()
+			if err != nil {
+				return err
+			}
+			status, err := client.Status(!quarantined)
+			if err != nil {
+				return cli.Query(err)
+			}
+			workers := status.Workers
+			if quarantined {
+				workers = status.Quarantined
+			}
+			return env.Print(cli.List(workers), cli.WorkersTable(workers))
+		},
+	}
+	cmd.Flags().BoolVar(&quarantined, "quarantined", false, "only workers that are quarantined")
+	return cmd
+}
