--- /dev/null
+++ b/scheduler/experiment/serving/executor.go
@@ -0,0 +1,101 @@
+package serving
+
+import (
+	"time"
+
+	"cranberrydrum.dev/scheduler/serving"
+)
+
+// execution is one attempt as the executor sees it.
+type execution struct {
+	request *request
+	number  int
+	host    *host
+	work    time.Duration
+	sent    time.Duration
+	started time.Duration
+	// closed marks an attempt whose connection has ended; it still runs.
+	closed bool
+	done   bool
+}
+
+// executor runs up to its slots at once and queues the rest in order, up to
+// its connections.
+type executor struct {
+	id      string
+	fault   Fault
+	running int
+	queue   []*execution
+	// maxRunning and maxOpen are the highest numbers seen.
+	maxOpen int
+	open    int
+}
+
+// accept takes an attempt that has arrived over the network.
+func (s *simulation) accept(e *executor, x *execution) {
+	e.open++
+	e.maxOpen = max(e.maxOpen, e.open)
+	if e.open > executorConnections {
+		e.open--
+		s.at(networkDelay, func() { s.report(x, serving.ResultNotSent) })
+		return
+	}
+	switch s.faultOf(e) {
+	case FaultFailing:
+		s.at(failAfter, func() { e.open--; x.done = true; s.report(x, serving.ResultBackendError) })
+		return
+	case FaultSilent:
+		return
+	}
+	e.queue = append(e.queue, x)
+	s.startNext(e)
+}
+
+func (s *simulation) faultOf(e *executor) Fault {
+	if s.now < faultStart {
+		return FaultNone
+	}
+	return e.fault
+}
+
+func (s *simulation) startNext(e *executor) {
+	for e.running < executorSlots && len(e.queue) > 0 {
+		x := e.queue[0]
+		e.queue = e.queue[1:]
+		e.running++
+		x.started = s.now
+		x.request.runs++
+		x.request.markStarted()
+		work := time.Duration(float64(x.work) * straggle(s.rng))
+		if s.faultOf(e) == FaultSlow {
+			work *= slowFactor
+		}
+		s.at(work, func() { s.complete(e, x) })
+	}
+}
+
+func (s *simulation) complete(e *executor, x *execution) {
+	e.running--
+	e.open--
+	x.done = true
+	s.startNext(e)
+	s.at(networkDelay, func() { s.report(x, serving.ResultOK) })
+}
+
+// report hands a result to the host, unless the connection has been closed.
+func (s *simulation) report(x *execution, result serving.Result) {
+	if x.closed {
+		return
+	}
+	x.closed = true
+	delete(x.host.live, attemptKey{x.request.id, x.number})
+	if result == serving.ResultOK {
+		x.request.completed[x.number] = true
+	}
+	s.step(x.host, serving.AttemptFinished{
+		RequestID:   x.request.id,
+		Attempt:     x.number,
+		Result:      result,
+		ServiceTime: s.now - x.sent,
+	})
+}
--- /dev/null
+++ b/scheduler/experiment/serving/simulation.go
@@ -0,0 +1,312 @@
+package serving
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"cranberrydrum.dev/scheduler/serving"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// dispatcher is what the event loop needs of a way of dispatching.
+type dispatcher interface {
+	Step(now time.Duration, ev serving.Event) []serving.Effect
+	NextWake(now time.Duration) (time.Duration, bool)
+}
+
+type attemptKey struct {
+	request string
+	number  int
+}
+
+// host is one entry host.
+type host struct {
+	name       string
+	dispatcher dispatcher
+	ledger     *serving.SlotLedger
+	live       map[attemptKey]*execution
+	wakeAt     time.Duration
+	// waitingBulk counts bulk requests that have arrived and not yet run.
+	waitingBulk int
+}
+
+// request is a request with what happened to it.
+type request struct {
+	id       string
+	stream   int
+	host     *host
+	arrived  time.Duration
+	deadline time.Duration
+	work     time.Duration
+	// behindLong marks short work that arrived while bulk work was waiting.
+	behindLong bool
+	runs       int
+	sends      int
+	finals     int
+	answered   bool
+	ended      time.Duration
+	refusal    structs.Refusal
+	completed  map[int]bool
+	wrong      bool
+	bulk       bool
+	started    bool
+}
+
+func (r *request) markStarted() {
+	if r.bulk && !r.started {
+		r.host.waitingBulk--
+	}
+	r.started = true
+}
+
+type action struct {
+	at       time.Duration
+	sequence uint64
+	run      func()
+}
+
+type agenda []action
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	if a[i].at != a[j].at {
+		return a[i].at < a[j].at
+	}
+	return a[i].sequence < a[j].sequence
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+
+// Push implements heap.Interface.
+func (a *agenda) Push(x any) { *a = append(*a, x.(action)) }
+
+// Pop implements heap.Interface.
+func (a *agenda) Pop() any {
+	last := len(*a) - 1
+	x := (*a)[last]
+	(*a)[last] = action{}
+	*a = (*a)[:last]
+	return x
+}
+
+// simulation is one run of one variant.
+type simulation struct {
+	options   Options
+	variant   Variant
+	now       time.Duration
+	sequence  uint64
+	agenda    agenda
+	rng       *rand.Rand
+	hosts     []*host
+	executors map[string]*executor
+	order     []*executor
+	requests  map[string]*request
+	list      []*request
+	streams   []stream
+}
+
+func newSimulation(options Options, variant Variant) *simulation {
+	s := &simulation{
+		options:   options,
+		variant:   variant,
+		rng:       rand.New(rand.NewPCG(options.Seed, 99)),
+		executors: map[string]*executor{},
+		requests:  map[string]*request{},
+		streams:   shapes[variant.Shape],
+	}
+	s.addHosts()
+	s.addExecutors()
+	return s
+}
+
+func (s *simulation) hostNames() []string {
+	names := make([]string, s.options.Hosts)
+	for i := range names {
+		names[i] = "host-" + strconv.Itoa(i)
+	}
+	return names
+}
+
+func (s *simulation) addExecutors() {
+	faulty := int(faultyShare*float64(s.options.Executors) + 0.5)
+	for i := range s.options.Executors {
+		e := &executor{id: "executor-" + strconv.Itoa(1000+i), fault: FaultNone}
+		if i < faulty {
+			e.fault = s.variant.Fault
+		}
+		s.executors[e.id] = e
+		s.order = append(s.order, e)
+		for _, h := range s.hosts {
+			s.step(h, serving.BackendUpdated{Backend: backend(e.id)})
+			s.shareSlots(h, i, e.id)
+		}
+	}
+}
+
+// shareSlots gives a host its slots according to the way of sharing.
+func (s *simulation) shareSlots(h *host, index int, id string) {
+	switch s.variant.Sharing {
+	case ShareLending:
+		s.ledgerStep(h, serving.ExecutorSlots{Executor: id, Slots: executorSlots})
+	case ShareOwner:
+		own := 0
+		if s.hosts[index%len(s.hosts)] == h {
+			own = executorSlots
+		}
+		s.step(h, serving.SlotsUpdated{Executor: id, Own: own})
+	case ShareOptimistic:
+		s.step(h, serving.SlotsUpdated{Executor: id, Own: executorSlots})
+	}
+}
+
+func backend(id string) structs.Backend {
+	return structs.Backend{
+		ID: id, Service: serviceName, Domain: domainName, Address: id,
+		Slots: executorSlots, Connections: executorConnections, State: structs.BackendUp, Incarnation: 1,
+	}
+}
+
+// at runs an action after a delay.
+func (s *simulation) at(delay time.Duration, run func()) {
+	s.sequence++
+	heap.Push(&s.agenda, action{at: s.now + delay, sequence: s.sequence, run: run})
+}
+
+// run plays the load and the time after it until all deadlines have passed.
+func (s *simulation) run() {
+	for i := range s.streams {
+		s.scheduleArrival(i, 0)
+	}
+	if s.variant.Sharing == ShareLending {
+		s.at(0, s.reportUse)
+	}
+	const drain = 2 * time.Minute
+	for len(s.agenda) > 0 && s.agenda[0].at < loadEnd+drain {
+		next := heap.Pop(&s.agenda).(action)
+		s.now = next.at
+		next.run()
+	}
+}
+
+func (s *simulation) scheduleArrival(index int, from time.Duration) {
+	capacity := float64(s.options.Executors * executorSlots)
+	at := nextArrival(from, s.streams[index], capacity, s.options.Crest, s.rng)
+	if at >= loadEnd {
+		return
+	}
+	s.at(at-s.now, func() {
+		s.arrive(index)
+		s.scheduleArrival(index, at)
+	})
+}
+
+func (s *simulation) pickHost() *host {
+	if s.variant.Skew > 0 && s.rng.Float64() < s.variant.Skew {
+		return s.hosts[0]
+	}
+	if s.variant.Skew > 0 {
+		return s.hosts[1+s.rng.IntN(len(s.hosts)-1)]
+	}
+	return s.hosts[s.rng.IntN(len(s.hosts))]
+}
+
+func (s *simulation) arrive(index int) {
+	kind := s.streams[index]
+	h := s.pickHost()
+	r := &request{
+		id: strconv.Itoa(len(s.list)), stream: index, host: h, arrived: s.now,
+		deadline: s.now + kind.deadline, work: drawService(kind, s.rng), completed: map[int]bool{},
+		bulk: kind.class == structs.ClassBulk,
+	}
+	r.behindLong = !r.bulk && h.waitingBulk > 0
+	if r.bulk {
+		h.waitingBulk++
+	}
+	s.list = append(s.list, r)
+	s.requests[r.id] = r
+	if s.variant.Dispatching != DispatchCranberrydrum {
+		s.at(kind.deadline, func() { s.step(h, serving.RequestCancelled{RequestID: r.id}) })
+	}
+	const bodyBytes = 1024
+	s.step(h, serving.RequestArrived{
+		Request: structs.Request{
+			ID: r.id, Service: serviceName, Customer: s.pickCustomer(), Class: kind.class,
+			Remaining: kind.deadline, NonIdempotent: kind.nonIdempotent,
+		},
+		BodyBytes: bodyBytes,
+	})
+}
+
+func (s *simulation) pickCustomer() string { return customers[s.rng.IntN(len(customers))].Name }
+
+// step hands an event to a host and performs the effects.
+func (s *simulation) step(h *host, ev serving.Event) {
+	effects := h.dispatcher.Step(s.now, ev)
+	for _, effect := range effects {
+		s.perform(h, effect)
+	}
+	s.scheduleWake(h)
+}
+
+func (s *simulation) scheduleWake(h *host) {
+	wake, needed := h.dispatcher.NextWake(s.now)
+	if !needed || (h.wakeAt > s.now && h.wakeAt <= wake) {
+		return
+	}
+	h.wakeAt = wake
+	s.at(max(0, wake-s.now), func() {
+		if h.wakeAt == wake {
+			h.wakeAt = 0
+			s.step(h, serving.Tick{})
+		}
+	})
+}
+
+func (s *simulation) perform(h *host, effect serving.Effect) {
+	switch effect := effect.(type) {
+	case serving.Send:
+		s.send(h, effect)
+	case serving.CloseConnection:
+		s.close(h, attemptKey{effect.RequestID, effect.Attempt})
+	case serving.Answer:
+		r := s.requests[effect.RequestID]
+		r.wrong = r.wrong || !r.completed[effect.Attempt]
+		s.final(r)
+		r.answered = true
+	case serving.Refuse:
+		r := s.requests[effect.RequestID]
+		s.final(r)
+		r.refusal = effect.Refusal
+		if r.bulk && !r.started {
+			r.markStarted()
+		}
+	}
+}
+
+func (s *simulation) final(r *request) {
+	r.finals++
+	r.ended = s.now
+}
+
+func (s *simulation) send(h *host, effect serving.Send) {
+	r := s.requests[effect.RequestID]
+	r.sends++
+	x := &execution{request: r, number: effect.Attempt, host: h, work: r.work, sent: s.now}
+	key := attemptKey{r.id, effect.Attempt}
+	h.live[key] = x
+	e := s.executors[effect.Backend]
+	s.at(networkDelay, func() { s.accept(e, x) })
+	s.at(effect.Timeout, func() { s.timeout(x) })
+}
+
+// timeout reports an attempt that has had no answer in its time.
+func (s *simulation) timeout(x *execution) { s.report(x, serving.ResultTimeout) }
+
+// close ends the connection of an attempt. The executor keeps working on it.
+func (s *simulation) close(h *host, key attemptKey) {
+	if x := h.live[key]; x != nil {
+		x.closed = true
+		delete(h.live, key)
+	}
+}
--- /dev/null
+++ b/scheduler/experiment/serving/table.go
@@ -0,0 +1,150 @@
+package serving
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// Row is the result of one variant.
+type Row struct {
+	Name     string
+	Requests int
+	// UrgentInDeadline is the share of all urgent requests that were answered
+	// within their deadline, CrestInDeadline of those that arrived at the crest.
+	UrgentInDeadline, CrestInDeadline float64
+	NormalInDeadline, BulkInDeadline  float64
+	// Goodput is the useful slot time per slot and second at the crest.
+	Goodput float64
+	// ShortP50 and ShortP99 are the latencies of answered urgent requests, and
+	// BehindP99 of those that arrived while bulk work was waiting.
+	ShortP50, ShortP99, BehindP99 time.Duration
+	// BehindWaitP99 leaves out the request's own service time, which is long
+	// for one short request in a hundred.
+	BehindWaitP99 time.Duration
+	// BulkP50 is the latency of answered bulk requests.
+	BulkP50 time.Duration
+	// RetryRatio is attempts beyond the first per first attempt.
+	RetryRatio float64
+	// Recovery is the time from the end of the crest to the end of the last
+	// half second in which over 2 % of urgent and normal requests failed.
+	Recovery time.Duration
+	// MaxOpen is the highest number of attempts on one executor at one time.
+	MaxOpen int
+	// Wrong, Lost, Doubled and FalseNotRun count broken promises.
+	Wrong, Lost, Doubled, FalseNotRun int
+	Refusals                          map[structs.Code]int
+}
+
+// Table holds the results of all variants.
+type Table struct {
+	Options Options
+	Rows    []Row
+}
+
+// Run plays each variant with the same seed. Equal options give equal tables.
+func Run(options Options) Table {
+	table := Table{Options: options}
+	for _, variant := range options.Variants {
+		s := newSimulation(options, variant)
+		s.run()
+		table.Rows = append(table.Rows, s.measure())
+	}
+	return table
+}
+
+func (v Variant) name() string {
+	name := v.Shape + "/" + string(v.Dispatching) + "/" + string(v.Sharing) + "/" + string(v.Fault)
+	if v.Label != "" {
+		name += "/" + v.Label
+	}
+	return name
+}
+
+// cell is one column of the table.
+type cell struct{ name, value string }
+
+func (r Row) cells() []cell {
+	percent := func(v float64) string { return strconv.FormatFloat(100*v, 'f', 2, 64) }
+	ms := func(d time.Duration) string { return strconv.FormatFloat(d.Seconds()*1000, 'f', 1, 64) }
+	return []cell{
+		{"variant", r.Name},
+		{"requests", strconv.Itoa(r.Requests)},
+		{"urgent_ok_%", percent(r.UrgentInDeadline)},
+		{"urgent_crest_%", percent(r.CrestInDeadline)},
+		{"normal_ok_%", percent(r.NormalInDeadline)},
+		{"bulk_ok_%", percent(r.BulkInDeadline)},
+		{"goodput_%", percent(r.Goodput)},
+		{"p50_ms", ms(r.ShortP50)},
+		{"p99_ms", ms(r.ShortP99)},
+		{"behind_p99_ms", ms(r.BehindP99)},
+		{"behind_wait_p99_ms", ms(r.BehindWaitP99)},
+		{"bulk_p50_ms", ms(r.BulkP50)},
+		{"retries_%", percent(r.RetryRatio)},
+		{"recovery_ms", ms(r.Recovery)},
+		{"max_open", strconv.Itoa(r.MaxOpen)},
+		{"wrong", strconv.Itoa(r.Wrong)},
+		{"lost", strconv.Itoa(r.Lost)},
+		{"doubled", strconv.Itoa(r.Doubled)},
+		{"false_not_run", strconv.Itoa(r.FalseNotRun)},
+		{"refusals", r.refusals()},
+	}
+}
+
+func (r Row) refusals() string {
+	var parts []string
+	for _, code := range slices.Sorted(maps.Keys(r.Refusals)) {
+		parts = append(parts, string(code)+"="+strconv.Itoa(r.Refusals[code]))
+	}
+	return strings.Join(parts, " ")
+}
+
+// String returns the table aligned for reading.
+func (t Table) String() string {
+	if len(t.Rows) == 0 {
+		return ""
+	}
+	widths := make([]int, len(t.Rows[0].cells()))
+	for _, row := range t.Rows {
+		for i, c := range row.cells() {
+			widths[i] = max(widths[i], len(c.name), len(c.value))
+		}
+	}
+	var b strings.Builder
+	for i, c := range t.Rows[0].cells() {
+		fmt.Fprintf(&b, "%-*s  ", widths[i], c.name)
+	}
+	b.WriteByte('\n')
+	for _, row := range t.Rows {
+		for i, c := range row.cells() {
+			fmt.Fprintf(&b, "%-*s  ", widths[i], c.value)
+		}
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+// CSV returns the table as comma-separated values with a header line.
+func (t Table) CSV() string {
+	if len(t.Rows) == 0 {
+		return ""
+	}
+	var b strings.Builder
+	writeLine := func(row Row, text func(cell) string) {
+		var fields []string
+		for _, c := range row.cells() {
+			fields = append(fields, text(c))
+		}
+		b.WriteString(strings.Join(fields, ",") + "\n")
+	}
+	writeLine(t.Rows[0], func(c cell) string { return c.name })
+	for _, row := range t.Rows {
+		writeLine(row, func(c cell) string { return c.value })
+	}
+	return b.String()
+}
