Bound long attempts by the allowance of medium ones, too

A long attempt was checked only against its own allowance, so bulk work took slots that were closed to normal work. Now each size also obeys the allowance of all shorter ones.

--- a/scheduler/serving/dispatch.go
+++ b/scheduler/serving/dispatch.go
@@ -186,8 +186,7 @@
 	if r.nonIdempotent && e.breaker != breakerClosed && d.up > 1 {
 		return nil, -1
 	}
-	size := r.flow.tier
-	if d.sizes.shorter[size] && e.atLeast(size) >= d.tuning.allowance(e.limit, size) {
+	if !d.roomFor(r.flow.tier, e) {
 		return nil, -1
 	}
 	if e.ownRunning < e.own {
@@ -203,6 +202,17 @@
 	return nil, -1
 }
 
+// roomFor reports whether an executor may take one more attempt of a size.
+// Long attempts are bounded by the allowance of medium ones, too.
+func (d *Dispatcher) roomFor(size tier, e *executor) bool {
+	for t := medium; t <= size; t++ {
+		if d.sizes.shorter[t] && e.atLeast(t) >= d.tuning.allowance(e.limit, t) {
+			return false
+		}
+	}
+	return true
+}
+
 // safeTime is a time in which nearly all requests of a flow end.
 func (d *Dispatcher) safeTime(f *flow) time.Duration {
 	const margin = 2
--- a/scheduler/serving/snapshot.go
+++ b/scheduler/serving/snapshot.go
@@ -8,9 +8,14 @@
 
 // Snapshot is the state of a Dispatcher for status pages and metrics.
 type Snapshot struct {
-	Service   string
-	Queued    map[structs.Class]int
-	Running   int
+	Service string
+	Queued  map[structs.Class]int
+	// Slots are the slots in use by class, and Running by all classes; they
+	// include those of given-up attempts that may still run.
+	Slots   map[structs.Class]int
+	Running int
+	// Aged counts the slots in use by requests that were taken out of turn.
+	Aged      int
 	Forwarded int
 	// RetryBudget is the number of retries allowed right now.
 	RetryBudget float64
--- a/scheduler/serving/snapshot_build.go
+++ b/scheduler/serving/snapshot_build.go
@@ -14,6 +14,8 @@
 	s := Snapshot{
 		Service:     d.cfg.Service.Name,
 		Queued:      map[structs.Class]int{},
+		Slots:       map[structs.Class]int{},
+		Aged:        d.aged,
 		Running:     d.running,
 		Forwarded:   d.forwards,
 		RetryBudget: d.budget.bucket.balance,
@@ -23,6 +25,7 @@
 	s.Counters.Retries = maps.Clone(d.counters.Retries)
 	for c := range d.queues {
 		s.Queued[classNames[c]] = d.queues[c].queued
+		s.Slots[classNames[c]] = d.queues[c].running
 		for _, f := range d.queues[c].flows {
 			s.Flows = append(s.Flows, f.snapshot())
 		}
