--- a/scheduler/experiment/serving/simulation.go
+++ b/scheduler/experiment/serving/simulation.go
@@ -92,12 +92,15 @@
 
 // simulation is one run of one variant.
 type simulation struct {
-	options   Options
-	variant   Variant
-	now       time.Duration
-	sequence  uint64
-	agenda    agenda
+	options  Options
+	variant  Variant
+	now      time.Duration
+	sequence uint64
+	agenda   agenda
+	// rng draws what executors do. Arrivals have a source per stream, so that
+	// all variants see the same requests.
 	rng       *rand.Rand
+	arrivals  []*rand.Rand
 	hosts     []*host
 	executors map[string]*executor
 	order     []*executor
@@ -115,6 +118,9 @@
 		requests:  map[string]*request{},
 		streams:   shapes[variant.Shape],
 	}
+	for i := range s.streams {
+		s.arrivals = append(s.arrivals, rand.New(rand.NewPCG(options.Seed, uint64(i))))
+	}
 	s.addHosts()
 	s.addExecutors()
 	return s
@@ -191,7 +197,7 @@
 
 func (s *simulation) scheduleArrival(index int, from time.Duration) {
 	capacity := float64(s.options.Executors * executorSlots)
-	at := nextArrival(from, s.streams[index], capacity, s.options.Crest, s.rng)
+	at := nextArrival(from, s.streams[index], capacity, s.options.Crest, s.arrivals[index])
 	if at >= loadEnd {
 		return
 	}
@@ -201,22 +207,26 @@
 	})
 }
 
-func (s *simulation) pickHost() *host {
-	if s.variant.Skew > 0 && s.rng.Float64() < s.variant.Skew {
-		return s.hosts[0]
+// pickHost draws the host that a request arrives at.
+func (s *simulation) pickHost(rng *rand.Rand) *host {
+	place := rng.Float64()
+	if s.variant.Skew == 0 {
+		return s.hosts[int(place*float64(len(s.hosts)))]
 	}
-	if s.variant.Skew > 0 {
-		return s.hosts[1+s.rng.IntN(len(s.hosts)-1)]
+	if place < s.variant.Skew {
+		return s.hosts[0]
 	}
-	return s.hosts[s.rng.IntN(len(s.hosts))]
+	rest := (place - s.variant.Skew) / (1 - s.variant.Skew)
+	return s.hosts[1+int(rest*float64(len(s.hosts)-1))]
 }
 
 func (s *simulation) arrive(index int) {
 	kind := s.streams[index]
-	h := s.pickHost()
+	rng := s.arrivals[index]
+	h := s.pickHost(rng)
 	r := &request{
 		id: strconv.Itoa(len(s.list)), stream: index, host: h, arrived: s.now,
-		deadline: s.now + kind.deadline, work: drawService(kind, s.rng), completed: map[int]bool{},
+		deadline: s.now + kind.deadline, work: drawService(kind, rng), completed: map[int]bool{},
 		bulk: kind.class == structs.ClassBulk,
 	}
 	r.behindLong = !r.bulk && h.waitingBulk > 0
@@ -231,15 +241,13 @@
 	const bodyBytes = 1024
 	s.step(h, serving.RequestArrived{
 		Request: structs.Request{
-			ID: r.id, Service: serviceName, Customer: s.pickCustomer(), Class: kind.class,
+			ID: r.id, Service: serviceName, Customer: customers[rng.IntN(len(customers))].Name, Class: kind.class,
 			Remaining: kind.deadline, NonIdempotent: kind.nonIdempotent,
 		},
 		BodyBytes: bodyBytes,
 	})
 }
 
-func (s *simulation) pickCustomer() string { return customers[s.rng.IntN(len(customers))].Name }
-
 // step hands an event to a host and performs the effects.
 func (s *simulation) step(h *host, ev serving.Event) {
 	effects := h.dispatcher.Step(s.now, ev)
