--- a/cmd/cranberrydrum/main.go
+++ b/cmd/cranberrydrum/main.go
@@ -6,6 +6,8 @@
 	"os"
 
 	"cranberrydrum.dev/cmd/cranberrydrum/cli"
+	"cranberrydrum.dev/daemon/node"
+	"cranberrydrum.dev/scheduler/rules"
 )
 
 func main() {
@@ -14,6 +16,7 @@
 		Stdout: os.Stdout,
 		Stderr: os.Stderr,
 		Getenv: os.Getenv,
+		Checks: []rules.GuaranteeCheck{node.CheckGuarantees},
 	}
 	os.Exit(run(env, os.Args[1:]))
 }
--- a/cmd/cranberrydrum/root.go
+++ b/cmd/cranberrydrum/root.go
@@ -19,6 +19,7 @@
 		cli.Group("backends", "Show backend servers", queries.BackendsList(env)),
 		cli.Group("workers", "Show workers", queries.WorkersList(env)),
 		queries.Status(env),
+		commands.Demo(env),
 		queries.Version(env),
 	)
 	root.Long = "Operate a cranberrydrum deployment.\n\n" +
