Keep slots free for shorter work by its demand

The next weakest point was the use of slots: fixed shares left a third of the slots idle while bulk work waited after the crest, and at the crest the goodput was below that without size separation. Slots are now kept free for the demand of shorter work plus a margin, for all executors together, and not at all of work whose slots become free soon anyway. Queue estimates use the mean, which stragglers raise. Hedges give way to queued normal work unless the policy favours the crest.

--- a/scheduler/experiment/serving/executor.go
+++ b/scheduler/experiment/serving/executor.go
@@ -65,7 +65,7 @@
 		e.running++
 		x.started = s.now
 		x.request.runs++
-		x.request.markStarted()
+		x.request.markStarted(s.now)
 		work := time.Duration(float64(x.work) * straggle(s.rng))
 		if s.faultOf(e) == FaultSlow {
 			work *= slowFactor
--- a/scheduler/experiment/serving/measure.go
+++ b/scheduler/experiment/serving/measure.go
@@ -102,7 +102,7 @@
 			short = append(short, latency)
 			if r.behindLong {
 				behind = append(behind, latency)
-				waits = append(waits, max(0, latency-r.work))
+				waits = append(waits, r.startedAt-r.arrived)
 			}
 		}
 	}
--- a/scheduler/experiment/serving/simulation.go
+++ b/scheduler/experiment/serving/simulation.go
@@ -52,13 +52,18 @@
 	wrong      bool
 	bulk       bool
 	started    bool
+	startedAt  time.Duration
 }
 
-func (r *request) markStarted() {
-	if r.bulk && !r.started {
-		r.host.waitingBulk--
+func (r *request) markStarted(now time.Duration) {
+	if r.started {
+		return
 	}
 	r.started = true
+	r.startedAt = now
+	if r.bulk {
+		r.host.waitingBulk--
+	}
 }
 
 type action struct {
@@ -287,7 +292,7 @@
 		s.final(r)
 		r.refusal = effect.Refusal
 		if r.bulk && !r.started {
-			r.markStarted()
+			r.markStarted(s.now)
 		}
 	}
 }
--- a/scheduler/experiment/serving/table.go
+++ b/scheduler/experiment/serving/table.go
@@ -24,8 +24,8 @@
 	// ShortP50 and ShortP99 are the latencies of answered urgent requests, and
 	// BehindP99 of those that arrived while bulk work was waiting.
 	ShortP50, ShortP99, BehindP99 time.Duration
-	// BehindWaitP99 leaves out the request's own service time, which is long
-	// for one short request in a hundred.
+	// BehindWaitP99 is the time until an executor began to work on the request.
+	// It leaves out stragglers, which are one short request in fifty.
 	BehindWaitP99 time.Duration
 	// BulkP50 is the latency of answered bulk requests.
 	BulkP50 time.Duration
--- a/scheduler/serving/attempts.go
+++ b/scheduler/serving/attempts.go
@@ -171,7 +171,7 @@
 		return
 	}
 	a.hedgeAt = now + max(hedgeFloor, r.flow.estimate.p95)
-	if now+d.expected(r.flow) > r.deadline || d.free() <= 0 {
+	if now+d.expected(r.flow) > r.deadline || !d.sparesSlots() {
 		return
 	}
 	r.avoid = append(r.avoid, a.executor)
@@ -184,6 +184,16 @@
 	d.send(now, r, e, leaseIndex, sendMode{hedge: true})
 }
 
+// sparesSlots reports whether a slot may go to a hedge. While urgent requests
+// wait, a second attempt would take a slot from a first one. While normal
+// requests wait, the policy decides which of the two matters more.
+func (d *Dispatcher) sparesSlots() bool {
+	if d.free() <= 0 || d.queues[urgent].queued > 0 {
+		return false
+	}
+	return d.queues[normal].queued == 0 || d.tuning.balance > 0.5
+}
+
 func (r *request) onlyLive() *attempt {
 	for i := range r.attempts {
 		if !r.attempts[i].held {
@@ -245,6 +255,7 @@
 	r.attempts = r.attempts[:last]
 	a.executor.release(&a)
 	d.running--
+	d.byTier[a.tier]--
 	d.queues[r.class].running--
 	if a.aged {
 		d.aged--
--- a/scheduler/serving/dispatch.go
+++ b/scheduler/serving/dispatch.go
@@ -205,8 +205,13 @@
 // roomFor reports whether an executor may take one more attempt of a size.
 // Long attempts are bounded by the allowance of medium ones, too.
 func (d *Dispatcher) roomFor(size tier, e *executor) bool {
-	for t := medium; t <= size; t++ {
-		if d.sizes.shorter[t] && e.atLeast(t) >= d.tuning.allowance(e.limit, t) {
+	if size == long && e.byTier[long] >= d.sizes.longAllowance(e.limit) {
+		return false
+	}
+	running := 0
+	for t := long; t >= medium; t-- {
+		running += d.byTier[t]
+		if t <= size && running >= d.pools[t] {
 			return false
 		}
 	}
@@ -244,6 +249,7 @@
 	a.hedgeAt = d.hedgeTime(r, &a)
 	e.acquire(&a)
 	d.running++
+	d.byTier[a.tier]++
 	d.queues[r.class].running++
 	if mode.aged {
 		d.aged++
@@ -293,8 +299,10 @@
 func (d *Dispatcher) growTier(now time.Duration, r *request, a *attempt) {
 	e := a.executor
 	e.byTier[a.tier]--
+	d.byTier[a.tier]--
 	a.tier++
 	e.byTier[a.tier]++
+	d.byTier[a.tier]++
 	a.tierAt = d.tierEnd(a)
 	if a.tierAt <= now {
 		a.tierAt = never
--- a/scheduler/serving/dispatcher.go
+++ b/scheduler/serving/dispatcher.go
@@ -27,6 +27,10 @@
 	running  int
 	forwards int
 	aged     int
+	// byTier counts the attempts of each size on all executors, and pools are
+	// the slots for attempts of a size and longer ones.
+	byTier [tierCount]int
+	pools  [tierCount]int
 
 	executors map[string]*executor
 	// order is sorted by id; next is where the search for the least loaded
--- a/scheduler/serving/estimate.go
+++ b/scheduler/serving/estimate.go
@@ -24,6 +24,7 @@
 	counts  [estimateBuckets]float32
 	total   float32
 	samples int
+	mean    time.Duration
 	median  time.Duration
 	p95     time.Duration
 }
@@ -36,6 +37,21 @@
 		e.decay()
 	}
 	e.median, e.p95 = e.quantiles()
+	e.mean = e.average()
+}
+
+// average is the mean of the window. It includes stragglers, which a queue has
+// to wait for, but the decay bounds how long one of them counts.
+func (e *estimator) average() time.Duration {
+	// The middle of a bucket is half a bucket below its top.
+	const middle = 0.917
+	sum := 0.0
+	for i, count := range e.counts {
+		if count > 0 {
+			sum += float64(count) * float64(bucketTops[i])
+		}
+	}
+	return time.Duration(middle * sum / float64(e.total))
 }
 
 func (e *estimator) decay() {
--- a/scheduler/serving/refresh.go
+++ b/scheduler/serving/refresh.go
@@ -13,6 +13,7 @@
 	if !d.stale && now-d.refreshed < sizeInterval {
 		return
 	}
+	d.sizes.updateDemand(now - d.refreshed)
 	d.stale = false
 	d.refreshed = now
 	d.usual = d.usualSlowness(now)
@@ -24,6 +25,10 @@
 		d.refreshExecutor(now, e)
 	}
 	d.computeSizes(now)
+	d.sizes.updateKeep(d.tuning, d.capacity)
+	for t := medium; t < tierCount; t++ {
+		d.pools[t] = d.sizes.pool(d.capacity, t)
+	}
 }
 
 func (d *Dispatcher) refreshExecutor(now time.Duration, e *executor) {
@@ -120,12 +125,13 @@
 		shortest = max(shortest, shortestFloor)
 		d.sizes.bounds = [tierCount]time.Duration{mediumFactor * shortest, longFactor * shortest, never}
 	}
-	d.sizes.shorter = [tierCount]bool{}
+	d.sizes.shortest = shortest
+	d.sizes.current = [tierCount]bool{}
+	d.sizes.mean = [tierCount]time.Duration{}
 	d.eachCurrent(now, func(f *flow) {
 		f.tier = d.sizes.tierOf(d.expected(f))
-		for t := f.tier + 1; t < tierCount; t++ {
-			d.sizes.shorter[t] = true
-		}
+		d.sizes.current[f.tier] = true
+		d.sizes.mean[f.tier] = max(d.sizes.mean[f.tier], d.meanTime(f))
 	})
 }
 
@@ -153,6 +159,17 @@
 	return priorMedian[f.class]
 }
 
+// meanTime is the expected use of a slot by a request of the flow.
+func (d *Dispatcher) meanTime(f *flow) time.Duration {
+	if f.estimate.samples >= minSamples {
+		return f.estimate.mean
+	}
+	if total := &d.classTotal[f.class]; total.samples >= minSamples {
+		return total.mean
+	}
+	return priorMedian[f.class]
+}
+
 // measured reports whether the expected service time rests on measurements.
 func (d *Dispatcher) measured(f *flow) bool {
 	return f.estimate.samples >= minSamples || d.classTotal[f.class].samples >= minSamples
@@ -219,9 +236,5 @@
 			slots -= d.reserve(other)
 		}
 	}
-	share := 1.0
-	if d.sizes.shorter[f.tier] {
-		share -= d.tuning.keepFree[f.tier]
-	}
-	return max(1, float64(slots)*share)
+	return max(1, float64(slots)*(1-d.sizes.usualKeep[f.tier]))
 }
--- a/scheduler/serving/size.go
+++ b/scheduler/serving/size.go
@@ -32,11 +32,79 @@
 // sizes holds the boundaries between the tiers.
 type sizes struct {
 	bounds [tierCount]time.Duration
-	// shorter[t] reports that work shorter than t has arrived recently, so
-	// that slots are kept free of t for it.
-	shorter  [tierCount]bool
-	computed time.Duration
-	valid    bool
+	// current[t] reports that work of the tier has arrived recently.
+	current [tierCount]bool
+	valid   bool
+	// shortest is the lowest median of current work, and mean the highest mean
+	// of the current work of a tier.
+	shortest time.Duration
+	mean     [tierCount]time.Duration
+	// arrived is the expected service time, in seconds, of the requests that
+	// arrived since the demand was last computed.
+	arrived [tierCount]float64
+	// demand is the number of slots that the arriving work of a tier needs.
+	// usual is the same over a longer time.
+	demand, usual [tierCount]float64
+	// keep is the share of the slots that a tier may not use, usualKeep what
+	// it is expected to be over a longer time.
+	keep, usualKeep [tierCount]float64
+}
+
+// demandMemory is the time constant of the demand. The load may rise several
+// times over within two seconds. usualMemory is that of the demand on which
+// the wait of long work is estimated, which outlasts a crest.
+const (
+	demandMemory = time.Second
+	usualMemory  = 30 * time.Second
+)
+
+// updateDemand takes the work that arrived in the elapsed time into account.
+func (s *sizes) updateDemand(elapsed time.Duration) {
+	if elapsed <= 0 {
+		return
+	}
+	weight := 1 - math.Exp(-elapsed.Seconds()/demandMemory.Seconds())
+	usualWeight := 1 - math.Exp(-elapsed.Seconds()/usualMemory.Seconds())
+	for t := range s.demand {
+		rate := s.arrived[t] / elapsed.Seconds()
+		s.demand[t] += weight * (rate - s.demand[t])
+		s.usual[t] += usualWeight * (rate - s.usual[t])
+		s.arrived[t] = 0
+	}
+}
+
+// updateKeep computes what medium and long work leaves free. Nothing is kept
+// free of a size whose slots become free so often that shorter work hardly
+// waits for one.
+func (s *sizes) updateKeep(t tuning, capacity int) {
+	slots := max(1, float64(capacity))
+	for size := medium; size <= long; size++ {
+		if s.mean[size].Seconds()/slots < t.tolerated*s.shortest.Seconds() {
+			s.keep[size], s.usualKeep[size] = 0, 0
+			continue
+		}
+		s.keep[size] = s.keepFor(size, &s.demand, t, slots)
+		s.usualKeep[size] = min(s.keep[size], s.keepFor(size, &s.usual, t, slots))
+	}
+}
+
+// keepFor returns the share of the slots that a size leaves free: the demand
+// of shorter work, plus a multiple of its standard deviation, taken as that of
+// independent arrivals. At least a small share is kept for each shorter size
+// with current work, and not more than a bound in all.
+func (s *sizes) keepFor(size tier, demands *[tierCount]float64, t tuning, slots float64) float64 {
+	demand, floor := 0.0, 0.0
+	for shorter := short; shorter < size; shorter++ {
+		demand += demands[shorter]
+		if s.current[shorter] {
+			floor += t.minKeep * slots
+		}
+	}
+	if floor == 0 {
+		return 0
+	}
+	kept := max(floor, demand+t.deviations*math.Sqrt(demand))
+	return min(kept/slots, t.maxKeep[size])
 }
 
 func (s *sizes) tierOf(d time.Duration) tier {
@@ -52,9 +120,14 @@
 // completion time (balance 0) and one for service at the crest (balance 1).
 type tuning struct {
 	balance float64
-	// keepFree is the share of an executor's slots that work of a tier may
-	// not use, for the sake of shorter work.
-	keepFree [tierCount]float64
+	// Slots are kept free of longer work for the demand of shorter work plus
+	// this many standard deviations, at least minKeep per size and at most
+	// maxKeep in all.
+	deviations, minKeep float64
+	// tolerated is the wait for a slot, as a share of the shortest service
+	// time, for which no slots are kept free.
+	tolerated float64
+	maxKeep   [tierCount]float64
 	// ageAfter is the wait after which a request is taken out of turn.
 	ageAfter [classCount]time.Duration
 	// agedShare is the share of all slots that such requests may use at once.
@@ -71,23 +144,27 @@
 		return time.Duration(mix(completion, crest) * float64(time.Second))
 	}
 	return tuning{
-		balance:   balance,
-		keepFree:  [tierCount]float64{medium: mix(0.10, 0.25), long: mix(0.20, 0.60)},
-		ageAfter:  [classCount]time.Duration{urgent: never, normal: seconds(1, 4), bulk: seconds(3, 12)},
-		agedShare: mix(0.25, 0.05),
+		balance:    balance,
+		deviations: mix(0, 1),
+		tolerated:  mix(0.5, 0.25),
+		minKeep:    mix(0.01, 0.04),
+		maxKeep:    [tierCount]float64{medium: mix(0.3, 0.7), long: mix(0.5, 0.9)},
+		ageAfter:   [classCount]time.Duration{urgent: never, normal: seconds(1, 4), bulk: seconds(3, 12)},
+		agedShare:  mix(0.25, 0.05),
 	}
 }
 
-// allowance returns how many slots of an executor with the given limit may be
-// used by attempts of tier t and longer ones. At least one slot stays free of
-// medium and long work, and at least one more of long work if there are three.
-func (t tuning) allowance(limit int, size tier) int {
-	if size == short || limit <= 1 {
+// pool returns how many slots of all executors may be used by attempts of tier
+// t and longer ones together.
+func (s *sizes) pool(capacity int, t tier) int {
+	return max(1, capacity-int(math.Ceil(s.keep[t]*float64(capacity))))
+}
+
+// longAllowance returns how many slots of one executor long attempts may use:
+// as long as shorter work arrives, one slot of each executor is not for them.
+func (s *sizes) longAllowance(limit int) int {
+	if s.keep[long] == 0 {
 		return limit
 	}
-	keep := int(math.Ceil(t.keepFree[size] * float64(limit)))
-	if size == long && limit > 2 {
-		keep = max(keep, 2)
-	}
-	return max(1, limit-keep)
+	return max(1, limit-1)
 }
