--- a/daemon/settings/settings_test.go
+++ b/daemon/settings/settings_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"os"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -113,3 +115,17 @@
 		Expect(help.Usage).To(And(ContainSubstring("--worker-lease"), ContainSubstring("CRANBERRYDRUM_PEER_KEY")))
 	})
 })
+
+var _ = Describe("documentation", func() {
+	It("lists every setting with its default in operations.md", func() {
+		page, err := os.ReadFile("../../docs/operations.md")
+		Expect(err).NotTo(HaveOccurred())
+		flags := regexp.MustCompile(`(?m)^ +(--[a-z0-9-]+) .*?(?:\(default ([^)]*)\))?$`).FindAllStringSubmatch(settings.Usage(), -1)
+		Expect(len(flags)).To(BeNumerically(">", 20))
+		for _, f := range flags {
+			row := regexp.MustCompile("(?m)^\\| .*`" + f[1] + "`.*$").FindString(string(page))
+			Expect(row).To(ContainSubstring(f[2]), f[1])
+			Expect(row).NotTo(BeEmpty(), f[1])
+		}
+	})
+})
