scheduler/rules: bound the number of lines; daemon/api: test silent servers

Cause: a trial with 262,144 faulty lines in 512 KiB took 0.66 s to parse, close to an election timeout, and the log parses texts when it applies them. Change: at most 10,000 lines and 10 searches for near misses. The client tests cover servers that go silent before and within an answer.

--- a/daemon/api/client_test.go
+++ b/daemon/api/client_test.go
@@ -25,14 +25,20 @@
 type scripted struct {
 	listener net.Listener
 	script   []string
+	// hold keeps the connection open and silent after the script.
+	hold     time.Duration
 	mu       sync.Mutex
 	requests []string
 }
 
 func serve(script ...string) *scripted {
+	return (&scripted{script: script}).start()
+}
+
+func (s *scripted) start() *scripted {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	s := &scripted{listener: listener, script: script}
+	s.listener = listener
 	DeferCleanup(listener.Close)
 	go s.run()
 	return s
@@ -60,6 +66,9 @@
 	if i := len(s.requests) - 1; i < len(s.script) {
 		_, _ = conn.Write([]byte(s.script[i]))
 	}
+	if s.hold > 0 {
+		time.Sleep(s.hold)
+	}
 }
 
 func (s *scripted) seen() []string {
@@ -126,6 +135,20 @@
 		Entry("truncated header", truncated[:20]),
 	)
 
+	DescribeTable("gives up on a connection that goes silent", func(bytes string) {
+		s := (&scripted{script: []string{bytes}, hold: time.Second}).start()
+		c, err := api.NewClient(api.ClientConfig{Servers: []string{s.address()}, Timeout: 100 * time.Millisecond})
+		Expect(err).NotTo(HaveOccurred())
+		start := time.Now()
+		_, err = c.Rules()
+		Expect(time.Since(start)).To(BeNumerically("<", 900*time.Millisecond))
+		Expect(err).To(BeAssignableToTypeOf(&api.LostError{}))
+	},
+		Entry("before the answer", noAnswer),
+		Entry("within the header", truncated[:20]),
+		Entry("within the body", truncated),
+	)
+
 	It("tells the answer of an executor from a refusal", func() {
 		failed := response("500 Failed", "Content-Length: 4\r\n", "oops")
 		got, err := client(serve(failed).address()).Send(api.ServiceRequest{Service: "s"})
--- a/scheduler/rules/doc.go
+++ b/scheduler/rules/doc.go
@@ -14,11 +14,14 @@
 // and the time that one check takes.
 const (
 	// MaxTextBytes leaves room for the other fields of a command in one
-	// message of 1 MiB, and holds about 3,000 rules of ordinary length.
+	// message of 1 MiB, and holds about 5,000 rules of ordinary length.
 	MaxTextBytes = 512 << 10
+	// MaxLines bounds the time that a file with only faulty lines takes: one of
+	// 512 KiB with 262,144 lines took 0.66 s, which is close to an election timeout.
+	MaxLines = 10_000
 	// MaxLineBytes bounds one line.
 	MaxLineBytes = 1000
 	// maxSuggestions bounds the searches for near misses in one run, because
 	// each compares an unknown name with all known ones.
-	maxSuggestions = 50
+	maxSuggestions = 10
 )
--- a/scheduler/rules/format.go
+++ b/scheduler/rules/format.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"strings"
@@ -12,7 +13,7 @@
 // blank lines at the end are dropped. A line with an error is kept as it is,
 // without surrounding blanks, and so is a text that is too large.
 func Format(text []byte) []byte {
-	if len(text) > MaxTextBytes {
+	if tooLarge(text) {
 		return text
 	}
 	lines := splitLines(text)
@@ -28,6 +29,11 @@
 	return []byte(strings.Join(lines, "\n") + "\n")
 }
 
+// tooLarge reports whether a text exceeds a limit as it is written.
+func tooLarge(text []byte) bool {
+	return len(text) > MaxTextBytes || bytes.Count(text, []byte("\n")) > MaxLines
+}
+
 func formatLine(line string) string {
 	s, errs := parseLine("", 0, line)
 	if s == nil || len(errs) > 0 {
--- a/scheduler/rules/parse.go
+++ b/scheduler/rules/parse.go
@@ -58,12 +58,12 @@
 
 // checkSize bounds the text as written and in canonical form, which can be longer.
 func checkSize(name string, text []byte) *Error {
-	if len(text) <= MaxTextBytes && len(Format(text)) <= MaxTextBytes {
+	if !tooLarge(text) && !tooLarge(Format(text)) {
 		return nil
 	}
 	return &Error{
 		Code: CodeTooLarge, File: name,
-		Message: "rules are larger than " + strconv.Itoa(MaxTextBytes) + " bytes in canonical form",
+		Message: "rules are larger than " + strconv.Itoa(MaxTextBytes) + " bytes in canonical form or " + strconv.Itoa(MaxLines) + " lines",
 	}
 }
 
--- a/scheduler/rules/rules_test.go
+++ b/scheduler/rules/rules_test.go
@@ -167,9 +167,13 @@
 		Expect(calls).To(Equal(1))
 	})
 
-	It("refuses a text above the limit, also if only its canonical form is", func() {
-		_, errs := rules.Parse("x", []byte(strings.Repeat("region a#b:c\n", rules.MaxTextBytes/14)))
-		Expect(errs).To(ConsistOf(HaveField("Code", rules.CodeTooLarge)))
+	It("refuses a text above a limit, also if only its canonical form is", func() {
+		grows := strings.Repeat("region a#b:"+strings.Repeat("c", 90)+"\n", rules.MaxTextBytes/102)
+		Expect(len(grows)).To(BeNumerically("<=", rules.MaxTextBytes))
+		for _, text := range []string{grows, strings.Repeat("x", rules.MaxTextBytes+1), strings.Repeat("\n", rules.MaxLines+1)} {
+			_, errs := rules.Parse("x", []byte(text))
+			Expect(errs).To(ConsistOf(HaveField("Code", rules.CodeTooLarge)))
+		}
 	})
 
 	DescribeTable("accepts the examples in canonical form", func(name, service string) {
