Lend slots between the hosts of a failure domain and forward to others

A host that lacks slots of an executor asks its peers of the failure domain; a request that cannot be served here goes to the failure domain that the router chooses, over the region link only within its byte budget.

--- a/daemon/node/domainowner.go
+++ b/daemon/node/domainowner.go
@@ -10,7 +10,6 @@
 	"cranberrydrum.dev/scheduler/domain"
 	"cranberrydrum.dev/scheduler/jobs"
 	"cranberrydrum.dev/scheduler/placement"
-	"cranberrydrum.dev/scheduler/structs"
 )
 
 const (
@@ -130,14 +129,6 @@
 	o.metrics.SetKeys(metricsKeysCompact, usage.Compact)
 }
 
-// clock returns the domain clock for a command of a caller.
-func (o *domainOwner) clock(now time.Duration) (time.Duration, *structs.Refusal) {
-	if o.controller == nil {
-		return 0, structs.NotRun(structs.CodeNotLeader, "this host does not own failure domain "+o.domain)
-	}
-	return o.controller.Clock(now), nil
-}
-
 // timedPlanner measures the rounds of a placement scheduler.
 type timedPlanner struct {
 	*placement.Scheduler
--- /dev/null
+++ b/daemon/node/forward.go
@@ -0,0 +1,229 @@
+package node
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"cranberrydrum.dev/daemon/transport"
+	"cranberrydrum.dev/scheduler/routing"
+	"cranberrydrum.dev/scheduler/serving"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+const (
+	// Round trips used for routing: twice the stated latency between failure
+	// domains and between regions, plus the time on the two hosts.
+	domainRoundTrip = 5 * time.Millisecond
+	regionRoundTrip = 65 * time.Millisecond
+)
+
+// router chooses failure domains for requests that cannot be served here.
+type router struct {
+	mu     sync.Mutex
+	choose *routing.Router
+}
+
+func newRouter(now time.Duration, cfg routing.Config) *router {
+	return &router{choose: routing.NewRouter(now, cfg)}
+}
+
+func (r *router) setConfig(now time.Duration, cfg routing.Config) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.choose.SetConfig(now, cfg)
+}
+
+func (r *router) decide(now time.Duration, request routing.Request, view routing.View) routing.Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.choose.Choose(now, request, view)
+}
+
+func (r *router) countResponse(now time.Duration, region string, bytes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.choose.Count(now, region, routing.PurposeResponse, bytes)
+}
+
+// routingConfig divides the spill budget of a link among the hosts of the region.
+func (n *Node) routingConfig() routing.Config {
+	cfg := routing.Config{Domain: n.cfg.Domain, Region: n.cfg.Region, HostsInRegion: 1}
+	for _, p := range n.cfg.Peers {
+		if p.Region == n.cfg.Region {
+			cfg.HostsInRegion++
+		}
+	}
+	if current := n.config.current().Config; current != nil {
+		cfg.Links = current.Links
+	}
+	return cfg
+}
+
+// forward offers a request that cannot be served here to another failure domain.
+func (s *service) forward(e serving.Forward) {
+	p := s.pending[e.RequestID]
+	if p == nil {
+		return
+	}
+	target, ok := s.node.forwardTarget(s, e, p.call)
+	if !ok {
+		s.step(serving.ForwardFinished{RequestID: e.RequestID, Result: serving.ResultNotSent})
+		return
+	}
+	go func() {
+		answer, err := call[remoteAnswer](s.node, target.ID, methodRequest, remoteCallOf(p.call), e.Remaining)
+		if err == nil && target.Region != s.node.cfg.Region {
+			s.node.router.countResponse(s.node.now(), target.Region, len(answer.Body))
+		}
+		s.post(func() { s.finishForward(p, e.RequestID, answer, err) })
+	}()
+}
+
+// forwardTarget returns the host that should serve a request, if any.
+func (n *Node) forwardTarget(s *service, e serving.Forward, c Call) (host, bool) {
+	now := n.now()
+	request := routing.Request{
+		Remaining: e.Remaining,
+		BodyBytes: e.BodyBytes,
+		Forwarded: c.Forwarded,
+		Pinned:    c.Request.NonIdempotent,
+	}
+	decision := n.router.decide(now, request, n.viewOf(s))
+	if decision.Place == routing.PlaceLocal {
+		return host{}, false
+	}
+	return n.hostIn(decision.Domain, s.name)
+}
+
+// viewOf describes the load of a service in all failure domains.
+func (n *Node) viewOf(s *service) routing.View {
+	now := n.now()
+	local := loadOf(s.status())
+	view := routing.View{Local: domainViewOf(n.cfg.Domain, n.cfg.Region, local, 0)}
+	byDomain := map[string]routing.DomainView{}
+	for _, h := range n.hosts.all() {
+		if h.Domain == n.cfg.Domain || !n.usable(h) {
+			continue
+		}
+		for _, load := range h.status.Services {
+			if load.Service != s.name {
+				continue
+			}
+			candidate := domainViewOf(h.Domain, h.Region, load, now-h.received)
+			candidate.RoundTrip = n.roundTrip(h.Region)
+			known, ok := byDomain[h.Domain]
+			if !ok || candidate.Wait < known.Wait {
+				byDomain[h.Domain] = candidate
+			}
+		}
+	}
+	for _, v := range byDomain {
+		view.Others = append(view.Others, v)
+	}
+	slices.SortFunc(view.Others, func(a, b routing.DomainView) int {
+		if a.Domain < b.Domain {
+			return -1
+		}
+		return 1
+	})
+	return view
+}
+
+func domainViewOf(domain, region string, load serviceStatus, age time.Duration) routing.DomainView {
+	return routing.DomainView{
+		Domain:    domain,
+		Region:    region,
+		Age:       age,
+		Executors: load.Executors,
+		Wait:      time.Duration(load.WaitMS) * time.Millisecond,
+		Service:   time.Duration(load.ServiceMS) * time.Millisecond,
+	}
+}
+
+func (n *Node) roundTrip(region string) time.Duration {
+	if region == n.cfg.Region {
+		return domainRoundTrip
+	}
+	return regionRoundTrip
+}
+
+func (n *Node) usable(h host) bool {
+	return h.fresh(n.now()) && !h.status.Stopping && n.transport.Connected(h.ID)
+}
+
+// hostIn returns the host of a failure domain with the most free slots.
+func (n *Node) hostIn(domain, service string) (host, bool) {
+	var best host
+	most := -1
+	for _, h := range n.hosts.inDomain(domain) {
+		if !n.usable(h) {
+			continue
+		}
+		for _, load := range h.status.Services {
+			if load.Service == service && load.FreeSlots > most {
+				best, most = h, load.FreeSlots
+			}
+		}
+	}
+	return best, most >= 0
+}
+
+// loadOf summarises a dispatcher for the hosts of other failure domains.
+func loadOf(s serving.Snapshot) serviceStatus {
+	load := serviceStatus{Service: s.Service}
+	limits := 0
+	for _, e := range s.Executors {
+		if e.State != structs.BackendUp {
+			continue
+		}
+		load.Executors++
+		limits += e.Limit + e.Borrowed
+		load.FreeSlots += max(0, e.Limit+e.Borrowed-e.Running)
+	}
+	for _, queued := range s.Queued {
+		load.Queued += queued
+	}
+	service := usualServiceTime(s.Flows)
+	load.ServiceMS = service.Milliseconds()
+	if load.FreeSlots == 0 && limits > 0 {
+		load.WaitMS = (service * time.Duration(load.Queued+1) / time.Duration(limits)).Milliseconds()
+	}
+	return load
+}
+
+// usualServiceTime weighs the median service times by what waits.
+func usualServiceTime(flows []serving.FlowSnapshot) time.Duration {
+	total, weight := time.Duration(0), time.Duration(0)
+	for _, f := range flows {
+		share := time.Duration(1 + f.Queued)
+		total += f.Median * share
+		weight += share
+	}
+	if weight == 0 {
+		return 0
+	}
+	return total / weight
+}
+
+func (s *service) finishForward(p *pendingRequest, id string, answer *remoteAnswer, err error) {
+	finished := serving.ForwardFinished{RequestID: id, Result: serving.ResultOK}
+	var refusal *structs.Refusal
+	var notSent *transport.NotSentError
+	switch {
+	case err == nil:
+		p.forwarded = answer.response()
+	case errors.As(err, &refusal):
+		finished.Refusal = refusal
+		finished.Result = serving.ResultBackendError
+		if refusal.Outcome == structs.OutcomeNotRun {
+			finished.Result = serving.ResultNotSent
+		}
+	case errors.As(err, &notSent):
+		finished.Result = serving.ResultNotSent
+	default:
+		finished.Result = serving.ResultBroken
+	}
+	s.step(finished)
+}
--- a/daemon/node/hosts.go
+++ b/daemon/node/hosts.go
@@ -38,8 +38,9 @@
 	Executors int    `msgpack:"e"`
 	FreeSlots int    `msgpack:"f"`
 	Queued    int    `msgpack:"q"`
-	// WaitMS is the expected wait of a new urgent request.
-	WaitMS int64 `msgpack:"w"`
+	// WaitMS and ServiceMS are the expected times in the queue and on an executor.
+	WaitMS    int64 `msgpack:"w"`
+	ServiceMS int64 `msgpack:"m"`
 }
 
 // host is a peer with the last status that it sent.
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -37,6 +37,7 @@
 	hosts     *hostTable
 	backends  *backendDirectory
 	pool      *upstream.Pool
+	router    *router
 
 	config      *configKeeper
 	configState *configstate.State
@@ -80,6 +81,7 @@
 		stop:     make(chan struct{}),
 		failed:   make(chan error, 1),
 	}
+	n.router = newRouter(n.now(), n.routingConfig())
 	n.handlers = n.allHandlers()
 	n.config.changed = n.configChanged
 	if err := n.openIdentity(); err != nil {
@@ -228,6 +230,7 @@
 		return
 	}
 	n.log.Info("configuration in force", "version", current.Version, "digest", current.Digest)
+	n.router.setConfig(n.now(), n.routingConfig())
 	n.updateServices(current.Config)
 	if n.transport != nil {
 		n.broadcastStatus()
@@ -330,6 +333,8 @@
 		n.receiveStatus(from, body)
 	case transport.KindRegistry:
 		n.receiveRegistry(from, body)
+	case transport.KindSlots:
+		n.receiveSlots(from, body)
 	}
 }
 
--- a/daemon/node/requests.go
+++ b/daemon/node/requests.go
@@ -1,14 +1,11 @@
 package node
 
 import (
-	"errors"
 	"slices"
 	"time"
 
-	"cranberrydrum.dev/daemon/transport"
 	"cranberrydrum.dev/daemon/upstream"
 	"cranberrydrum.dev/scheduler/routing"
-	"cranberrydrum.dev/scheduler/serving"
 	"cranberrydrum.dev/scheduler/structs"
 )
 
@@ -205,41 +202,3 @@
 	})
 	return response, err
 }
-
-// forward offers a request that cannot be served here to another failure domain.
-func (s *service) forward(e serving.Forward) {
-	p := s.pending[e.RequestID]
-	if p == nil {
-		return
-	}
-	target := s.node.forwardTarget(s.name, e)
-	if target == "" {
-		s.step(serving.ForwardFinished{RequestID: e.RequestID, Result: serving.ResultNotSent})
-		return
-	}
-	go func() {
-		answer, err := call[remoteAnswer](s.node, target, methodRequest, remoteCallOf(p.call), e.Remaining)
-		s.post(func() { s.finishForward(p, e.RequestID, answer, err) })
-	}()
-}
-
-func (s *service) finishForward(p *pendingRequest, id string, answer *remoteAnswer, err error) {
-	finished := serving.ForwardFinished{RequestID: id, Result: serving.ResultOK}
-	var refusal *structs.Refusal
-	var notSent *transport.NotSentError
-	switch {
-	case err == nil:
-		p.forwarded = answer.response()
-	case errors.As(err, &refusal):
-		finished.Refusal = refusal
-		finished.Result = serving.ResultBackendError
-		if refusal.Outcome == structs.OutcomeNotRun {
-			finished.Result = serving.ResultNotSent
-		}
-	case errors.As(err, &notSent):
-		finished.Result = serving.ResultNotSent
-	default:
-		finished.Result = serving.ResultBroken
-	}
-	s.step(finished)
-}
--- a/daemon/node/service.go
+++ b/daemon/node/service.go
@@ -39,6 +39,7 @@
 
 	// The fields below belong to the goroutine of the service.
 	dispatcher *serving.Dispatcher
+	ledger     *serving.SlotLedger
 	pending    map[string]*pendingRequest
 	backends   map[string]structs.Backend
 	nextID     uint64
@@ -73,6 +74,7 @@
 		stop:       make(chan struct{}),
 		done:       make(chan struct{}),
 		dispatcher: serving.NewDispatcher(cfg),
+		ledger:     serving.NewSlotLedger(n.now(), n.ledgerConfig()),
 		pending:    map[string]*pendingRequest{},
 		backends:   map[string]structs.Backend{},
 	}
@@ -101,6 +103,7 @@
 			event()
 		case <-refresh.C:
 			s.refreshBackends()
+			s.reportUse()
 			s.publish()
 		case <-timer.C:
 			s.step(serving.Tick{})
@@ -324,6 +327,7 @@
 			b.State = structs.BackendLeft
 			delete(s.backends, id)
 			s.step(serving.BackendUpdated{Backend: b})
+			s.announceSlots(b)
 			s.node.pool.Forget(b.Address)
 		}
 	}
@@ -331,6 +335,7 @@
 		if s.backends[id] != b {
 			s.backends[id] = b
 			s.step(serving.BackendUpdated{Backend: b})
+			s.announceSlots(b)
 		}
 	}
 }
--- a/daemon/node/services.go
+++ b/daemon/node/services.go
@@ -45,6 +45,14 @@
 	}
 }
 
+func (n *Node) ledgerConfig() serving.LedgerConfig {
+	return serving.LedgerConfig{
+		Self:        n.cfg.HostID,
+		Hosts:       n.domainHosts(),
+		Incarnation: uint64(n.start.UnixNano()),
+	}
+}
+
 // domainHosts returns the hosts configured in this failure domain, which
 // divide the slots of its executors.
 func (n *Node) domainHosts() []string {
--- /dev/null
+++ b/daemon/node/slots.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"time"
+
+	"cranberrydrum.dev/daemon/transport"
+	"cranberrydrum.dev/scheduler/serving"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// slotAction is what a slot message does.
+type slotAction uint8
+
+const (
+	slotAsk slotAction = iota + 1
+	slotLend
+	slotReturn
+)
+
+// slotMessage lends slots of an executor between the hosts of one failure domain.
+type slotMessage struct {
+	Service  string        `msgpack:"s"`
+	Action   slotAction    `msgpack:"a"`
+	Executor string        `msgpack:"e"`
+	Count    int           `msgpack:"c,omitempty"`
+	Sequence uint64        `msgpack:"q,omitempty"`
+	Lease    string        `msgpack:"l,omitempty"`
+	Duration time.Duration `msgpack:"d,omitempty"`
+}
+
+func (n *Node) receiveSlots(from string, body []byte) {
+	var m slotMessage
+	if err := decodeMessage("slot message", body, &m); err != nil {
+		n.metrics.FrameDropped(transport.KindSlots.String(), "malformed")
+		return
+	}
+	if s := n.service(m.Service); s != nil {
+		s.post(func() { s.slotMessage(from, m) })
+	}
+}
+
+// slotMessage hands a message of a peer to the ledger.
+func (s *service) slotMessage(from string, m slotMessage) {
+	switch m.Action {
+	case slotAsk:
+		s.ledgerStep(serving.RequestSlots{
+			From:       from,
+			Executor:   m.Executor,
+			Count:      m.Count,
+			Sequence:   m.Sequence,
+			OwnRunning: s.ownRunning(m.Executor),
+		})
+	case slotLend:
+		s.ledgerStep(serving.Lend{
+			From:     from,
+			Executor: m.Executor,
+			Lease:    m.Lease,
+			Count:    m.Count,
+			Duration: m.Duration,
+			Sequence: m.Sequence,
+		})
+	case slotReturn:
+		s.ledgerStep(serving.Return{From: from, Executor: m.Executor, Lease: m.Lease})
+	}
+}
+
+func (s *service) ownRunning(executor string) int {
+	for _, use := range s.dispatcher.SlotUse(s.node.now()) {
+		if use.Executor == executor {
+			return use.OwnRunning
+		}
+	}
+	return 0
+}
+
+// reportUse lets the ledger return what is idle and ask for what is missing.
+func (s *service) reportUse() {
+	s.ledgerStep(serving.UseReported{Use: s.dispatcher.SlotUse(s.node.now())})
+}
+
+// announceSlots tells the ledger how many slots an executor has.
+func (s *service) announceSlots(b structs.Backend) {
+	slots := b.Slots
+	if b.State == structs.BackendLeft {
+		slots = 0
+	}
+	s.ledgerStep(serving.ExecutorSlots{Executor: b.ID, Slots: slots})
+}
+
+func (s *service) ledgerStep(event serving.LedgerEvent) {
+	for _, effect := range s.ledger.Step(s.node.now(), event) {
+		s.executeLedger(effect)
+	}
+}
+
+func (s *service) executeLedger(effect serving.Effect) {
+	switch e := effect.(type) {
+	case serving.SlotsChanged:
+		s.step(e.Update)
+	case serving.AskSlots:
+		s.sendSlots(e.To, slotMessage{Action: slotAsk, Executor: e.Executor, Count: e.Count, Sequence: e.Sequence})
+	case serving.LendSlots:
+		s.sendSlots(e.To, slotMessage{
+			Action:   slotLend,
+			Executor: e.Executor,
+			Count:    e.Count,
+			Sequence: e.Sequence,
+			Lease:    e.Lease,
+			Duration: e.Duration,
+		})
+	case serving.ReturnSlots:
+		s.sendSlots(e.To, slotMessage{Action: slotReturn, Executor: e.Executor, Lease: e.Lease})
+	}
+}
+
+// sendSlots sends a message that may be lost: a lease ends by itself.
+func (s *service) sendSlots(to string, m slotMessage) {
+	m.Service = s.name
+	body, err := encodeMessage(&m)
+	if err != nil {
+		s.node.log.Error(err, "a slot message cannot be encoded")
+		return
+	}
+	_ = s.node.transport.Send(to, transport.KindSlots, body)
+}
--- a/daemon/node/sync.go
+++ b/daemon/node/sync.go
@@ -1,12 +1,10 @@
 package node
 
 import (
-	"strings"
 	"time"
 
 	"cranberrydrum.dev/coord/registry"
 	"cranberrydrum.dev/daemon/transport"
-	"cranberrydrum.dev/scheduler/serving"
 	"cranberrydrum.dev/scheduler/structs"
 )
 
@@ -43,22 +41,6 @@
 	return status
 }
 
-// loadOf summarises a dispatcher for the hosts of other failure domains.
-func loadOf(s serving.Snapshot) serviceStatus {
-	load := serviceStatus{Service: s.Service}
-	for _, e := range s.Executors {
-		if e.State != structs.BackendUp {
-			continue
-		}
-		load.Executors++
-		load.FreeSlots += max(0, e.Limit+e.Borrowed-e.Running)
-	}
-	for _, queued := range s.Queued {
-		load.Queued += queued
-	}
-	return load
-}
-
 func (n *Node) receiveStatus(from string, body []byte) {
 	var status hostStatus
 	if err := decodeMessage("host status", body, &status); err != nil {
@@ -176,37 +158,6 @@
 	return false
 }
 
-// forwardTarget returns the host of another failure domain that should serve a
-// request, or nothing.
-func (n *Node) forwardTarget(service string, e serving.Forward) string {
-	best, most := "", 0
-	for _, h := range n.hosts.all() {
-		if !n.mayForward(h) {
-			continue
-		}
-		for _, s := range h.status.Services {
-			if s.Service == service && s.FreeSlots > most {
-				best, most = h.ID, s.FreeSlots
-			}
-		}
-	}
-	return best
-}
-
-// mayForward keeps requests within the region.
-func (n *Node) mayForward(h host) bool {
-	return h.Region == n.cfg.Region && h.Domain != n.cfg.Domain && h.fresh(n.now()) && !h.status.Stopping
-}
-
-// groupName returns the failure domain of a log, or nothing.
-func groupDomain(name string) string {
-	domainName, found := strings.CutPrefix(name, domainGroupPrefix)
-	if !found {
-		return ""
-	}
-	return domainName
-}
-
 // age returns how long ago a host was heard of, or -1.
 func (n *Node) age(h host) time.Duration {
 	if !h.seen {
