--- a/cmd/cranberrydrum/commands/request_send.go
+++ b/cmd/cranberrydrum/commands/request_send.go
@@ -36,7 +36,7 @@
 	}
 	flags := cmd.Flags()
 	flags.StringVar(&class, "class", "", "urgent, normal or bulk")
-	flags.DurationVar(&r.Deadline, "deadline", 0, "deadline, such as 800ms (default: the one of the rules)")
+	flags.DurationVar(&r.Deadline, "deadline", 0, "deadline, such as 800ms (default: the one of the rules, cut off by --timeout)")
 	flags.StringVar(&r.Key, "key", "", "idempotency key")
 	flags.BoolVar(&r.NonIdempotent, "non-idempotent", false, "the request must run at most once; needs --key")
 	flags.StringVar(&body, "body", "", "file with the body, - for the standard input (default: an empty body)")
