--- a/coord/limit/limit_test.go
+++ b/coord/limit/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"math"
+	"math/big"
 	"math/rand/v2"
 	"os"
 	"testing"
@@ -27,45 +28,62 @@
 	os.Exit(m.Run())
 }
 
-// Guards against buckets that give out more than burst plus rate times time,
-// and against waits after which Take still fails.
+// Guards against buckets that give out more or less than burst plus rate times
+// time, overflow, and waits after which Take still fails or that are too long.
 func TestBucketBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		rate := rapid.Float64Range(0.5, 1e6).Draw(t, "rate")
-		burst := rapid.Float64Range(1, 1e6).Draw(t, "burst")
+		rate := rapid.Int64Range(0, limit.MaxBurst).Draw(t, "rate")
+		burst := rapid.Int64Range(1, limit.MaxBurst).Draw(t, "burst")
 		bucket := limit.NewBucket(0, rate, burst)
-		now, taken := time.Duration(0), 0.0
+		second := big.NewInt(int64(time.Second))
+		scale := func(n int64) *big.Int { return new(big.Int).Mul(big.NewInt(n), second) }
+		now, want := time.Duration(0), scale(burst)
+		pass := func(d time.Duration) {
+			now += d
+			want.Add(want, new(big.Int).Mul(big.NewInt(rate), big.NewInt(int64(d))))
+			if want.Cmp(scale(burst)) > 0 {
+				want = scale(burst)
+			}
+		}
 		t.Repeat(map[string]func(*rapid.T){
 			"take": func(t *rapid.T) {
-				n := burst * rapid.Float64Range(0, 1.1).Draw(t, "share")
+				n := rapid.Int64Range(0, burst+1).Draw(t, "tokens")
 				wait, possible := bucket.Wait(now, n)
-				if possible != (n <= burst) {
-					t.Fatalf("wait for %v of %v possible %v", n, burst, possible)
+				enough := want.Cmp(scale(n)) >= 0
+				if possible != (enough || n <= burst && rate > 0) || possible && enough != (wait == 0) {
+					t.Fatalf("wait for %v of %v: %v %v", n, burst, wait, possible)
 				}
-				if ok := bucket.Take(now, n); ok != (possible && wait == 0) {
-					t.Fatalf("take %v: %v, wait %v", n, ok, wait)
-				} else if ok {
-					taken += n
-				} else if possible {
-					now += wait
-					if !bucket.Take(now, n) {
-						t.Fatalf("take %v fails after waiting %v", n, wait)
+				if wait > math.MaxInt64/4-now {
+					return // The clock of the test would overflow.
+				}
+				if !enough && possible {
+					pass(wait - 1)
+					if bucket.Take(now, n) {
+						t.Fatalf("wait for %v is too long: %v", n, wait)
 					}
-					taken += n
+					pass(1)
+				}
+				if ok := bucket.Take(now, n); ok != possible {
+					t.Fatalf("take %v: %v, wait %v %v", n, ok, wait, possible)
+				} else if ok {
+					want.Sub(want, scale(n))
 				}
 			},
 			"debit": func(t *rapid.T) {
-				n := rapid.Float64Range(0, burst).Draw(t, "tokens")
+				n := rapid.Int64Range(0, limit.MaxBurst).Draw(t, "tokens")
 				bucket.Debit(now, n)
-				taken += n
+				want.Sub(want, scale(n))
+				if floor := scale(-limit.MaxBurst); want.Cmp(floor) < 0 {
+					want = floor
+				}
 			},
 			"pass": func(t *rapid.T) {
-				now += time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "time"))
+				pass(time.Duration(rapid.Int64Range(0, int64(100*time.Hour)).Draw(t, "time")))
 			},
 			"": func(t *rapid.T) {
-				bound := burst + rate*now.Seconds() - math.Min(0, bucket.Tokens(now))
-				if taken > bound*(1+1e-9) {
-					t.Fatalf("took %v, bound %v", taken, bound)
+				whole := new(big.Int).Div(want, second)
+				if got := bucket.Tokens(now); whole.Cmp(big.NewInt(got)) != 0 {
+					t.Fatalf("%v tokens, want %v", got, whole)
 				}
 			},
 		})
