--- /dev/null
+++ b/scheduler/serving/dispatcher_test.go
@@ -0,0 +1,334 @@
+package serving_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"cranberrydrum.dev/scheduler/serving"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// bench drives a Dispatcher with a few executors by hand.
+type bench struct {
+	d      *serving.Dispatcher
+	now    time.Duration
+	serial int
+}
+
+func newBench(executors, slots int, change func(*serving.Config)) *bench {
+	cfg := serving.Config{
+		Self: "host-a", Hosts: []string{"host-a"}, Domain: "zrh-oerlikon", Seed: 1,
+		Service:   structs.Service{Name: "basket-planner", Slots: slots, Connections: 64, RetryBudget: 0.1, MaxAttempts: 3, AttemptTimeout: 4 * time.Second},
+		Customers: []structs.Customer{{Name: "a", Weight: 3}, {Name: "b", Weight: 1}},
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	b := &bench{d: serving.NewDispatcher(cfg)}
+	for i := range executors {
+		b.backend(fmt.Sprintf("executor-%d", i), structs.BackendUp, slots)
+	}
+	return b
+}
+
+func (b *bench) backend(id string, state structs.BackendState, slots int) []serving.Effect {
+	return b.d.Step(b.now, serving.BackendUpdated{Backend: structs.Backend{
+		ID: id, Service: "basket-planner", Domain: "zrh-oerlikon", Address: id, Slots: slots, Connections: 64, State: state, Incarnation: 1,
+	}})
+}
+
+func (b *bench) arrive(r structs.Request) (string, []serving.Effect) {
+	b.serial++
+	r.ID = fmt.Sprintf("r%d", b.serial)
+	if r.Remaining == 0 {
+		r.Remaining = 10 * time.Second
+	}
+	return r.ID, b.d.Step(b.now, serving.RequestArrived{Request: r, BodyBytes: 10})
+}
+
+func (b *bench) finish(s serving.Send, result serving.Result, took time.Duration) []serving.Effect {
+	return b.d.Step(b.now, serving.AttemptFinished{RequestID: s.RequestID, Attempt: s.Attempt, Result: result, ServiceTime: took})
+}
+
+// learn runs requests of a customer one by one.
+func (b *bench) learn(r structs.Request, took time.Duration, count int) {
+	for range count {
+		_, effects := b.arrive(r)
+		send := only[serving.Send](effects)[0]
+		b.now += took
+		b.finish(send, serving.ResultOK, took)
+	}
+}
+
+// only returns the effects of one kind.
+func only[T serving.Effect](effects []serving.Effect) []T {
+	var list []T
+	for _, effect := range effects {
+		if e, ok := effect.(T); ok {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+func codes(effects []serving.Effect) []structs.Code {
+	var list []structs.Code
+	for _, r := range only[serving.Refuse](effects) {
+		list = append(list, r.Refusal.Code)
+	}
+	return list
+}
+
+var (
+	urgentA = structs.Request{Customer: "a", Class: structs.ClassUrgent}
+	normalA = structs.Request{Customer: "a", Class: structs.ClassNormal}
+	bulkA   = structs.Request{Customer: "a", Class: structs.ClassBulk}
+	bulkB   = structs.Request{Customer: "b", Class: structs.ClassBulk}
+)
+
+var _ = ginkgo.Describe("Dispatcher", func() {
+	expect := gomega.Expect
+
+	ginkgo.DescribeTable("decides what a failed attempt means",
+		func(nonIdempotent bool, result serving.Result, retried bool, code structs.Code, outcome structs.Outcome) {
+			b := newBench(2, 1, nil)
+			_, effects := b.arrive(structs.Request{Customer: "a", Class: structs.ClassNormal, NonIdempotent: nonIdempotent})
+			first := only[serving.Send](effects)[0]
+			effects = b.finish(first, result, time.Millisecond)
+			refusals := only[serving.Refuse](effects)
+			if !retried {
+				expect(refusals).To(gomega.HaveLen(1))
+				expect(refusals[0].Refusal.Code).To(gomega.Equal(code))
+				expect(refusals[0].Refusal.Outcome).To(gomega.Equal(outcome))
+				return
+			}
+			expect(refusals).To(gomega.BeEmpty())
+			b.now += 100 * time.Millisecond
+			again := only[serving.Send](b.d.Step(b.now, serving.Tick{}))
+			expect(again).To(gomega.HaveLen(1))
+			expect(again[0].Backend).NotTo(gomega.Equal(first.Backend), "a retry must use another executor")
+		},
+		ginkgo.Entry("idempotent, broken", false, serving.ResultBroken, true, structs.Code(""), structs.Outcome("")),
+		ginkgo.Entry("idempotent, timeout", false, serving.ResultTimeout, true, structs.Code(""), structs.Outcome("")),
+		ginkgo.Entry("idempotent, backend error", false, serving.ResultBackendError, true, structs.Code(""), structs.Outcome("")),
+		ginkgo.Entry("idempotent, withdrawn", false, serving.ResultWithdrawn, false, structs.CodeCancelled, structs.OutcomeNotRun),
+		ginkgo.Entry("non-idempotent, not sent", true, serving.ResultNotSent, true, structs.Code(""), structs.Outcome("")),
+		ginkgo.Entry("non-idempotent, incomplete", true, serving.ResultIncomplete, false, structs.CodeOutcomeUnknown, structs.OutcomeUnknown),
+		ginkgo.Entry("non-idempotent, timeout", true, serving.ResultTimeout, false, structs.CodeOutcomeUnknown, structs.OutcomeUnknown),
+		ginkgo.Entry("non-idempotent, withdrawn", true, serving.ResultWithdrawn, false, structs.CodeCancelled, structs.OutcomeNotRun),
+	)
+
+	ginkgo.It("gives the caller the refusal of a withdrawn attempt", func() {
+		b := newBench(1, 1, nil)
+		_, effects := b.arrive(structs.Request{Customer: "a", NonIdempotent: true})
+		send := only[serving.Send](effects)[0]
+		conflict := structs.NotRun(structs.CodeKeyConflict, "the key was used for another request")
+		effects = b.d.Step(b.now, serving.AttemptFinished{RequestID: send.RequestID, Attempt: 1, Result: serving.ResultWithdrawn, Refusal: conflict})
+		expect(codes(effects)).To(gomega.Equal([]structs.Code{structs.CodeKeyConflict}))
+		expect(b.d.Snapshot().Counters.FirstAttempts).To(gomega.BeZero())
+	})
+
+	ginkgo.It("keeps a retry on the same executor when affinity is asked for", func() {
+		b := newBench(3, 1, nil)
+		effects := b.d.Step(b.now, serving.RequestArrived{AttemptAffinity: true, Request: structs.Request{ID: "x", NonIdempotent: true, Remaining: time.Second}})
+		first := only[serving.Send](effects)[0]
+		b.finish(first, serving.ResultNotSent, 0)
+		b.now += 100 * time.Millisecond
+		expect(only[serving.Send](b.d.Step(b.now, serving.Tick{}))[0].Backend).To(gomega.Equal(first.Backend))
+	})
+
+	ginkgo.It("sends nothing to a draining executor from the step of the event", func() {
+		b := newBench(1, 4, nil)
+		b.backend("executor-0", structs.BackendDraining, 4)
+		_, effects := b.arrive(urgentA)
+		expect(codes(effects)).To(gomega.Equal([]structs.Code{structs.CodeNoBackend}))
+	})
+
+	ginkgo.It("offers a request to another domain once, and refuses it if there is none", func() {
+		b := newBench(0, 1, func(c *serving.Config) { c.Forwarding = true })
+		id, effects := b.arrive(urgentA)
+		expect(only[serving.Forward](effects)).To(gomega.HaveLen(1))
+		effects = b.d.Step(b.now, serving.ForwardFinished{RequestID: id, Result: serving.ResultNotSent})
+		expect(codes(effects)).To(gomega.Equal([]structs.Code{structs.CodeNoBackend}))
+		effects = b.d.Step(b.now, serving.RequestArrived{Forwarded: true, Request: structs.Request{ID: "f", Remaining: time.Second}})
+		expect(codes(effects)).To(gomega.Equal([]structs.Code{structs.CodeNoBackend}))
+	})
+
+	ginkgo.It("refuses early when the wait and the service time pass the deadline", func() {
+		b := newBench(1, 1, nil)
+		b.learn(normalA, 200*time.Millisecond, 10)
+		for range 10 {
+			b.arrive(normalA)
+		}
+		_, effects := b.arrive(structs.Request{Customer: "a", Class: structs.ClassNormal, Remaining: time.Second})
+		refusals := only[serving.Refuse](effects)
+		expect(refusals).To(gomega.HaveLen(1))
+		expect(refusals[0].Refusal.Code).To(gomega.Equal(structs.CodeDeadline))
+		expect(refusals[0].Refusal.RetryAfter).To(gomega.BeNumerically(">", time.Second))
+	})
+
+	ginkgo.It("sheds the least important class first, of the customer furthest above its share, newest first", func() {
+		b := newBench(1, 1, func(c *serving.Config) { c.MaxQueued = 4 })
+		b.arrive(urgentA)
+		b.arrive(bulkA)
+		b.arrive(bulkB)
+		newest, _ := b.arrive(bulkB)
+		b.arrive(bulkA)
+		_, effects := b.arrive(urgentA)
+		refusals := only[serving.Refuse](effects)
+		expect(refusals).To(gomega.HaveLen(1))
+		expect(refusals[0].RequestID).To(gomega.Equal(newest))
+		expect(refusals[0].Refusal.Code).To(gomega.Equal(structs.CodeShed))
+		expect(refusals[0].Refusal.Outcome).To(gomega.Equal(structs.OutcomeNotRun))
+	})
+
+	ginkgo.It("keeps reserved slots for urgent requests", func() {
+		rules := []structs.ClassRule{{Class: structs.ClassUrgent, ReservedSlots: 0.25}}
+		b := newBench(1, 4, func(c *serving.Config) { c.Classes = rules })
+		sent := 0
+		for range 6 {
+			_, effects := b.arrive(bulkA)
+			sent += len(only[serving.Send](effects))
+		}
+		expect(sent).To(gomega.Equal(3))
+		_, effects := b.arrive(urgentA)
+		expect(only[serving.Send](effects)).To(gomega.HaveLen(1))
+	})
+
+	ginkgo.It("shares the slots by weight between customers with a backlog", func() {
+		b := newBench(1, 1, nil)
+		_, effects := b.arrive(bulkA)
+		send := only[serving.Send](effects)[0]
+		for range 20 {
+			b.arrive(bulkA)
+			b.arrive(bulkB)
+		}
+		served := map[string]int{}
+		for range 16 {
+			b.now += 10 * time.Millisecond
+			send = only[serving.Send](b.finish(send, serving.ResultOK, 10*time.Millisecond))[0]
+			number := 0
+			_, _ = fmt.Sscanf(send.RequestID, "r%d", &number)
+			served[map[int]string{0: "a", 1: "b"}[number%2]]++
+		}
+		expect(served["a"]).To(gomega.BeNumerically("~", 12, 1))
+	})
+
+	ginkgo.It("leaves slots free of long work while short work arrives", func() {
+		b := newBench(4, 4, nil)
+		b.learn(urgentA, 20*time.Millisecond, 10)
+		b.learn(bulkA, 2*time.Second, 10)
+		b.learn(urgentA, 20*time.Millisecond, 40)
+		sent := 0
+		for range 30 {
+			_, effects := b.arrive(bulkA)
+			sent += len(only[serving.Send](effects))
+		}
+		expect(sent).To(gomega.BeNumerically("<=", 12))
+		expect(sent).To(gomega.BeNumerically(">=", 8))
+	})
+
+	ginkgo.It("serves bulk work that has waited long before new urgent work", func() {
+		b := newBench(1, 1, nil)
+		_, effects := b.arrive(urgentA)
+		send := only[serving.Send](effects)[0]
+		old, _ := b.arrive(structs.Request{Customer: "a", Class: structs.ClassBulk, Remaining: time.Minute})
+		for i := range 400 {
+			b.arrive(urgentA)
+			b.now += 50 * time.Millisecond
+			sends := only[serving.Send](b.finish(send, serving.ResultOK, 50*time.Millisecond))
+			if sends[0].RequestID == old {
+				expect(i).To(gomega.BeNumerically(">", 20))
+				return
+			}
+			send = sends[0]
+		}
+		ginkgo.Fail("the bulk request starved")
+	})
+
+	ginkgo.It("opens the breaker after consecutive failures and probes with one request", func() {
+		b := newBench(1, 4, func(c *serving.Config) { c.Service.MaxAttempts = 1 })
+		for range 3 {
+			_, effects := b.arrive(bulkA)
+			b.finish(only[serving.Send](effects)[0], serving.ResultBackendError, time.Millisecond)
+		}
+		_, effects := b.arrive(bulkA)
+		expect(only[serving.Send](effects)).To(gomega.BeEmpty())
+		b.arrive(bulkA)
+		b.now += 1100 * time.Millisecond
+		probes := only[serving.Send](b.d.Step(b.now, serving.Tick{}))
+		expect(probes).To(gomega.HaveLen(1))
+		expect(probes[0].Fresh).To(gomega.BeTrue())
+		expect(only[serving.Send](b.finish(probes[0], serving.ResultOK, time.Millisecond))).To(gomega.HaveLen(1))
+	})
+
+	ginkgo.It("gives fewer slots to an executor that has become slow", func() {
+		b := newBench(3, 4, nil)
+		running := map[time.Duration][]serving.Send{}
+		start := func(effects []serving.Effect) {
+			for _, send := range only[serving.Send](effects) {
+				took := 20 * time.Millisecond
+				if send.Backend == "executor-1" {
+					took *= 5
+				}
+				running[b.now+took] = append(running[b.now+took], send)
+			}
+		}
+		for b.now < 3*time.Second {
+			_, effects := b.arrive(normalA)
+			start(effects)
+			b.now += time.Millisecond
+			for _, send := range running[b.now] {
+				start(b.finish(send, serving.ResultOK, 0))
+			}
+		}
+		executors := b.d.Snapshot().Executors
+		expect(executors[1].Limit).To(gomega.BeNumerically("<", 4))
+		expect(executors[1].Limit).To(gomega.BeNumerically(">=", 1))
+		expect(executors[0].Limit).To(gomega.Equal(4))
+	})
+
+	ginkgo.DescribeTable("hedges urgent requests only",
+		func(enabled bool, request structs.Request, hedged bool) {
+			b := newBench(2, 2, func(c *serving.Config) { c.Hedging = enabled })
+			b.learn(request, 20*time.Millisecond, 50)
+			_, effects := b.arrive(request)
+			first := only[serving.Send](effects)[0]
+			b.now += 100 * time.Millisecond
+			sends := only[serving.Send](b.d.Step(b.now, serving.Tick{}))
+			if !hedged {
+				expect(sends).To(gomega.BeEmpty())
+				return
+			}
+			expect(sends).To(gomega.HaveLen(1))
+			expect(sends[0].Hedge).To(gomega.BeTrue())
+			expect(sends[0].Backend).NotTo(gomega.Equal(first.Backend))
+			expect(only[serving.Answer](b.finish(sends[0], serving.ResultOK, time.Millisecond))).To(gomega.HaveLen(1))
+			expect(only[serving.Answer](b.finish(first, serving.ResultOK, time.Millisecond))).To(gomega.BeEmpty())
+		},
+		ginkgo.Entry("urgent", true, urgentA, true),
+		ginkgo.Entry("switched off", false, urgentA, false),
+		ginkgo.Entry("normal", true, normalA, false),
+		ginkgo.Entry("non-idempotent", true, structs.Request{Customer: "a", Class: structs.ClassUrgent, NonIdempotent: true}, false),
+	)
+})
+
+var _ = ginkgo.DescribeTable("Share",
+	func(slots int, hosts []string, shares ...int) {
+		sum := 0
+		for i, host := range []string{"a", "b", "c"}[:len(shares)] {
+			gomega.Expect(serving.Share(slots, hosts, host)).To(gomega.Equal(shares[i]))
+			sum += shares[i]
+		}
+		gomega.Expect(sum).To(gomega.BeNumerically("<=", slots))
+	},
+	ginkgo.Entry("even", 8, []string{"b", "a"}, 4, 4),
+	ginkgo.Entry("rest to the first", 8, []string{"c", "a", "b"}, 3, 3, 2),
+	ginkgo.Entry("repeated host", 8, []string{"a", "a", "b"}, 4, 4),
+	ginkgo.Entry("fewer slots than hosts", 2, []string{"a", "b", "c"}, 1, 1, 0),
+	ginkgo.Entry("not a host", 8, []string{"x"}, 0),
+	ginkgo.Entry("no slots", 0, []string{"a"}, 0),
+)
