--- a/scheduler/experiment/serving/experiment_test.go
+++ b/scheduler/experiment/serving/experiment_test.go
@@ -2,11 +2,59 @@
 
 import (
 	"os"
+	"strings"
 	"testing"
 
 	experiment "cranberrydrum.dev/scheduler/experiment/serving"
 )
 
+// small is a quick version of the experiment.
+func small(variants []experiment.Variant) experiment.Options {
+	return experiment.Options{Seed: 2, Executors: 8, Hosts: 2, Crest: 3, Variants: variants}
+}
+
+// TestCrest guards against wrong, lost and doubled answers at a crest with any
+// fault of executors, against false refusals, and against dispatching that is
+// no better than the baselines for urgent requests.
+func TestCrest(t *testing.T) {
+	var variants []experiment.Variant
+	for _, v := range experiment.AllVariants() {
+		if v.Dispatching == experiment.DispatchCranberrydrum || v.Fault == experiment.FaultNone {
+			variants = append(variants, v)
+		}
+	}
+	table := experiment.Run(small(variants))
+	for i, row := range table.Rows {
+		if row.Wrong+row.Lost > 0 {
+			t.Errorf("%s: %d wrong and %d lost answers", row.Name, row.Wrong, row.Lost)
+		}
+		if variants[i].Dispatching != experiment.DispatchCranberrydrum {
+			if row.CrestInDeadline > 0.7 {
+				t.Errorf("%s is not a crest for a baseline: %.3f", row.Name, row.CrestInDeadline)
+			}
+			continue
+		}
+		if row.Doubled+row.FalseNotRun > 0 {
+			t.Errorf("%s: %d doubled, %d falsely refused as not run", row.Name, row.Doubled, row.FalseNotRun)
+		}
+		if variants[i].Sharing != experiment.ShareOptimistic && row.CrestInDeadline < 0.99 {
+			t.Errorf("%s: only %.3f of the urgent requests of the crest in time", row.Name, row.CrestInDeadline)
+		}
+	}
+	if t.Failed() {
+		t.Log("\n" + table.String())
+	}
+}
+
+// TestRunIsDeterministic guards against outcomes that depend on the order of a map.
+func TestRunIsDeterministic(t *testing.T) {
+	options := small(experiment.AllVariants()[12:13])
+	first, second := experiment.Run(options).CSV(), experiment.Run(options).CSV()
+	if first != second || strings.Count(first, "\n") != 2 {
+		t.Fatalf("two runs differ:\n%s%s", first, second)
+	}
+}
+
 // TestTable prints the whole table when CRANBERRYDRUM_EXPERIMENT is set.
 func TestTable(t *testing.T) {
 	if os.Getenv("CRANBERRYDRUM_EXPERIMENT") == "" {
