Extend leases of slots while the borrower's work is more important

With skewed arrivals all leases ended in the middle of the crest, and the lender used the slots for bulk work while the borrower's urgent requests queued. A lease is now extended, before it ends, if the most important class queued at the borrower is above that of the lender.

--- a/scheduler/experiment/serving/baseline.go
+++ b/scheduler/experiment/serving/baseline.go
@@ -36,7 +36,7 @@
 }
 
 // NextWake implements dispatcher; the baseline has no timers of its own.
-func (b *baseline) NextWake(time.Duration) (time.Duration, bool) { return 0, false }
+func (b *baseline) NextWake() (time.Duration, bool) { return 0, false }
 
 // Step implements dispatcher.
 func (b *baseline) Step(now time.Duration, ev serving.Event) []serving.Effect {
--- a/scheduler/experiment/serving/hosts.go
+++ b/scheduler/experiment/serving/hosts.go
@@ -101,7 +101,7 @@
 				running = use.OwnRunning
 			}
 		}
-		s.ledgerStep(to, serving.RequestSlots{From: from.name, Executor: effect.Executor, Count: effect.Count, Sequence: effect.Sequence, OwnRunning: running})
+		s.ledgerStep(to, serving.RequestSlots{From: from.name, Executor: effect.Executor, Count: effect.Count, Lease: effect.Lease, Waiting: effect.Waiting, Sequence: effect.Sequence, OwnRunning: running})
 	})
 }
 
--- a/scheduler/experiment/serving/simulation.go
+++ b/scheduler/experiment/serving/simulation.go
@@ -13,7 +13,7 @@
 // dispatcher is what the event loop needs of a way of dispatching.
 type dispatcher interface {
 	Step(now time.Duration, ev serving.Event) []serving.Effect
-	NextWake(now time.Duration) (time.Duration, bool)
+	NextWake() (time.Duration, bool)
 }
 
 type attemptKey struct {
@@ -263,7 +263,7 @@
 }
 
 func (s *simulation) scheduleWake(h *host) {
-	wake, needed := h.dispatcher.NextWake(s.now)
+	wake, needed := h.dispatcher.NextWake()
 	if !needed || (h.wakeAt > s.now && h.wakeAt <= wake) {
 		return
 	}
--- a/scheduler/serving/dispatcher.go
+++ b/scheduler/serving/dispatcher.go
@@ -18,6 +18,8 @@
 	rules   [classCount]structs.ClassRule
 	weights map[string]float64
 	rng     *rand.Rand
+	// now is the time of the last step.
+	now time.Duration
 
 	requests map[string]*request
 	wakes    wakeHeap
@@ -91,6 +93,23 @@
 	d.budget.share = service.RetryBudget
 	d.setClassRules(classes)
 	d.setWeights(customers)
+	d.updateShares()
+}
+
+// SetHosts puts a changed list of the entry hosts of the failure domain in
+// force. Without a SlotLedger the caller must make sure that hosts which lose
+// slots are told before those which gain them.
+func (d *Dispatcher) SetHosts(hosts []string) {
+	d.cfg.Hosts = hosts
+	d.updateShares()
+}
+
+func (d *Dispatcher) updateShares() {
+	for _, e := range d.order {
+		if !e.updated {
+			e.own = d.staticShare(e.backend)
+		}
+	}
 	d.stale = true
 }
 
@@ -139,6 +158,7 @@
 // are handled first, so a result that arrives after the deadline is late.
 func (d *Dispatcher) Step(now time.Duration, ev Event) []Effect {
 	d.effects = nil
+	d.now = now
 	d.runTimers(now)
 	d.handle(now, ev)
 	d.refresh(now)
@@ -171,13 +191,13 @@
 const idleWake = 100 * time.Millisecond
 
 // NextWake returns when the Dispatcher needs a Tick at the latest.
-func (d *Dispatcher) NextWake(now time.Duration) (time.Duration, bool) {
+func (d *Dispatcher) NextWake() (time.Duration, bool) {
 	wake := never
 	if len(d.wakes) > 0 {
 		wake = d.wakes[0].wake
 	}
 	if d.queued > 0 {
-		wake = min(wake, now+idleWake)
+		wake = min(wake, d.now+idleWake)
 	}
 	return wake, wake != never
 }
--- a/scheduler/serving/ledger.go
+++ b/scheduler/serving/ledger.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"cranberrydrum.dev/scheduler/structs"
 )
 
 // LedgerConfig describes the SlotLedger of one host.
@@ -61,11 +63,15 @@
 // returned, and slots are asked for where requests wait.
 type UseReported struct{ Use []SlotUse }
 
-// RequestSlots is a peer's question for slots.
+// RequestSlots is a peer's question for slots, or for more time on a lease.
 type RequestSlots struct {
 	From     string
 	Executor string
 	Count    int
+	// Lease is the lease to extend; empty asks for further slots.
+	Lease string
+	// Waiting is the most important class that is queued at the peer.
+	Waiting structs.Class
 	// Sequence is from the peer's AskSlots and is repeated in the answer.
 	Sequence uint64
 	// OwnRunning is the number of attempts that this host runs on own slots of
@@ -101,11 +107,14 @@
 func (Return) isLedgerEvent()        {}
 func (LedgerTick) isLedgerEvent()    {}
 
-// AskSlots asks a peer for slots; the peer receives it as RequestSlots.
+// AskSlots asks a peer for slots or for more time on a lease; the peer
+// receives it as RequestSlots.
 type AskSlots struct {
 	To       string
 	Executor string
 	Count    int
+	Lease    string
+	Waiting  structs.Class
 	Sequence uint64
 }
 
@@ -163,6 +172,8 @@
 	asked                 []question
 	lastAsk               time.Duration
 	nextPeer              int
+	// waiting is the most important class that is queued at this host.
+	waiting structs.Class
 	// told is what the Dispatcher was told last.
 	told string
 }
@@ -180,10 +191,13 @@
 	// idleSince is when the Dispatcher was first seen not to use the lease.
 	idleSince time.Duration
 	idle      bool
+	lastAsk   time.Duration
 }
 
 type question struct {
-	to       string
+	to string
+	// lease is the lease to extend; empty for further slots.
+	lease    string
 	sequence uint64
 	at       time.Duration
 }
--- a/scheduler/serving/ledger_rapid_test.go
+++ b/scheduler/serving/ledger_rapid_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"cranberrydrum.dev/scheduler/serving"
+	"cranberrydrum.dev/scheduler/structs"
 )
 
 const (
@@ -83,7 +84,7 @@
 		case serving.SlotsChanged:
 			h.own, h.leases = effect.Update.Own, effect.Update.Leases
 		case serving.AskSlots:
-			n.post(t, effect.To, serving.RequestSlots{From: h.name, Executor: effect.Executor, Count: effect.Count, Sequence: effect.Sequence})
+			n.post(t, effect.To, serving.RequestSlots{From: h.name, Executor: effect.Executor, Count: effect.Count, Lease: effect.Lease, Waiting: effect.Waiting, Sequence: effect.Sequence})
 		case serving.LendSlots:
 			n.lent++
 			n.post(t, effect.To, serving.Lend{From: h.name, Executor: effect.Executor, Lease: effect.Lease, Count: effect.Count, Duration: effect.Duration, Sequence: effect.Sequence})
@@ -186,7 +187,8 @@
 		h.busy[l.ID] = rapid.SampledFrom([]int{0, l.Count}).Draw(t, "busy")
 	}
 	wanted := rapid.IntRange(0, 3).Draw(t, "wanted")
-	n.step(t, h, serving.UseReported{Use: []serving.SlotUse{{Executor: ledgerExecutor, OwnRunning: h.ownRunning, Leases: h.busy, Wanted: wanted}}})
+	waiting := rapid.SampledFrom([]structs.Class{"", structs.ClassUrgent, structs.ClassNormal, structs.ClassBulk}).Draw(t, "waiting")
+	n.step(t, h, serving.UseReported{Use: []serving.SlotUse{{Executor: ledgerExecutor, OwnRunning: h.ownRunning, Leases: h.busy, Wanted: wanted, Waiting: waiting}}})
 }
 
 // changeHosts removes or adds the last host of the division. The others learn
--- a/scheduler/serving/ledger_step.go
+++ b/scheduler/serving/ledger_step.go
@@ -91,10 +91,11 @@
 	if now < max(l.cfg.ShareFrom, l.started+l.cfg.LendFor+l.cfg.Margin) {
 		return
 	}
-	out := 0
-	for i := range e.lent {
-		out += e.lent[i].count
+	if ev.Lease != "" {
+		l.extend(now, e, ev)
+		return
 	}
+	out := e.lentOut()
 	const keepFree = 1
 	idle := e.share - out - ev.OwnRunning - keepFree
 	count := min(ev.Count, idle, Lendable(e.share)-out)
@@ -104,6 +105,10 @@
 	lease := l.newLease()
 	until := now + l.cfg.LendFor + l.cfg.Margin
 	e.lent = append(e.lent, lentSlots{to: ev.From, lease: lease, count: count, until: until})
+	l.lend(e, ev, lease, count)
+}
+
+func (l *SlotLedger) lend(e *ledgerExecutor, ev RequestSlots, lease string, count int) {
 	l.emit(LendSlots{
 		To:       ev.From,
 		Executor: e.id,
@@ -114,6 +119,33 @@
 	})
 }
 
+func (e *ledgerExecutor) lentOut() int {
+	out := 0
+	for i := range e.lent {
+		out += e.lent[i].count
+	}
+	return out
+}
+
+// extend gives a lease more time if the peer's waiting work is more important
+// than that of this host. Otherwise the slots would return to this host at the
+// height of a crest, to be used for less important work.
+func (l *SlotLedger) extend(now time.Duration, e *ledgerExecutor, ev RequestSlots) {
+	if e.waiting != "" && indexOf(e.waiting) <= indexOf(ev.Waiting) {
+		return
+	}
+	if e.lentOut() > Lendable(e.share) {
+		return
+	}
+	for i := range e.lent {
+		s := &e.lent[i]
+		if s.lease == ev.Lease && s.to == ev.From {
+			s.until = now + l.cfg.LendFor + l.cfg.Margin
+			l.lend(e, ev, s.lease, s.count)
+		}
+	}
+}
+
 // received takes a lease that answers a question of this run, once. The lease
 // counts from the question, which was sent before the lender counted from its
 // own answer.
@@ -126,8 +158,13 @@
 	if at < 0 {
 		return
 	}
-	until := e.asked[at].at + min(ev.Duration, l.cfg.LendFor)
+	asked := e.asked[at]
+	until := asked.at + min(ev.Duration, l.cfg.LendFor)
 	e.asked = slices.Delete(e.asked, at, at+1)
+	if asked.lease != "" {
+		e.extended(asked.lease, until)
+		return
+	}
 	if until <= now {
 		return
 	}
@@ -137,6 +174,16 @@
 	})
 }
 
+// extended gives a borrowed lease more time. A lease that was returned or has
+// ended is not taken up again.
+func (e *ledgerExecutor) extended(lease string, until time.Duration) {
+	for i := range e.borrowed {
+		if e.borrowed[i].ID == lease {
+			e.borrowed[i].Until = max(e.borrowed[i].Until, until)
+		}
+	}
+}
+
 func (l *SlotLedger) returned(ev Return) {
 	e := l.executors[ev.Executor]
 	if e == nil {
@@ -154,7 +201,9 @@
 	if e == nil {
 		return
 	}
+	e.waiting = use.Waiting
 	l.returnUnused(now, e, use)
+	l.askForTime(now, e, use)
 	if use.Wanted <= 0 || now-e.lastAsk < askInterval {
 		return
 	}
@@ -165,11 +214,33 @@
 	e.lastAsk = now
 	e.nextPeer++
 	peer := peers[e.nextPeer%len(peers)]
+	l.ask(now, e, AskSlots{To: peer, Count: use.Wanted, Waiting: use.Waiting})
+}
+
+// ask sends a question and remembers when it was asked.
+func (l *SlotLedger) ask(now time.Duration, e *ledgerExecutor, ask AskSlots) {
 	l.sequence++
+	ask.Executor = e.id
 	// The incarnation in the sequence keeps answers to an earlier run apart.
-	sequence := l.cfg.Incarnation<<32 | l.sequence&0xffffffff
-	e.asked = append(e.asked, question{to: peer, sequence: sequence, at: now})
-	l.emit(AskSlots{To: peer, Executor: e.id, Count: use.Wanted, Sequence: sequence})
+	ask.Sequence = l.cfg.Incarnation<<32 | l.sequence&0xffffffff
+	e.asked = append(e.asked, question{to: ask.To, lease: ask.Lease, sequence: ask.Sequence, at: now})
+	l.emit(ask)
+}
+
+// askForTime asks to extend the leases that are needed and have passed half of
+// their time.
+func (l *SlotLedger) askForTime(now time.Duration, e *ledgerExecutor, use SlotUse) {
+	if use.Waiting == "" {
+		return
+	}
+	for i := range e.borrowed {
+		s := &e.borrowed[i]
+		if s.Until-now > l.cfg.LendFor/2 || now-s.lastAsk < askInterval {
+			continue
+		}
+		s.lastAsk = now
+		l.ask(now, e, AskSlots{To: s.from, Count: s.Count, Lease: s.ID, Waiting: use.Waiting})
+	}
 }
 
 func (l *SlotLedger) returnUnused(now time.Duration, e *ledgerExecutor, use SlotUse) {
@@ -197,7 +268,7 @@
 		digest := strconv.Itoa(update.Own)
 		for i := range e.borrowed {
 			update.Leases = append(update.Leases, e.borrowed[i].Lease)
-			digest += "," + e.borrowed[i].ID
+			digest += "," + e.borrowed[i].ID + "@" + e.borrowed[i].Until.String()
 		}
 		if digest == e.told {
 			continue
--- a/scheduler/serving/snapshot_build.go
+++ b/scheduler/serving/snapshot_build.go
@@ -74,6 +74,8 @@
 	Leases map[string]int
 	// Wanted is the number of further slots that queued requests could use.
 	Wanted int
+	// Waiting is the most important class that is queued; empty if none is.
+	Waiting structs.Class
 }
 
 // SlotUse returns the use of all executors, sorted by id.
@@ -82,9 +84,10 @@
 	if len(d.order) > 0 {
 		wanted = (d.queued + len(d.order) - 1) / len(d.order)
 	}
+	waiting := d.waiting()
 	uses := make([]SlotUse, 0, len(d.order))
 	for _, e := range d.order {
-		use := SlotUse{Executor: e.backend.ID, OwnRunning: e.ownRunning}
+		use := SlotUse{Executor: e.backend.ID, OwnRunning: e.ownRunning, Waiting: waiting}
 		if e.usable(now) && e.running >= e.limit && e.limit == e.slots(now) {
 			use.Wanted = wanted
 		}
@@ -98,3 +101,12 @@
 	}
 	return uses
 }
+
+func (d *Dispatcher) waiting() structs.Class {
+	for c := range classCount {
+		if d.queues[c].queued > 0 {
+			return classNames[c]
+		}
+	}
+	return ""
+}
