--- a/daemon/node/service.go
+++ b/daemon/node/service.go
@@ -113,7 +113,7 @@
 }
 
 func (s *service) untilWake() time.Duration {
-	wake, ok := s.dispatcher.NextWake(s.node.now())
+	wake, ok := s.dispatcher.NextWake()
 	if !ok {
 		return maxServiceTick
 	}
