--- a/coord/dedup/table.go
+++ b/coord/dedup/table.go
@@ -79,6 +79,11 @@
 	}
 }
 
+// SetConfig changes the bounds. All replicas must change them at the same
+// command. Records beyond smaller bounds are kept and new keys are refused; a
+// shorter retention takes effect with the next command.
+func (t *Table) SetConfig(cfg Config) { t.cfg = cfg }
+
 // Now returns the highest logical time seen.
 func (t *Table) Now() time.Duration { return t.now }
 
--- a/daemon/node/domainowner.go
+++ b/daemon/node/domainowner.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	keyExpireInterval  = 30 * time.Second
-	takeOverRetry      = 500 * time.Millisecond
+	keyExpireInterval = 30 * time.Second
+	// commandRetry is when a command without effect is proposed again.
+	commandRetry       = 500 * time.Millisecond
 	workerLeaseMargin  = time.Second
 	workerLeaveGrace   = 30 * time.Second
 	domainGroupPrefix  = "domain/"
@@ -41,6 +42,7 @@
 	term         uint64
 	nextTakeOver time.Duration
 	nextExpire   time.Duration
+	nextPolicy   time.Duration
 }
 
 // Step implements group.Owner.
@@ -75,6 +77,7 @@
 	o.term = term
 	o.nextTakeOver = now
 	o.nextExpire = now + keyExpireInterval
+	o.nextPolicy = now
 	o.log.Info("this host owns the failure domain", "domain", o.domain, "term", term)
 }
 
@@ -96,14 +99,33 @@
 	o.controller.Configure(jobs.ConfigFor(o.domain, current.Version, current.Config))
 }
 
+// keyPolicy returns the command that puts the key policy of the configuration
+// in force, if an earlier one is.
+func (o *domainOwner) keyPolicy(now, clock time.Duration) []byte {
+	version := o.keeper.version()
+	if version <= o.state.KeyPolicyVersion() || now < o.nextPolicy {
+		return nil
+	}
+	o.nextPolicy = now + commandRetry
+	data, err := domain.EncodeKeyPolicy(clock, version, o.keeper.current().Config.Keys)
+	if err != nil {
+		o.log.Error(err, "a command cannot be encoded", "domain", o.domain)
+		return nil
+	}
+	return data
+}
+
 // keyCommands ends the keys of earlier leaders and drops expired keys.
 func (o *domainOwner) keyCommands(now time.Duration) [][]byte {
 	var commands [][]byte
 	clock := o.controller.Clock(now)
 	if o.state.TakenOver() < o.term && now >= o.nextTakeOver {
-		o.nextTakeOver = now + takeOverRetry
+		o.nextTakeOver = now + commandRetry
 		commands = o.appendCommand(commands)(domain.EncodeTakeOver(clock, o.term))
 	}
+	if policy := o.keyPolicy(now, clock); policy != nil {
+		commands = append(commands, policy)
+	}
 	if now >= o.nextExpire {
 		o.nextExpire = now + keyExpireInterval
 		o.publishKeys()
--- a/daemon/node/groups.go
+++ b/daemon/node/groups.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"cranberrydrum.dev/coord/dedup"
 	"cranberrydrum.dev/coord/raft"
 	"cranberrydrum.dev/coord/replica"
 	"cranberrydrum.dev/daemon/group"
@@ -16,20 +15,14 @@
 )
 
 const (
-	groupsFolder       = "groups"
-	snapshotEntries    = 4096
-	snapshotBytes      = 8 << 20
-	keepEntries        = 1024
-	raftBatchBytes     = 256 << 10
-	raftSnapshotChunk  = 64 << 10
-	handOverTimeout    = 3 * time.Second
-	handOverPoll       = 20 * time.Millisecond
-	maxRecordedKeys    = 100_000
-	maxKeyRecords      = 400_000
-	maxKeyBytes        = 64 << 20
-	maxRecordedAnswer  = 64 << 10
-	keyRetention       = 24 * time.Hour
-	expiredKeyRetained = 7 * 24 * time.Hour
+	groupsFolder      = "groups"
+	snapshotEntries   = 4096
+	snapshotBytes     = 8 << 20
+	keepEntries       = 1024
+	raftBatchBytes    = 256 << 10
+	raftSnapshotChunk = 64 << 10
+	handOverTimeout   = 3 * time.Second
+	handOverPoll      = 20 * time.Millisecond
 )
 
 // deploymentHosts returns all configured hosts, this one included.
@@ -158,14 +151,7 @@
 	if name == groupConfig {
 		return &configOwner{state: n.configState, keeper: n.config, failed: n.fail}, n.configState
 	}
-	state := domain.New(dedup.Config{
-		MaxKeys:          maxRecordedKeys,
-		MaxRecords:       maxKeyRecords,
-		MaxBytes:         maxKeyBytes,
-		MaxResponseBytes: maxRecordedAnswer,
-		Retention:        keyRetention,
-		ExpiredRetention: expiredKeyRetained,
-	})
+	state := domain.New()
 	owner := &domainOwner{
 		domain:  strings.TrimPrefix(name, domainGroupPrefix),
 		state:   state,
--- a/scheduler/domain/command.go
+++ b/scheduler/domain/command.go
@@ -7,6 +7,7 @@
 
 	"cranberrydrum.dev/coord/dedup"
 	"cranberrydrum.dev/scheduler/jobs"
+	"cranberrydrum.dev/scheduler/structs"
 )
 
 // Kind tells the commands apart in the log. The values are part of the log
@@ -20,6 +21,7 @@
 	KindKeyFinish Kind = 3
 	KindTakeOver  Kind = 4
 	KindKeyExpire Kind = 5
+	KindKeyPolicy Kind = 6
 )
 
 // envelope is one entry of the log. Clock is the domain clock at the leader.
@@ -41,6 +43,19 @@
 	Term uint64 `msgpack:"t"`
 }
 
+// keyPolicy changes how long and how many keys are kept.
+type keyPolicy struct {
+	Version   uint64        `msgpack:"v"`
+	Retention time.Duration `msgpack:"r"`
+	MaxKeys   int           `msgpack:"m"`
+}
+
+// EncodeKeyPolicy returns the log entry that puts the key policy of a
+// configuration version in force.
+func EncodeKeyPolicy(clock time.Duration, version uint64, p structs.KeyPolicy) ([]byte, error) {
+	return encodeBody(KindKeyPolicy, clock, &keyPolicy{Version: version, Retention: p.Retention, MaxKeys: p.MaxKeys})
+}
+
 // EncodeJobs returns the log entry of a job command.
 func EncodeJobs(c jobs.Command) ([]byte, error) {
 	body, err := jobs.EncodeCommand(c)
--- a/scheduler/domain/state.go
+++ b/scheduler/domain/state.go
@@ -19,13 +19,40 @@
 	// takenOver is the highest term whose leader has ended the keys of its
 	// predecessors.
 	takenOver uint64
+	policy    keyPolicy
 }
 
-// New returns an empty state.
-func New(keys dedup.Config) *State {
-	return &State{jobs: jobs.New(), keys: dedup.New(keys)}
+// Bounds of request keys beside those of the rules. A recorded answer above
+// maxAnswerBytes is dropped as a whole.
+const (
+	maxKeyBytes    = 64 << 20
+	maxAnswerBytes = 64 << 10
+	// compactPerKey is how many compact records are kept per full one.
+	compactPerKey = 3
+	// expiredRetention is how long a key is refused after its record expired.
+	expiredRetention = 7 * 24 * time.Hour
+)
+
+// New returns an empty state. It refuses all request keys until a key policy
+// is in force.
+func New() *State {
+	return &State{jobs: jobs.New(), keys: dedup.New(keyConfig(keyPolicy{}))}
+}
+
+func keyConfig(p keyPolicy) dedup.Config {
+	return dedup.Config{
+		MaxKeys:          p.MaxKeys,
+		MaxRecords:       p.MaxKeys * (1 + compactPerKey),
+		MaxBytes:         maxKeyBytes,
+		MaxResponseBytes: maxAnswerBytes,
+		Retention:        p.Retention,
+		ExpiredRetention: expiredRetention,
+	}
 }
 
+// KeyPolicyVersion returns the configuration version of the key policy in force.
+func (s *State) KeyPolicyVersion() uint64 { return s.policy.Version }
+
 // Jobs returns the job state. It must not be changed.
 func (s *State) Jobs() *jobs.State { return s.jobs }
 
@@ -58,10 +85,22 @@
 		return s.applyTakeOver(e.Body)
 	case KindKeyExpire:
 		s.keys.Expire(s.Clock())
+	case KindKeyPolicy:
+		s.applyPolicy(e.Body)
 	}
 	return nil
 }
 
+// applyPolicy puts the key policy of a later configuration in force.
+func (s *State) applyPolicy(body []byte) {
+	var p keyPolicy
+	if err := msgpack.Unmarshal(body, &p); err != nil || p.Version <= s.policy.Version {
+		return
+	}
+	s.policy = p
+	s.keys.SetConfig(keyConfig(p))
+}
+
 func (s *State) applyJobs(index uint64, body []byte) []byte {
 	command, err := jobs.DecodeCommand(body)
 	if err != nil {
@@ -120,6 +159,7 @@
 type snapshot struct {
 	Clock     time.Duration `msgpack:"c"`
 	TakenOver uint64        `msgpack:"t"`
+	Policy    keyPolicy     `msgpack:"p"`
 	Jobs      []byte        `msgpack:"j"`
 	Keys      []byte        `msgpack:"k"`
 }
@@ -134,7 +174,7 @@
 	if err != nil {
 		return nil, err
 	}
-	data, err := msgpack.Marshal(&snapshot{Clock: s.clock, TakenOver: s.takenOver, Jobs: jobData, Keys: keyData})
+	data, err := msgpack.Marshal(&snapshot{Clock: s.clock, TakenOver: s.takenOver, Policy: s.policy, Jobs: jobData, Keys: keyData})
 	if err != nil {
 		return nil, &CodecError{What: "snapshot", Cause: err}
 	}
@@ -153,6 +193,8 @@
 	if err := s.keys.Restore(snap.Keys); err != nil {
 		return err
 	}
+	s.keys.SetConfig(keyConfig(snap.Policy))
+	s.policy = snap.Policy
 	s.clock = snap.Clock
 	s.takenOver = snap.TakenOver
 	return nil
