Run a keyed request elsewhere when the home of its key has no executor

Change: the owner records the key as sending, then forwards the request once to the failure domain that the router chooses; only the owner records the outcome. Conclusion: at most once rests on the owner's record as before, because a call between hosts is never repeated after it may have left.

--- a/daemon/node/calls.go
+++ b/daemon/node/calls.go
@@ -18,6 +18,7 @@
 	methodConfigHistory = "config.history"
 	methodRequest       = "request.run"
 	methodKeyedRequest  = "request.run_keyed"
+	methodBegunRequest  = "request.run_begun"
 	methodKeyFinish     = "key.finish"
 	methodJobSubmit     = "job.submit"
 	methodJobCancel     = "job.cancel"
--- a/daemon/node/forward.go
+++ b/daemon/node/forward.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cranberrydrum.dev/daemon/transport"
+	"cranberrydrum.dev/daemon/upstream"
 	"cranberrydrum.dev/scheduler/routing"
 	"cranberrydrum.dev/scheduler/serving"
 	"cranberrydrum.dev/scheduler/structs"
@@ -73,12 +74,51 @@
 		return
 	}
 	go func() {
-		answer, err := call[remoteAnswer](s.node, target.ID, methodRequest, remoteCallOf(p.call), e.Remaining)
-		if err == nil && target.Region != s.node.cfg.Region {
+		finished := s.forwardTo(target, p.call, e)
+		s.post(func() { s.finishForward(p, finished) })
+	}()
+}
+
+// finishedForward is the end of a forward with what it brought.
+type finishedForward struct {
+	event    serving.ForwardFinished
+	response *upstream.Response
+	// recorded is set when an earlier run of the same key was answered.
+	recorded *upstream.Response
+}
+
+// forwardTo runs a request on a host of another failure domain.
+func (s *service) forwardTo(target host, c Call, e serving.Forward) finishedForward {
+	if c.Request.NonIdempotent {
+		return s.forwardKeyed(target, c, e)
+	}
+	answer, err := call[remoteAnswer](s.node, target.ID, methodRequest, remoteCallOf(c), e.Remaining)
+	return s.forwarded(target, e.RequestID, answer, err)
+}
+
+// forwarded sorts the end of a call to another host by what is certain.
+func (s *service) forwarded(target host, id string, answer *remoteAnswer, err error) finishedForward {
+	f := finishedForward{event: serving.ForwardFinished{RequestID: id, Result: serving.ResultOK}}
+	var refusal *structs.Refusal
+	var notSent *transport.NotSentError
+	switch {
+	case err == nil:
+		f.response = answer.response()
+		if target.Region != s.node.cfg.Region {
 			s.node.router.countResponse(s.node.now(), target.Region, len(answer.Body))
 		}
-		s.post(func() { s.finishForward(p, e.RequestID, answer, err) })
-	}()
+	case errors.As(err, &refusal):
+		f.event.Refusal = refusal
+		f.event.Result = serving.ResultBackendError
+		if refusal.Outcome == structs.OutcomeNotRun {
+			f.event.Result = serving.ResultNotSent
+		}
+	case errors.As(err, &notSent):
+		f.event.Result = serving.ResultNotSent
+	default:
+		f.event.Result = serving.ResultBroken
+	}
+	return f
 }
 
 // forwardTarget returns the host that should serve a request, if any.
@@ -88,7 +128,6 @@
 		Remaining: e.Remaining,
 		BodyBytes: e.BodyBytes,
 		Forwarded: c.Forwarded,
-		Pinned:    c.Request.NonIdempotent,
 	}
 	decision := n.router.decide(now, request, n.viewOf(s))
 	if decision.Place == routing.PlaceLocal {
@@ -207,23 +246,8 @@
 	return total / weight
 }
 
-func (s *service) finishForward(p *pendingRequest, id string, answer *remoteAnswer, err error) {
-	finished := serving.ForwardFinished{RequestID: id, Result: serving.ResultOK}
-	var refusal *structs.Refusal
-	var notSent *transport.NotSentError
-	switch {
-	case err == nil:
-		p.forwarded = answer.response()
-	case errors.As(err, &refusal):
-		finished.Refusal = refusal
-		finished.Result = serving.ResultBackendError
-		if refusal.Outcome == structs.OutcomeNotRun {
-			finished.Result = serving.ResultNotSent
-		}
-	case errors.As(err, &notSent):
-		finished.Result = serving.ResultNotSent
-	default:
-		finished.Result = serving.ResultBroken
-	}
-	s.step(finished)
+func (s *service) finishForward(p *pendingRequest, f finishedForward) {
+	p.forwarded = f.response
+	p.recorded = f.recorded
+	s.step(f.event)
 }
--- a/daemon/node/handlers.go
+++ b/daemon/node/handlers.go
@@ -9,6 +9,7 @@
 		methodConfigHistory: typed(n.handleConfigHistory),
 		methodRequest:       typed(n.handleRequest),
 		methodKeyedRequest:  typed(n.handleKeyedRequest),
+		methodBegunRequest:  typed(n.handleBegunRequest),
 		methodKeyFinish:     typed(n.handleKeyFinish),
 		methodJobSubmit:     typed(n.handleJobSubmit),
 		methodJobCancel:     typed(n.handleJobCancel),
--- a/daemon/node/keys.go
+++ b/daemon/node/keys.go
@@ -38,35 +38,75 @@
 func storedKey(r structs.Request) string { return r.Customer + "/" + r.Key }
 
 // keyedAttempt runs one attempt of a non-idempotent request: the key is made
-// durable, the lease is checked, then the request is sent once.
+// durable, the lease is checked, then the request is sent once. A request that
+// the owner of the key has forwarded was recorded there.
 func (s *service) keyedAttempt(p *pendingRequest, e serving.Send, a upstream.Attempt) finishedAttempt {
-	n := s.node
 	event := serving.AttemptFinished{RequestID: e.RequestID, Attempt: e.Attempt, Result: serving.ResultWithdrawn}
+	token := ""
+	if !p.call.Begun {
+		permit := s.node.permitSend(p.call)
+		if permit.token == "" {
+			event.Refusal = permit.refusal
+			return finishedAttempt{event: event, recorded: permit.recorded}
+		}
+		token = permit.token
+	}
+	start := s.node.now()
+	response, err := s.node.pool.Do(a)
+	event.ServiceTime = s.node.now() - start
+	event.Result = keyedResult(response, err)
+	if token != "" {
+		s.node.finishKey(p.call, token, outcomeOf(event.Result, response))
+	}
+	if event.Result != serving.ResultOK {
+		response = nil
+	}
+	return finishedAttempt{event: event, response: response}
+}
+
+// forwardKeyed runs a non-idempotent request in another failure domain, when
+// the home of its key has no executor that could serve it. The key is recorded
+// here before the request leaves this host.
+func (s *service) forwardKeyed(target host, c Call, e serving.Forward) finishedForward {
+	permit := s.node.permitSend(c)
+	if permit.token == "" {
+		event := serving.ForwardFinished{RequestID: e.RequestID, Result: serving.ResultNotSent, Refusal: permit.refusal}
+		if event.Refusal == nil {
+			event.Result = serving.ResultOK
+		}
+		return finishedForward{event: event, response: permit.recorded}
+	}
+	answer, err := call[remoteAnswer](s.node, target.ID, methodBegunRequest, remoteCallOf(c), e.Remaining)
+	f := s.forwarded(target, e.RequestID, answer, err)
+	s.node.finishKey(c, permit.token, outcomeOf(f.event.Result, f.response))
+	return f
+}
+
+// sendPermit is the permission to send a non-idempotent request once, under a
+// token; without a token, the answer of an earlier run or a refusal.
+type sendPermit struct {
+	token    string
+	recorded *upstream.Response
+	refusal  *structs.Refusal
+}
+
+// permitSend makes the key durable as sending and then checks that this host
+// still owns it, by the lease at this moment.
+func (n *Node) permitSend(c Call) sendPermit {
 	token := n.newToken()
-	decision, refusal := n.beginKey(p.call, token)
+	decision, refusal := n.beginKey(c, token)
 	if refusal != nil {
-		event.Refusal = refusal
-		return finishedAttempt{event: event}
+		return sendPermit{refusal: refusal}
 	}
 	if decision.Kind != dedup.Send {
-		response, refusal := answerOfDecision(decision)
-		event.Refusal = refusal
-		return finishedAttempt{event: event, recorded: response}
+		recorded, refusal := answerOfDecision(decision)
+		return sendPermit{recorded: recorded, refusal: refusal}
 	}
 	if !n.group(domainGroup(n.cfg.Domain)).HoldsLease() {
-		n.finishKey(p.call, token, dedup.Outcome{Kind: dedup.NotRun})
-		event.Refusal = structs.NotRun(structs.CodeNotLeader, "this host lost the ownership of the key before it sent the request")
-		return finishedAttempt{event: event}
-	}
-	start := n.now()
-	response, err := n.pool.Do(a)
-	event.ServiceTime = n.now() - start
-	event.Result = keyedResult(response, err)
-	n.finishKey(p.call, token, outcomeOf(event.Result, response))
-	if event.Result != serving.ResultOK {
-		response = nil
+		n.finishKey(c, token, dedup.Outcome{Kind: dedup.NotRun})
+		return sendPermit{refusal: structs.NotRun(structs.CodeNotLeader, "this host lost the ownership of the key before it sent the request")}
 	}
-	return finishedAttempt{event: event, response: response}
+	return sendPermit{token: token}
 }
 
 // keyedResult is resultOf for a request that must not run twice: any answer is
--- a/daemon/node/requests.go
+++ b/daemon/node/requests.go
@@ -164,12 +164,30 @@
 	return remoteAnswerOf(response), nil
 }
 
+// handleBegunRequest serves a non-idempotent request for the owner of its key.
+func (n *Node) handleBegunRequest(_ string, r *remoteCall, remaining time.Duration) (any, error) {
+	if n.refusing.Load() {
+		return nil, structs.NotRun(structs.CodeStopping, "this host is stopping")
+	}
+	n.inFlight.begin()
+	defer n.inFlight.end()
+	c := r.call(remaining)
+	c.Begun = true
+	response, err := n.serveLocally(c)
+	if err != nil {
+		return nil, err
+	}
+	return remoteAnswerOf(response), nil
+}
+
 // handleKeyedRequest serves a non-idempotent request as the owner of its key.
 // A host that is stopping still serves, until it has handed over leadership.
 func (n *Node) handleKeyedRequest(_ string, r *remoteCall, remaining time.Duration) (any, error) {
 	n.inFlight.begin()
 	defer n.inFlight.end()
 	c := r.call(remaining)
+	// The owner of a key may forward, because it was not chosen for its load.
+	c.Forwarded = false
 	seen, err := n.recordedAnswer(c)
 	if err != nil {
 		return nil, err
--- a/daemon/node/service.go
+++ b/daemon/node/service.go
@@ -27,6 +27,9 @@
 	Headers [][2]string
 	// Forwarded marks a request from another host; it is not forwarded again.
 	Forwarded bool
+	// Begun marks a non-idempotent request whose key the owner has recorded as
+	// sending before it forwarded the request.
+	Begun bool
 }
 
 // service runs the dispatcher of one service on a goroutine of its own.
