--- a/coord/raft/replication.go
+++ b/coord/raft/replication.go
@@ -94,6 +94,10 @@
 		p.resume()
 	case p.state == PeerSnapshot && p.match >= n.log.offset:
 		p.resume()
+	case p.state == PeerSnapshot && p.match >= p.outgoing.snapshot.Meta.Index:
+		// The log behind this snapshot is gone, because the member was not
+		// heard for a while; it needs a newer one.
+		p.probe(p.match+1, n.now)
 	}
 	n.advanceCommit()
 }
--- /dev/null
+++ b/coord/replica/cluster_test.go
@@ -0,0 +1,447 @@
+package replica_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"cranberrydrum.dev/coord/internal/simnet"
+	"cranberrydrum.dev/coord/raft"
+	"cranberrydrum.dev/coord/replica"
+)
+
+const (
+	electionTimeout = time.Second
+	clockError      = 100 * time.Millisecond
+	tickInterval    = 20 * time.Millisecond
+	// The rates of two clocks differ by at most 9.4 %, so that measurements
+	// of one election timeout differ by less than clockError.
+	slowestClock, fastestClock = 0.955, 1.045
+)
+
+var defaultConditions = simnet.Conditions{MinDelay: time.Millisecond, MaxDelay: 30 * time.Millisecond}
+
+// record is an applied command, as the test machine remembers it.
+type record struct {
+	Index, Term uint64
+	Command     string
+}
+
+// machine is a state machine that remembers everything it applied.
+type machine struct{ records []record }
+
+func (m *machine) Apply(index, term uint64, command []byte) []byte {
+	m.records = append(m.records, record{index, term, string(command)})
+	return command
+}
+
+func (m *machine) Snapshot() ([]byte, error) { return msgpack.Marshal(m.records) }
+
+func (m *machine) Restore(data []byte) error {
+	m.records = nil
+	return msgpack.Unmarshal(data, &m.records)
+}
+
+// register is the last command, or empty.
+func (m *machine) register() string {
+	if len(m.records) == 0 {
+		return ""
+	}
+	return m.records[len(m.records)-1].Command
+}
+
+// crashingStorage loses power in the middle of a write when armed.
+type crashingStorage struct {
+	*replica.MemoryStorage
+	armed bool
+	lost  bool
+}
+
+type powerLoss struct{}
+
+func (powerLoss) Error() string { return "power loss" }
+
+func (s *crashingStorage) Save(hard raft.HardState, entries []raft.Entry) error {
+	return s.write(func() error { return s.MemoryStorage.Save(hard, entries) })
+}
+
+func (s *crashingStorage) SaveSnapshot(meta raft.SnapshotMeta, data []byte) error {
+	return s.write(func() error { return s.MemoryStorage.SaveSnapshot(meta, data) })
+}
+
+func (s *crashingStorage) write(do func() error) error {
+	if !s.armed {
+		return do()
+	}
+	s.SetSync(false)
+	defer s.SetSync(true)
+	_ = do()
+	s.lost = true
+	return powerLoss{}
+}
+
+type host struct {
+	id      string
+	clock   simnet.Clock
+	config  replica.Config
+	store   *crashingStorage
+	machine *machine
+	// replica is nil while the host is down.
+	replica *replica.Replica
+	paused  bool
+	inbox   []raft.Message
+	commit  uint64
+}
+
+// write is a proposal as its client sees it.
+type write struct {
+	value      string
+	ticket     replica.Ticket
+	call, done int64
+	host       string
+}
+
+// cluster runs replicas over a simulated network and checks the invariants
+// that hold at all times.
+type cluster struct {
+	seed  uint64
+	net   *simnet.Network[raft.Message]
+	now   time.Duration
+	hosts map[string]*host
+	ids   []string
+	// sequence orders the calls and returns of clients.
+	sequence  int64
+	writes    []*write
+	reads     []readOp
+	leaders   map[uint64]string
+	committed map[uint64]record
+	broken    string
+	tune      func(*replica.Config)
+	chunks    int
+}
+
+type readOp struct {
+	value      string
+	call, done int64
+}
+
+func newCluster(seed uint64, count int, tune func(*replica.Config)) *cluster {
+	c := &cluster{
+		seed: seed, net: simnet.New[raft.Message](seed, defaultConditions),
+		hosts: map[string]*host{}, leaders: map[uint64]string{},
+		committed: map[uint64]record{}, tune: tune,
+	}
+	var voters []string
+	for i := range count {
+		voters = append(voters, fmt.Sprintf("h%d", i+1))
+	}
+	for _, id := range voters {
+		c.addHost(id, raft.Membership{Voters: voters})
+	}
+	return c
+}
+
+// addHost starts a host with an empty disk.
+func (c *cluster) addHost(id string, bootstrap raft.Membership) *host {
+	number := len(c.ids)
+	rate := []float64{slowestClock, fastestClock, 1}[number%3]
+	h := &host{
+		id:    id,
+		clock: simnet.Clock{Origin: time.Duration(number) * time.Hour, Rate: rate},
+		store: &crashingStorage{MemoryStorage: replica.NewMemoryStorage()},
+	}
+	h.config = replica.Config{
+		Raft: raft.Config{
+			ID: id, Group: "g", ElectionTimeout: electionTimeout, ClockError: clockError,
+			HeartbeatInterval: electionTimeout / 10, MaxBatchBytes: 400,
+			SnapshotChunkBytes: 300, MaxInflight: 4, Seed: c.seed,
+		},
+		Bootstrap: bootstrap, SnapshotEntries: 12, KeepEntries: 4,
+	}
+	if c.tune != nil {
+		c.tune(&h.config)
+	}
+	c.hosts[id] = h
+	c.ids = append(c.ids, id)
+	c.start(h)
+	return h
+}
+
+func (c *cluster) start(h *host) {
+	h.store.armed, h.store.lost = false, false
+	h.machine = &machine{}
+	h.inbox = nil
+	h.paused = false
+	r, err := replica.Open(h.config, h.store, h.machine)
+	if err != nil {
+		c.fail("host %s cannot restart: %v", h.id, err)
+		return
+	}
+	h.replica = r
+	c.checkHost(h)
+}
+
+func (c *cluster) fail(format string, args ...any) {
+	if c.broken == "" {
+		c.broken = fmt.Sprintf("at %v: ", c.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+// crash stops a host; what was not synced is lost.
+func (c *cluster) crash(h *host) {
+	h.replica = nil
+	h.store.Crash()
+	c.net.Discard(h.id)
+}
+
+// run advances the time.
+func (c *cluster) run(span time.Duration) {
+	for end := c.now + span; c.now < end && c.broken == ""; {
+		c.now += tickInterval
+		c.deliver()
+		for _, id := range c.ids {
+			h := c.hosts[id]
+			c.call(h, func(now time.Duration) (replica.Output, error) { return h.replica.Tick(now) })
+		}
+		c.checkLease()
+	}
+}
+
+func (c *cluster) deliver() {
+	for {
+		d, ok := c.net.Deliver(c.now)
+		if !ok {
+			return
+		}
+		c.receive(c.hosts[d.To], d.Message)
+	}
+}
+
+func (c *cluster) receive(h *host, m raft.Message) {
+	if h.paused {
+		h.inbox = append(h.inbox, m)
+		return
+	}
+	c.call(h, func(now time.Duration) (replica.Output, error) { return h.replica.Receive(now, m) })
+}
+
+func (c *cluster) resume(h *host) {
+	h.paused = false
+	inbox := h.inbox
+	h.inbox = nil
+	for _, m := range inbox {
+		c.receive(h, m)
+	}
+}
+
+// call runs a method of a replica and handles its output.
+func (c *cluster) call(h *host, method func(time.Duration) (replica.Output, error)) error {
+	if h.replica == nil || h.paused {
+		return replica.ErrClosed
+	}
+	out, err := method(h.clock.Read(c.now))
+	switch err := err.(type) {
+	case *replica.FatalError:
+		if !h.store.lost {
+			c.fail("host %s failed: %v", h.id, err)
+		}
+		c.crash(h)
+		return err
+	case *raft.ConflictError, *raft.MalformedMessageError, *raft.WrongGroupError:
+		c.fail("host %s rejected a message: %v", h.id, err)
+	}
+	for _, m := range out.Messages {
+		c.count(m)
+		c.net.Send(c.now, m.From, m.To, m)
+	}
+	c.acknowledge(h, out.Applied)
+	c.checkHost(h)
+	return err
+}
+
+func (c *cluster) count(m raft.Message) {
+	if m.Chunk != nil {
+		c.chunks++
+	}
+}
+
+// acknowledge completes the writes whose ticket was applied at their host.
+func (c *cluster) acknowledge(h *host, applied []replica.Applied) {
+	for _, a := range applied {
+		for _, w := range c.writes {
+			same := w.ticket == replica.Ticket{Index: a.Index, Term: a.Term}
+			if same && w.host == h.id && w.done == 0 {
+				c.sequence++
+				w.done = c.sequence
+			}
+		}
+	}
+}
+
+// propose writes a value that is unique to the history.
+func (c *cluster) propose(h *host) *write {
+	c.sequence++
+	w := &write{value: fmt.Sprintf("v%d", c.sequence), call: c.sequence, host: h.id}
+	err := c.call(h, func(now time.Duration) (replica.Output, error) {
+		t, out, err := h.replica.Propose(now, []byte(w.value))
+		if t.Index > 0 {
+			w.ticket = t
+			c.writes = append(c.writes, w)
+		}
+		return out, err
+	})
+	if err != nil {
+		return nil
+	}
+	return w
+}
+
+// read reads the register if the host's lease allows it. A paused host reads
+// too, as if it woke just now and had not looked at its inbox.
+func (c *cluster) read(h *host) bool {
+	if h.replica == nil {
+		return false
+	}
+	if _, ok := h.replica.Barrier(h.clock.Read(c.now)); !ok {
+		return false
+	}
+	c.sequence += 2
+	c.reads = append(c.reads, readOp{value: h.machine.register(), call: c.sequence - 1, done: c.sequence})
+	return true
+}
+
+func (c *cluster) change(h *host, op raft.ChangeOp, id string) error {
+	return c.call(h, func(now time.Duration) (replica.Output, error) {
+		_, out, err := h.replica.Change(now, raft.MemberChange{Op: op, ID: id})
+		return out, err
+	})
+}
+
+func (c *cluster) transfer(h *host, to string) error {
+	return c.call(h, func(now time.Duration) (replica.Output, error) { return h.replica.Transfer(now, to) })
+}
+
+// leader returns the running host that leads in the highest term.
+func (c *cluster) leader() *host {
+	var best *host
+	for _, id := range c.ids {
+		h := c.hosts[id]
+		if h.replica == nil || h.paused || h.replica.Status().Role != raft.RoleLeader {
+			continue
+		}
+		if best == nil || h.replica.Status().Term > best.replica.Status().Term {
+			best = h
+		}
+	}
+	return best
+}
+
+// checkHost checks one leader per term, log matching and monotonic commits.
+func (c *cluster) checkHost(h *host) {
+	s := h.replica.Status()
+	if s.Role == raft.RoleLeader {
+		if other, ok := c.leaders[s.Term]; ok && other != h.id {
+			c.fail("hosts %s and %s both lead in term %d", other, h.id, s.Term)
+		}
+		c.leaders[s.Term] = h.id
+	}
+	if s.Commit < h.commit {
+		c.fail("commit of host %s went back from %d to %d", h.id, h.commit, s.Commit)
+	}
+	h.commit = s.Commit
+	for _, r := range slices.Backward(h.machine.records) {
+		known, ok := c.committed[r.Index]
+		if ok && known != r {
+			c.fail("host %s applied %v, another host %v", h.id, r, known)
+		}
+		if ok {
+			break
+		}
+		c.committed[r.Index] = r
+	}
+}
+
+// checkLease checks that at most one host holds a lease at this true time.
+func (c *cluster) checkLease() {
+	holder := ""
+	for _, id := range c.ids {
+		h := c.hosts[id]
+		if h.replica == nil || !h.replica.HoldsLease(h.clock.Read(c.now)) {
+			continue
+		}
+		if holder != "" {
+			c.fail("hosts %s and %s both hold the lease", holder, id)
+		}
+		holder = id
+	}
+}
+
+// heal ends all faults.
+func (c *cluster) heal() {
+	c.net.Heal()
+	c.net.SetConditions(defaultConditions)
+	for _, id := range c.ids {
+		h := c.hosts[id]
+		h.store.armed = false
+		if h.replica == nil {
+			c.start(h)
+		}
+		if h.paused {
+			c.resume(h)
+		}
+	}
+}
+
+// waitFor runs until the condition holds and reports whether it did in time.
+func (c *cluster) waitFor(limit time.Duration, condition func() bool) bool {
+	for end := c.now + limit; c.now < end && c.broken == ""; {
+		if condition() {
+			return true
+		}
+		c.run(tickInterval)
+	}
+	return condition()
+}
+
+// commitWrite proposes until a new write is acknowledged.
+func (c *cluster) commitWrite(limit time.Duration) bool {
+	var w *write
+	return c.waitFor(limit, func() bool {
+		if w != nil && w.done > 0 {
+			return true
+		}
+		if l := c.leader(); l != nil && (w == nil || w.host != l.id) {
+			w = c.propose(l)
+		}
+		return false
+	})
+}
+
+// converged reports whether all members have applied the same.
+func (c *cluster) converged() bool {
+	l := c.leader()
+	if l == nil {
+		return false
+	}
+	for _, id := range l.replica.Status().Membership.Members() {
+		h := c.hosts[id]
+		if h.replica == nil || !slices.Equal(h.machine.records, l.machine.records) {
+			return false
+		}
+	}
+	return true
+}
+
+// lostWrite returns an acknowledged write that the leader does not have.
+func (c *cluster) lostWrite() string {
+	l := c.leader()
+	for _, w := range c.writes {
+		want := record{w.ticket.Index, w.ticket.Term, w.value}
+		if w.done > 0 && !slices.Contains(l.machine.records, want) {
+			return w.value
+		}
+	}
+	return ""
+}
