--- a/scheduler/experiment/serving/measure.go
+++ b/scheduler/experiment/serving/measure.go
@@ -55,22 +55,37 @@
 
 func (r *request) good() bool { return r.answered && r.ended <= r.deadline }
 
-func (s *simulation) class(r *request) structs.Class { return s.streams[r.stream].class }
+// kind names the length of a request; the class may be a wrong label.
+func (s *simulation) kind(r *request) string {
+	switch {
+	case s.streams[r.stream].bulk():
+		return kindLong
+	case s.streams[r.stream].short():
+		return kindShort
+	}
+	return kindMiddle
+}
+
+const (
+	kindShort  = "short"
+	kindMiddle = "middle"
+	kindLong   = "long"
+)
 
 // atCrest reports whether the load was above the base when the request arrived.
 func (r *request) atCrest() bool { return r.arrived >= rampStart && r.arrived < rampEnd }
 
 func (s *simulation) measureDeadlines(row *Row) {
-	total, good := map[structs.Class]int{}, map[structs.Class]int{}
+	total, good := map[string]int{}, map[string]int{}
 	crest, crestGood := 0, 0
 	useful := 0.0
 	for _, r := range s.list {
-		class := s.class(r)
-		total[class]++
+		kind := s.kind(r)
+		total[kind]++
 		if r.good() {
-			good[class]++
+			good[kind]++
 		}
-		if class == structs.ClassUrgent && r.atCrest() {
+		if kind == kindShort && r.atCrest() {
 			crest++
 			if r.good() {
 				crestGood++
@@ -80,9 +95,9 @@
 			useful += r.work.Seconds()
 		}
 	}
-	row.UrgentInDeadline = ratio(good[structs.ClassUrgent], total[structs.ClassUrgent])
-	row.NormalInDeadline = ratio(good[structs.ClassNormal], total[structs.ClassNormal])
-	row.BulkInDeadline = ratio(good[structs.ClassBulk], total[structs.ClassBulk])
+	row.UrgentInDeadline = ratio(good[kindShort], total[kindShort])
+	row.NormalInDeadline = ratio(good[kindMiddle], total[kindMiddle])
+	row.BulkInDeadline = ratio(good[kindLong], total[kindLong])
 	row.CrestInDeadline = ratio(crestGood, crest)
 	slots := float64(s.options.Executors * executorSlots)
 	row.Goodput = useful / slots / (crestEnd - crestStart).Seconds()
@@ -98,7 +113,7 @@
 		switch {
 		case r.bulk:
 			bulk = append(bulk, latency)
-		case s.class(r) == structs.ClassUrgent:
+		case s.kind(r) == kindShort:
 			short = append(short, latency)
 			if r.behindLong {
 				behind = append(behind, latency)
--- a/scheduler/experiment/serving/options.go
+++ b/scheduler/experiment/serving/options.go
@@ -102,6 +102,7 @@
 	}
 	list = append(list, sharingVariants()...)
 	list = append(list, policyVariants()...)
+	list = append(list, sizeVariants()...)
 	return list
 }
 
@@ -140,3 +141,15 @@
 	unseparated.NoSizeSeparation, unseparated.Label = true, "no size separation"
 	return []Variant{crest, balanced, completion, unseparated}
 }
+
+// sizeVariants show what is gained by the learned sizes where the class does
+// not tell short from long work.
+func sizeVariants() []Variant {
+	base := Variant{Dispatching: DispatchCranberrydrum, Sharing: ShareStatic, Fault: FaultNone, Shape: "mislabelled"}
+	crest, completion, unseparated, fifo := base, base, base, base
+	crest.Policy, crest.Label = structs.Policy{Crest: 1}, "policy crest"
+	completion.Policy, completion.Label = structs.Policy{Completion: 1}, "policy completion"
+	unseparated.NoSizeSeparation, unseparated.Label = true, "no size separation"
+	fifo.Dispatching = DispatchFIFO
+	return []Variant{base, crest, completion, unseparated, fifo}
+}
--- a/scheduler/experiment/serving/simulation.go
+++ b/scheduler/experiment/serving/simulation.go
@@ -232,7 +232,7 @@
 	r := &request{
 		id: strconv.Itoa(len(s.list)), stream: index, host: h, arrived: s.now,
 		deadline: s.now + kind.deadline, work: drawService(kind, rng), completed: map[int]bool{},
-		bulk: kind.class == structs.ClassBulk,
+		bulk: kind.bulk(),
 	}
 	r.behindLong = !r.bulk && h.waitingBulk > 0
 	if r.bulk {
@@ -246,7 +246,7 @@
 	const bodyBytes = 1024
 	s.step(h, serving.RequestArrived{
 		Request: structs.Request{
-			ID: r.id, Service: serviceName, Customer: customers[rng.IntN(len(customers))].Name, Class: kind.class,
+			ID: r.id, Service: serviceName, Customer: kind.customer(rng), Class: kind.class,
 			Remaining: kind.deadline, NonIdempotent: kind.nonIdempotent,
 		},
 		BodyBytes: bodyBytes,
--- a/scheduler/experiment/serving/table.go
+++ b/scheduler/experiment/serving/table.go
@@ -15,8 +15,10 @@
 type Row struct {
 	Name     string
 	Requests int
-	// UrgentInDeadline is the share of all urgent requests that were answered
+	// UrgentInDeadline is the share of all short requests that were answered
 	// within their deadline, CrestInDeadline of those that arrived at the crest.
+	// They are the urgent ones, except that the shape mislabelled has long
+	// urgent requests, too, which count as bulk.
 	UrgentInDeadline, CrestInDeadline float64
 	NormalInDeadline, BulkInDeadline  float64
 	// Goodput is the useful slot time per slot and second at the crest.
--- a/scheduler/experiment/serving/workload.go
+++ b/scheduler/experiment/serving/workload.go
@@ -16,11 +16,30 @@
 	nonIdempotent bool
 	// share is the part of the load in slot time.
 	share float64
+	// from and to bound the customers that send it; 0 and 0 means all.
+	from, to int
+}
+
+// bulk reports whether the requests are long.
+func (s stream) bulk() bool { return s.service >= time.Second }
+
+// short reports whether the requests must not wait behind long ones.
+func (s stream) short() bool { return s.service <= 50*time.Millisecond }
+
+// customer draws the sender of a request.
+func (s stream) customer(rng *rand.Rand) string {
+	from, to := s.from, s.to
+	if to == 0 {
+		to = len(customers)
+	}
+	return customers[from+rng.IntN(to-from)].Name
 }
 
 // shapes are the requests of the two deployments. Route checks and
 // eligibility checks are short and urgent; ripeness scoring and heat seeding
-// are long and bulk; fee pricing charges people and must not run twice.
+// are long and bulk; fee pricing charges people and must not run twice. In the
+// shape mislabelled two customers send their long work as urgent, so that the
+// class does not tell it from the short work of the others.
 var shapes = map[string][]stream{
 	"korbfrisch": {
 		{class: structs.ClassUrgent, service: 20 * time.Millisecond, deadline: time.Second, share: 0.15},
@@ -32,6 +51,10 @@
 		{class: structs.ClassNormal, service: 200 * time.Millisecond, deadline: 3 * time.Second, nonIdempotent: true, share: 0.20},
 		{class: structs.ClassBulk, service: 2 * time.Second, deadline: time.Minute, share: 0.70},
 	},
+	"mislabelled": {
+		{class: structs.ClassUrgent, service: 20 * time.Millisecond, deadline: time.Second, share: 0.20, from: 0, to: 2},
+		{class: structs.ClassUrgent, service: 2 * time.Second, deadline: time.Minute, share: 0.80, from: 2, to: 4},
+	},
 }
 
 var customers = []structs.Customer{
--- a/scheduler/serving/executor.go
+++ b/scheduler/serving/executor.go
@@ -161,15 +161,6 @@
 	}
 }
 
-// atLeast counts the attempts of a tier and longer ones.
-func (e *executor) atLeast(t tier) int {
-	count := 0
-	for ; t < tierCount; t++ {
-		count += e.byTier[t]
-	}
-	return count
-}
-
 // succeeded closes the breaker.
 func (e *executor) succeeded(now time.Duration) {
 	e.failures = 0
--- a/scheduler/serving/request.go
+++ b/scheduler/serving/request.go
@@ -49,8 +49,6 @@
 	retryAt time.Duration
 	// retryCause is the result that made the coming attempt a retry.
 	retryCause Result
-	// paid marks a queued retry whose budget token is already taken.
-	paid bool
 	// reason is the refusal if forwarding fails.
 	reason structs.Code
 
