transport: end the reader when the writer of replies gives up

Cause: a peer that sends calls and does not read replies fills the queue of replies. The writer left after its write timeout, but the reader, which answers calls over the limit itself, waited for room in that queue. Nobody closed the done channel, so the connection's goroutines and Close hung. Change: the writer closes the connection's done channel when it leaves.

--- a/daemon/transport/inbound.go
+++ b/daemon/transport/inbound.go
@@ -35,8 +35,7 @@
 	in.wg.Add(1)
 	go in.writeLoop()
 	reason := in.readLoop()
-	close(in.done)
-	_ = conn.Close()
+	in.close()
 	in.wg.Wait()
 	t.cfg.Observer.ConnectionClosed(peer, reason)
 }
@@ -49,10 +48,20 @@
 	conn  net.Conn
 	out   chan *frame
 	done  chan struct{}
+	once  sync.Once
 	calls chan struct{}
 	wg    sync.WaitGroup
 }
 
+// close ends both loops. The writer calls it too: the reader may wait for
+// room in the queue of replies, which nobody empties after a failed write.
+func (in *inbound) close() {
+	in.once.Do(func() {
+		close(in.done)
+		_ = in.conn.Close()
+	})
+}
+
 func (in *inbound) readLoop() string {
 	reader := bufio.NewReader(in.conn)
 	for {
@@ -116,6 +125,7 @@
 
 func (in *inbound) writeLoop() {
 	defer in.wg.Done()
+	defer in.close()
 	ticker := time.NewTicker(in.t.cfg.HeartbeatInterval)
 	defer ticker.Stop()
 	for {
@@ -147,7 +157,6 @@
 	}
 	_ = in.conn.SetWriteDeadline(time.Now().Add(in.t.cfg.SilenceTimeout))
 	if _, err := in.conn.Write(data); err != nil {
-		_ = in.conn.Close()
 		return false
 	}
 	in.t.cfg.Observer.FrameSent(in.peer, f.Kind, len(data))
