transport: bound handshake frames to 4 KiB

Cause: the length of a frame was accepted up to 1 MiB before the peer had proven the key, so strangers could make a host keep 1 MiB per connection for the 2 s of a handshake. Change: frames of the handshake are bounded to 4 KiB; a hello has less than 300 bytes.

--- a/daemon/transport/frame.go
+++ b/daemon/transport/frame.go
@@ -13,7 +13,12 @@
 // MaxFrameBytes bounds the payload of one frame.
 const MaxFrameBytes = 1 << 20
 
-const lengthBytes = 4
+const (
+	lengthBytes = 4
+	// maxHandshakeBytes bounds the frames that a stranger can make a host
+	// keep in memory.
+	maxHandshakeBytes = 4 << 10
+)
 
 // Kind says what a frame carries.
 type Kind uint8
@@ -80,15 +85,15 @@
 	return data, nil
 }
 
-// readFrame reads one frame. It returns the number of bytes read, and a
-// FrameError if the bytes are no valid frame.
-func readFrame(r io.Reader) (*frame, int, error) {
+// readFrame reads one frame with a payload up to a limit. It returns the number
+// of bytes read, and a FrameError if the bytes are no valid frame.
+func readFrame(r io.Reader, limit uint32) (*frame, int, error) {
 	var header [lengthBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, 0, err
 	}
 	size := binary.BigEndian.Uint32(header[:])
-	if size == 0 || size > MaxFrameBytes {
+	if size == 0 || size > limit {
 		return nil, lengthBytes, &FrameError{Reason: "length out of range", Size: int(size)}
 	}
 	payload := make([]byte, size)
--- a/daemon/transport/handshake.go
+++ b/daemon/transport/handshake.go
@@ -165,7 +165,7 @@
 }
 
 func (t *Transport) readValue(conn net.Conn, kind Kind, value any) error {
-	f, _, err := readFrame(conn)
+	f, _, err := readFrame(conn, maxHandshakeBytes)
 	if err != nil {
 		return err
 	}
--- a/daemon/transport/harness_test.go
+++ b/daemon/transport/harness_test.go
@@ -211,7 +211,7 @@
 
 func readOne(conn net.Conn) (*frame, error) {
 	_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
-	f, _, err := readFrame(conn)
+	f, _, err := readFrame(conn, MaxFrameBytes)
 	return f, err
 }
 
--- a/daemon/transport/inbound.go
+++ b/daemon/transport/inbound.go
@@ -66,7 +66,7 @@
 	reader := bufio.NewReader(in.conn)
 	for {
 		_ = in.conn.SetReadDeadline(time.Now().Add(in.t.cfg.SilenceTimeout))
-		f, size, err := readFrame(reader)
+		f, size, err := readFrame(reader, MaxFrameBytes)
 		if err != nil {
 			return closeReason(err)
 		}
--- a/daemon/transport/outbound.go
+++ b/daemon/transport/outbound.go
@@ -123,7 +123,7 @@
 	reader := bufio.NewReader(conn)
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(o.t.cfg.SilenceTimeout))
-		f, size, err := readFrame(reader)
+		f, size, err := readFrame(reader, MaxFrameBytes)
 		if err != nil {
 			return closeReason(err)
 		}
