transport: end the handshake with the acceptor's verdict

Cause: the dialer took a connection for open once it had sent its proof. An acceptor that then refused it (another store id) closed the connection, so that calls written in between counted as possibly run, the refusal was not in LastError, and the peer was dialled again without any pause. A host also accepted a peer with its own name or none. Change: the acceptor answers the proof with a verdict frame, for which the dialer waits; the protocol version is 2. Refused handshakes are counted on the dialing side, too. The acceptor's own name is refused.

--- a/daemon/transport/frame.go
+++ b/daemon/transport/frame.go
@@ -35,6 +35,7 @@
 	KindSlots
 	KindCall
 	KindReply
+	KindVerdict
 )
 
 var kindNames = map[Kind]string{
@@ -48,6 +49,7 @@
 	KindSlots:      "slots",
 	KindCall:       "call",
 	KindReply:      "reply",
+	KindVerdict:    "verdict",
 }
 
 // String returns the name that metrics and logs use.
--- a/daemon/transport/handshake.go
+++ b/daemon/transport/handshake.go
@@ -12,7 +12,7 @@
 )
 
 // ProtocolVersion is raised with each change that older hosts cannot read.
-const ProtocolVersion = 1
+const ProtocolVersion = 2
 
 const (
 	nonceBytes       = 16
@@ -45,6 +45,12 @@
 	Proof []byte `msgpack:"p"`
 }
 
+// verdict ends the handshake. The dialer sends nothing before it, because a
+// message to a host that refuses this one would count as possibly received.
+type verdict struct {
+	Refused string `msgpack:"r,omitempty"`
+}
+
 // dialHandshake authenticates both ends of a connection that this host opened.
 func (t *Transport) dialHandshake(conn net.Conn, peer string) error {
 	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
@@ -78,7 +84,17 @@
 		return &HandshakeError{Peer: peer, Reason: reason}
 	}
 	own2 := proof{Proof: t.sign("dial", t.cfg.Host, t.cfg.StoreID, nonce, answer.Nonce)}
-	return t.writeValue(conn, KindProof, &own2)
+	if err := t.writeValue(conn, KindProof, &own2); err != nil {
+		return err
+	}
+	var last verdict
+	if err := t.readValue(conn, KindVerdict, &last); err != nil {
+		return err
+	}
+	if last.Refused != "" {
+		return &HandshakeError{Peer: peer, Reason: "peer refused: " + last.Refused}
+	}
+	return nil
 }
 
 // acceptHandshake authenticates both ends of a connection that a peer opened.
@@ -106,18 +122,27 @@
 	if err := t.readValue(conn, KindProof, &last); err != nil {
 		return "", err
 	}
-	want := t.sign("dial", their.Host, their.StoreID, their.Nonce, nonce)
-	if !hmac.Equal(want, last.Proof) {
-		return "", &HandshakeError{Peer: their.Host, Reason: "wrong peer key"}
+	reason := t.checkProof(&their, nonce, last.Proof)
+	if err := t.writeValue(conn, KindVerdict, &verdict{Refused: reason}); err != nil {
+		return "", err
 	}
-	// The store id is recorded only after the proof, so that a stranger cannot
-	// bind a host id to a store.
-	if reason := t.cfg.CheckPeer(their.Host, their.StoreID); reason != "" {
+	if reason != "" {
 		return "", &HandshakeError{Peer: their.Host, Reason: reason}
 	}
 	return their.Host, nil
 }
 
+// checkProof returns why a dialer must be refused, or nothing. The store id is
+// recorded only after the proof, so that a stranger cannot bind a host id to a
+// store.
+func (t *Transport) checkProof(their *hello, nonce, got []byte) string {
+	want := t.sign("dial", their.Host, their.StoreID, their.Nonce, nonce)
+	if !hmac.Equal(want, got) {
+		return "wrong peer key"
+	}
+	return t.cfg.CheckPeer(their.Host, their.StoreID)
+}
+
 // refusalOf returns why a hello cannot be accepted, or nothing.
 func (t *Transport) refusalOf(their *hello) string {
 	if their.Version != ProtocolVersion {
@@ -126,6 +151,9 @@
 	if their.To != t.cfg.Host {
 		return "this is host " + t.cfg.Host
 	}
+	if their.Host == "" || their.Host == t.cfg.Host {
+		return "host name " + strconv.Quote(their.Host) + " is not that of a peer"
+	}
 	if len(their.Nonce) != nonceBytes {
 		return "nonce has a wrong length"
 	}
--- a/daemon/transport/harness_test.go
+++ b/daemon/transport/harness_test.go
@@ -256,4 +256,3 @@
 		}
 	}
 }
-
--- a/daemon/transport/inbound.go
+++ b/daemon/transport/inbound.go
@@ -80,7 +80,7 @@
 	case KindHeartbeat:
 	case KindCall:
 		in.startCall(f)
-	case KindHello, KindChallenge, KindProof, KindReply:
+	case KindHello, KindChallenge, KindProof, KindReply, KindVerdict:
 		in.t.cfg.Observer.FrameDropped(in.peer, f.Kind, "unexpected")
 	default:
 		in.t.handler.HandleMessage(in.peer, f.Kind, f.Body)
--- a/daemon/transport/outbound.go
+++ b/daemon/transport/outbound.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -44,21 +45,40 @@
 	defer o.t.wg.Done()
 	delay := minRedial
 	for !o.t.stopping() {
-		conn, err := o.dial()
-		if err != nil {
-			o.setError(err)
-			o.failQueued("peer unreachable")
-			o.t.pause(delay)
-			delay = min(2*delay, maxRedial)
-			continue
+		if o.connect() {
+			delay = minRedial
 		}
-		delay = minRedial
-		reason := o.serve(conn)
-		o.t.cfg.Observer.ConnectionClosed(o.peer.Host, reason)
+		o.t.pause(delay)
+		delay = min(2*delay, maxRedial)
 	}
 	o.failQueued("transport stopped")
 }
 
+// connect dials the peer and serves the connection until it breaks. It reports
+// whether the connection lasted, so that one that the peer closes at once is
+// not dialled again without a pause.
+func (o *outbound) connect() bool {
+	conn, err := o.dial()
+	if err != nil {
+		o.setError(err)
+		o.failQueued("peer unreachable")
+		o.countRefused(err)
+		return false
+	}
+	opened := time.Now()
+	reason := o.serve(conn)
+	o.t.cfg.Observer.ConnectionClosed(o.peer.Host, reason)
+	return time.Since(opened) >= maxRedial
+}
+
+func (o *outbound) countRefused(err error) {
+	var handshake *HandshakeError
+	var malformed *FrameError
+	if errors.As(err, &handshake) || errors.As(err, &malformed) {
+		o.t.cfg.Observer.ConnectionClosed(o.peer.Host, "handshake")
+	}
+}
+
 func (o *outbound) dial() (net.Conn, error) {
 	conn, err := net.DialTimeout("tcp", o.peer.Address, handshakeTimeout)
 	if err != nil {
