Hold the answer to a worker's renewal until its orders change

Cause: preparing, starting and preempting a gang take one order each, and an order waited for the next renewal of each worker, up to 1 s each; a preempting urgent job could pass its 4.8 s. Change: a renewal that states X-Wait-Ms is answered when the worker's orders change or the time is over; the controller names the workers concerned. The stand-in worker renews at once when its tasks change. The number of messages of an idle worker stays one per interval.

--- a/daemon/api/doc.go
+++ b/daemon/api/doc.go
@@ -43,6 +43,9 @@
 	HeaderDeadline      = "X-Deadline-Ms"
 	HeaderKey           = "Idempotency-Key"
 	HeaderNonIdempotent = "X-Non-Idempotent"
+	// HeaderWait says how long the answer to a worker's renewal may be held
+	// while its orders do not change, in milliseconds.
+	HeaderWait = "X-Wait-Ms"
 	// HeaderCustomer names the customer when the token names none.
 	HeaderCustomer = "X-Customer"
 	// HeaderRefusal carries the code of a refusal. Its presence tells a
--- a/daemon/demo/report.go
+++ b/daemon/demo/report.go
@@ -60,6 +60,18 @@
 	}
 }
 
+// startDelays returns the times from the acceptance of each job to the start
+// of the last member of its first run.
+func (s *scenario) startDelays() []time.Duration {
+	last := map[string]time.Duration{}
+	for _, start := range s.d.tasks.Starts() {
+		if submitted, ok := s.submitted[start.Job]; ok && start.Run == 1 {
+			last[start.Job] = max(last[start.Job], start.At.Sub(submitted))
+		}
+	}
+	return slices.Collect(maps.Values(last))
+}
+
 func runOf(start standin.TaskStart) string { return fmt.Sprint(start.Job, "/", start.Run) }
 
 func (s *scenario) jobSizes() map[string]int {
@@ -113,6 +125,8 @@
 	fmt.Fprintf(s.out, "%-34s %8d of %d\n", "jobs finished", len(s.jobs)-len(s.openJobs()), len(s.jobs))
 	fmt.Fprintf(s.out, "%-34s %8s\n", "short work, p50", round(percentile(r.short, 0.50)))
 	fmt.Fprintf(s.out, "%-34s %8s\n", "short work, p99", round(percentile(r.short, 0.99)))
+	fmt.Fprintf(s.out, "%-34s %8s\n", "gang start after submission, p50", round(percentile(s.startDelays(), 0.50)))
+	fmt.Fprintf(s.out, "%-34s %8s\n", "gang start after submission, max", round(percentile(s.startDelays(), 1)))
 	fmt.Fprintf(s.out, "%-34s %8s\n", "configuration after heal", round(s.convergence))
 	for _, f := range s.d.hosts[0].node.Status(false).Fragmentation {
 		fmt.Fprintf(s.out, "%-34s %8.2f\n", "fragmentation, "+f.FailureDomain, f.Index)
--- a/daemon/demo/run.go
+++ b/daemon/demo/run.go
@@ -64,7 +64,7 @@
 		return err
 	}
 	defer d.close()
-	s := &scenario{d: d, client: newClient(), out: out, failures: []string{}}
+	s := &scenario{d: d, client: newClient(), out: out, submitted: map[string]time.Time{}}
 	if err := s.run(); err != nil {
 		return err
 	}
@@ -78,12 +78,14 @@
 
 // scenario is one run of the demo.
 type scenario struct {
-	d        *deployment
-	client   *client
-	out      io.Writer
-	load     *load
-	jobs     []string
-	failures []string
+	d      *deployment
+	client *client
+	out    io.Writer
+	load   *load
+	jobs   []string
+	// submitted is when each job was accepted.
+	submitted map[string]time.Time
+	failures  []string
 
 	convergence time.Duration
 	drained     *standin.Executor
@@ -174,6 +176,7 @@
 				continue
 			}
 			s.jobs = append(s.jobs, job.ID)
+			s.submitted[job.ID] = time.Now()
 		}
 	}
 	fmt.Fprintf(s.out, "submitted %d gang jobs\n", len(s.jobs))
--- a/daemon/httpapi/jobs.go
+++ b/daemon/httpapi/jobs.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -90,13 +92,33 @@
 	if err := decode(ctx, &report); err != nil {
 		return nil, err
 	}
-	orders, err := s.node.RenewWorker(report, clientTimeout)
+	wait, err := readWait(ctx)
+	if err != nil {
+		return nil, err
+	}
+	orders, err := s.node.RenewWorker(report, wait, clientTimeout)
 	if err != nil {
 		return nil, err
 	}
 	return orders, nil
 }
 
+// readWait returns how long the answer to a renewal may be held.
+func readWait(ctx *fasthttp.RequestCtx) (time.Duration, error) {
+	text := string(ctx.Request.Header.Peek(api.HeaderWait))
+	if text == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 0 || ms > maxWait.Milliseconds() {
+		return 0, structs.NotRun(structs.CodeInvalid, api.HeaderWait+" must be from 0 to "+strconv.FormatInt(maxWait.Milliseconds(), 10))
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// maxWait keeps a held renewal well below the time that clients wait.
+const maxWait = 2 * time.Second
+
 func (s *Server) leaveWorker(ctx *fasthttp.RequestCtx) (any, error) {
 	if _, err := s.auth.require(ctx, structs.RoleWorker); err != nil {
 		return nil, err
--- a/daemon/node/domainowner.go
+++ b/daemon/node/domainowner.go
@@ -43,6 +43,8 @@
 	nextTakeOver time.Duration
 	nextExpire   time.Duration
 	nextPolicy   time.Duration
+	// watchers are closed when the orders of a worker may have changed.
+	watchers map[string]chan struct{}
 }
 
 // Step implements group.Owner.
@@ -64,9 +66,30 @@
 		}
 		commands = append(commands, data)
 	}
+	o.notify()
 	return append(commands, o.keyCommands(now)...)
 }
 
+// watch returns a channel that is closed when the orders of a worker may have changed.
+func (o *domainOwner) watch(worker string) <-chan struct{} {
+	changed := o.watchers[worker]
+	if changed == nil {
+		changed = make(chan struct{})
+		o.watchers[worker] = changed
+	}
+	return changed
+}
+
+// notify wakes the held renewals of the workers whose orders may have changed.
+func (o *domainOwner) notify() {
+	for _, worker := range o.controller.Touched() {
+		if changed := o.watchers[worker]; changed != nil {
+			delete(o.watchers, worker)
+			close(changed)
+		}
+	}
+}
+
 // lead starts a controller for a new term.
 func (o *domainOwner) lead(now time.Duration, term uint64) {
 	o.scheduler = &timedPlanner{Scheduler: placement.New(placement.Config{}), metrics: o.metrics, domain: o.domain}
@@ -75,6 +98,9 @@
 	cfg.Margin = workerLeaseMargin
 	o.controller = jobs.NewController(cfg, o.state.Jobs(), now, term)
 	o.term = term
+	if o.watchers == nil {
+		o.watchers = map[string]chan struct{}{}
+	}
 	o.nextTakeOver = now
 	o.nextExpire = now + keyExpireInterval
 	o.nextPolicy = now
@@ -87,6 +113,10 @@
 	}
 	o.controller = nil
 	o.scheduler = nil
+	for worker, changed := range o.watchers {
+		delete(o.watchers, worker)
+		close(changed)
+	}
 	o.log.Info("this host no longer owns the failure domain", "domain", o.domain, "term", o.term)
 }
 
--- a/daemon/node/jobs.go
+++ b/daemon/node/jobs.go
@@ -128,6 +128,9 @@
 // workerRenewal carries the renewal of a worker to the owner of its domain.
 type workerRenewal struct {
 	Report structs.WorkerReport `msgpack:"r"`
+	// Wait is how long the owner may hold the answer while there is nothing
+	// new for the worker.
+	Wait time.Duration `msgpack:"w,omitempty"`
 }
 
 // workerOrders is the answer to a renewal.
@@ -135,19 +138,49 @@
 	Orders structs.WorkerOrders `msgpack:"o"`
 }
 
+// handleWorkerRenew answers a renewal at once if the worker has something to
+// do. Otherwise it holds the answer until the orders change, so that an order
+// does not wait for the next renewal: urgent work has 4.8 s from submission to
+// start, and preparing, starting and preempting take one order each.
 func (n *Node) handleWorkerRenew(_ string, r *workerRenewal, _ time.Duration) (any, error) {
-	orders := &workerOrders{}
-	domainName := r.Report.Worker.Domain
+	orders, changed, err := n.renewOnce(r.Report, r.Wait > 0)
+	if err != nil || r.Wait <= 0 || !jobs.CarriedOut(r.Report, orders) {
+		return &workerOrders{Orders: orders}, err
+	}
+	timer := time.NewTimer(min(r.Wait, n.cfg.Timeouts.WorkerLease/maxHoldShare))
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-n.stop:
+	}
+	orders, _, err = n.renewOnce(r.Report, false)
+	return &workerOrders{Orders: orders}, err
+}
+
+// maxHoldShare bounds a held answer to a part of the lease, because the lease
+// counts from when the worker sent the renewal.
+const maxHoldShare = 4
+
+// renewOnce renews a lease and returns the orders. If watch is set, the channel
+// is closed when the orders may have changed.
+func (n *Node) renewOnce(report structs.WorkerReport, watch bool) (structs.WorkerOrders, <-chan struct{}, error) {
+	var orders structs.WorkerOrders
+	var changed <-chan struct{}
+	domainName := report.Worker.Domain
 	err := n.asOwner(domainName, func(now time.Duration, o *domainOwner) error {
-		g := n.group(domainGroup(domainName))
+		holdsLease := n.group(domainGroup(domainName)).HoldsLeaseInStep()
 		var refusal *structs.Refusal
-		orders.Orders, refusal = o.controller.Renew(now, r.Report, g.HoldsLeaseInStep())
+		orders, refusal = o.controller.Renew(now, report, holdsLease)
 		if refusal != nil {
 			return refusal
 		}
+		if watch {
+			changed = o.watch(report.Worker.ID)
+		}
 		return nil
 	})
-	return orders, err
+	return orders, changed, err
 }
 
 // workerLeave announces the planned stop of a worker.
@@ -220,11 +253,12 @@
 }
 
 // RenewWorker passes the renewal of a worker to the owner of its failure domain.
-func (n *Node) RenewWorker(r structs.WorkerReport, timeout time.Duration) (structs.WorkerOrders, error) {
+// It may hold the answer for the given wait while there is nothing new.
+func (n *Node) RenewWorker(r structs.WorkerReport, wait, timeout time.Duration) (structs.WorkerOrders, error) {
 	if refusal := n.checkDomain(r.Worker.Domain); refusal != nil {
 		return structs.WorkerOrders{}, refusal
 	}
-	result, err := callLeader[workerOrders](n, domainGroup(r.Worker.Domain), methodWorkerRenew, &workerRenewal{Report: r}, timeout, false)
+	result, err := callLeader[workerOrders](n, domainGroup(r.Worker.Domain), methodWorkerRenew, &workerRenewal{Report: r, Wait: wait}, timeout, false)
 	if err != nil {
 		return structs.WorkerOrders{}, err
 	}
--- a/daemon/standin/client.go
+++ b/daemon/standin/client.go
@@ -18,10 +18,10 @@
 
 // postAny posts a body to the first host that answers 200 and decodes the
 // answer into result unless that is nil.
-func postAny(client *fasthttp.Client, hosts []string, path, token string, body []byte, result any) error {
+func postAny(client *fasthttp.Client, hosts []string, path, token string, headers [][2]string, body []byte, result any) error {
 	reason := "no hosts"
 	for _, host := range hosts {
-		answer, status, err := post(client, host+path, token, body)
+		answer, status, err := post(client, host+path, token, headers, body)
 		if err != nil {
 			reason = err.Error()
 			continue
@@ -41,7 +41,7 @@
 	return &PostError{Path: path, Reason: reason}
 }
 
-func post(client *fasthttp.Client, url, token string, body []byte) ([]byte, int, error) {
+func post(client *fasthttp.Client, url, token string, headers [][2]string, body []byte) ([]byte, int, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
@@ -52,6 +52,9 @@
 	if token != "" {
 		req.Header.Set("Authorization", "Bearer "+token)
 	}
+	for _, header := range headers {
+		req.Header.Set(header[0], header[1])
+	}
 	req.SetBody(body)
 	if err := client.DoTimeout(req, resp, announceTimeout); err != nil {
 		return nil, 0, err
--- a/daemon/standin/executor.go
+++ b/daemon/standin/executor.go
@@ -311,7 +311,7 @@
 	if err != nil {
 		return &SetupError{What: "announcement", Cause: err}
 	}
-	return postAny(e.client, e.cfg.Hosts, "/v1/backends/announce", e.cfg.Token, body, nil)
+	return postAny(e.client, e.cfg.Hosts, "/v1/backends/announce", e.cfg.Token, nil, body, nil)
 }
 
 // depart posts a drain or leave call to the first host that takes it.
@@ -320,5 +320,5 @@
 	if err != nil {
 		return &SetupError{What: "departure", Cause: err}
 	}
-	return postAny(e.client, e.cfg.Hosts, path, e.cfg.Token, body, nil)
+	return postAny(e.client, e.cfg.Hosts, path, e.cfg.Token, nil, body, nil)
 }
--- a/daemon/standin/worker.go
+++ b/daemon/standin/worker.go
@@ -1,7 +1,9 @@
 package standin
 
 import (
+	"bytes"
 	"encoding/json"
+	"strconv"
 	"sync"
 	"time"
 
@@ -39,6 +41,7 @@
 	stop   chan struct{}
 	done   chan struct{}
 	seq    uint64
+	sent   []byte
 	tasks  map[agent.StopTask]*workerTask
 
 	mu     sync.Mutex
@@ -118,6 +121,7 @@
 		case event := <-w.events:
 			w.waitWhileFrozen()
 			w.step(event)
+			w.renewIfChanged()
 		case <-lease:
 			w.waitWhileFrozen()
 			w.step(agent.Timer{})
@@ -180,15 +184,30 @@
 	if err != nil {
 		return
 	}
+	w.sent = body
+	headers := [][2]string{{"X-Wait-Ms", strconv.FormatInt(w.holdTime().Milliseconds(), 10)}}
 	go func() {
 		var orders structs.WorkerOrders
-		if err := postAny(w.client, w.cfg.Hosts, "/v1/workers/renew", w.cfg.Token, body, &orders); err != nil {
+		if err := postAny(w.client, w.cfg.Hosts, "/v1/workers/renew", w.cfg.Token, headers, body, &orders); err != nil {
 			return
 		}
 		w.post(agent.OrdersReceived{Seq: seq, Orders: orders})
 	}()
 }
 
+// holdTime lets the owner hold an answer until shortly before the next renewal.
+func (w *Worker) holdTime() time.Duration { return w.cfg.RenewInterval * 9 / 10 }
+
+// renewIfChanged reports progress at once: a gang starts when its last member
+// has reported that it is prepared.
+func (w *Worker) renewIfChanged() {
+	body, err := json.Marshal(w.agent.Report())
+	if err != nil || bytes.Equal(body, w.sent) {
+		return
+	}
+	w.renew()
+}
+
 func (w *Worker) post(event agent.Event) {
 	select {
 	case w.events <- event:
--- a/scheduler/jobs/controller.go
+++ b/scheduler/jobs/controller.go
@@ -96,6 +96,8 @@
 	queued    map[string]struct{}
 	waiting   map[string]string
 	estimates *estimator
+	// touched are the workers whose orders may have changed.
+	touched   map[string]struct{}
 	dirty     bool
 	lastRound time.Duration
 	rounds    uint64
@@ -144,6 +146,7 @@
 		reported: map[MemberReport]struct{}{}, gangs: map[string]*gang{},
 		keeper: quarantine.New(cfg.Quarantine), standingAt: map[string]*attempt{},
 		queued: map[string]struct{}{}, waiting: map[string]string{}, estimates: newEstimator(),
+		touched: map[string]struct{}{},
 	}
 	s.changes.track()
 	c.restoreStandings()
--- a/scheduler/jobs/round.go
+++ b/scheduler/jobs/round.go
@@ -92,6 +92,9 @@
 	if j == nil || j.Status != structs.JobReserved {
 		delete(c.gangs, id)
 	}
+	if j != nil {
+		c.touch(j)
+	}
 	if j != nil && j.active() {
 		delete(c.queued, id)
 		c.planner.SetRunning(c.running(j))
