wal: write the last segments again on open

After a failed sync the operating system can keep a record readable that it never writes, and report the next sync as done. A restarted process then relied on that record, and a power loss removed it.

--- a/coord/wal/fs.go
+++ b/coord/wal/fs.go
@@ -21,8 +21,6 @@
 	Create(name string) (File, error)
 	// Append opens an existing file for writing at its end.
 	Append(name string) (File, error)
-	// Truncate shortens a file and syncs it.
-	Truncate(name string, size int64) error
 	Rename(from, to string) error
 	Remove(name string) error
 	SyncDir(dir string) error
--- a/coord/wal/memfile.go
+++ b/coord/wal/memfile.go
@@ -51,9 +51,12 @@
 		return StaleHandleError{}
 	}
 	if err := f.fs.check(OpSync, f.name); err != nil {
+		f.inode.failed = true
 		return err
 	}
-	f.inode.synced = len(f.inode.data)
+	if !f.inode.failed {
+		f.inode.synced = len(f.inode.data)
+	}
 	return nil
 }
 
--- a/coord/wal/memfs.go
+++ b/coord/wal/memfs.go
@@ -14,15 +14,14 @@
 
 // Operations that MemFS can be told to fail.
 const (
-	OpWrite    Op = "write"
-	OpSync     Op = "sync"
-	OpCreate   Op = "create"
-	OpAppend   Op = "append"
-	OpTruncate Op = "truncate"
-	OpRename   Op = "rename"
-	OpRemove   Op = "remove"
-	OpSyncDir  Op = "syncdir"
-	OpRead     Op = "read"
+	OpWrite   Op = "write"
+	OpSync    Op = "sync"
+	OpCreate  Op = "create"
+	OpAppend  Op = "append"
+	OpRename  Op = "rename"
+	OpRemove  Op = "remove"
+	OpSyncDir Op = "syncdir"
+	OpRead    Op = "read"
 )
 
 // DiskFullError is returned by MemFS when its capacity is exceeded.
@@ -37,10 +36,13 @@
 // Error implements error.
 func (StaleHandleError) Error() string { return "memfs: handle belongs to a crashed process" }
 
-// memInode is the content of a file. The first synced bytes are durable.
+// memInode is the content of a file. The first synced bytes are durable. After
+// a failed sync the other bytes are readable but later syncs do not write them,
+// as in operating systems that mark pages clean after a write error.
 type memInode struct {
 	data   []byte
 	synced int
+	failed bool
 }
 
 // dirOp is a change to a directory that is not durable yet. A nil inode
@@ -112,6 +114,19 @@
 	return true
 }
 
+// Cut shortens a file durably. It reports whether the file was that long.
+func (m *MemFS) Cut(name string, size int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	inode := m.names[name]
+	if inode == nil || size > int64(len(inode.data)) {
+		return false
+	}
+	inode.data = inode.data[:size]
+	inode.synced = min(inode.synced, int(size))
+	return true
+}
+
 // Kill ends the process that uses the file system: locks are released and
 // handles become stale. Unsynced content survives in the page cache.
 func (m *MemFS) Kill() {
@@ -156,6 +171,7 @@
 		clear(tail[from : from+1+rng.IntN(len(tail)-from)])
 	}
 	inode.synced = len(inode.data)
+	inode.failed = false
 }
 
 func sortedNames(names map[string]*memInode) []string {
@@ -241,22 +257,6 @@
 	return &memFile{fs: m, name: name, inode: inode, epoch: m.epoch}, nil
 }
 
-// Truncate implements FS.
-func (m *MemFS) Truncate(name string, size int64) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if err := m.check(OpTruncate, name); err != nil {
-		return err
-	}
-	inode := m.names[name]
-	if inode == nil || size > int64(len(inode.data)) {
-		return notExist(OpTruncate, name)
-	}
-	inode.data = inode.data[:size]
-	inode.synced = int(size)
-	return nil
-}
-
 // Rename implements FS.
 func (m *MemFS) Rename(from, to string) error {
 	m.mu.Lock()
--- a/coord/wal/open.go
+++ b/coord/wal/open.go
@@ -10,6 +10,7 @@
 	identityMagic      = "CDIDENT1"
 	identityFile       = "identity"
 	temporaryIdentity  = "identity" + temporarySuffix
+	temporarySegment   = "segment" + temporarySuffix
 	maxStoreIDBytes    = 255
 	firstSegmentNumber = 1
 )
@@ -166,8 +167,9 @@
 }
 
 // adopt takes over what was read, after finishing what a crash interrupted.
-// Everything that Load will return is synced here, because a process that
-// ended between write and sync leaves records that only the page cache holds.
+// Everything that Load will return is made durable here, because a process
+// that ended between write and sync leaves records that only the page cache
+// holds.
 func (s *Store) adopt(found *findings) error {
 	img := found.image
 	s.hard = img.hard
@@ -189,8 +191,8 @@
 	return s.finishSnapshot(found)
 }
 
-// repairTail removes an unused segment, truncates a torn tail and opens the
-// last segment for appending.
+// repairTail removes an unused segment, drops a torn tail and opens the last
+// segment for appending.
 func (s *Store) repairTail(found *findings) error {
 	if found.rollover != "" {
 		s.Recovery.UnfinishedRollover = true
@@ -204,51 +206,34 @@
 		s.Recovery.File = name
 		s.Recovery.Offset = torn.end
 		s.Recovery.Bytes = torn.size - torn.end
-		if err := s.fs.Truncate(name, torn.end); err != nil {
-			return &IOError{Op: "truncate", File: name, Err: err}
-		}
 	}
-	if err := s.syncSeal(); err != nil {
-		return err
+	for _, info := range s.segments[max(0, len(s.segments)-2):] {
+		if err := s.rewrite(info); err != nil {
+			return err
+		}
 	}
-	file, err := s.openSynced(name)
+	file, err := s.fs.Append(name)
 	if err != nil {
-		return err
+		return &IOError{Op: "open", File: name, Err: err}
 	}
 	s.file = file
 	return s.syncDir()
 }
 
-// syncSeal syncs the segment before the last one. Its seal can still be
-// unsynced if the process ended during a rollover, and must be durable before
-// the last segment is used.
-func (s *Store) syncSeal() error {
-	if len(s.segments) < 2 {
-		return nil
-	}
-	name := segmentName(s.dir, s.segments[len(s.segments)-2].number)
-	file, err := s.openSynced(name)
-	if err != nil {
-		return err
-	}
-	if err := file.Close(); err != nil {
-		return &IOError{Op: "close", File: name, Err: err}
-	}
-	return nil
-}
-
-// openSynced opens a file for appending and syncs what it holds.
-func (s *Store) openSynced(name string) (File, error) {
-	file, err := s.fs.Append(name)
+// rewrite makes the valid part of a segment durable by writing it again. A
+// sync would not be enough: after a failed sync the operating system can keep
+// records readable that it never writes, and report the next sync as done. The
+// last segment and, for its seal, the one before it can hold such records.
+func (s *Store) rewrite(info segmentInfo) error {
+	name := segmentName(s.dir, info.number)
+	data, err := s.fs.ReadFile(name)
 	if err != nil {
-		return nil, &IOError{Op: "open", File: name, Err: err}
+		return &IOError{Op: "read", File: name, Err: err}
 	}
-	if err := file.Sync(); err != nil {
-		_ = file.Close()
-		return nil, &IOError{Op: "sync", File: name, Err: err}
+	if int64(len(data)) < info.size {
+		return &DamageError{File: name, Offset: int64(len(data)), Reason: ReasonChecksum}
 	}
-	s.stats.FileSyncs++
-	return file, nil
+	return s.writeFile(temporarySegment, name, data[:info.size])
 }
 
 // finishSnapshot names in the log a snapshot that it does not name yet.
--- a/coord/wal/osfs.go
+++ b/coord/wal/osfs.go
@@ -49,19 +49,6 @@
 	return os.OpenFile(name, os.O_WRONLY|os.O_APPEND, filePermission)
 }
 
-// Truncate implements FS.
-func (OSFS) Truncate(name string, size int64) error {
-	f, err := os.OpenFile(name, os.O_WRONLY, filePermission)
-	if err != nil {
-		return err
-	}
-	err = f.Truncate(size)
-	if err == nil {
-		err = f.Sync()
-	}
-	return errors.Join(err, f.Close())
-}
-
 // Rename implements FS.
 func (OSFS) Rename(from, to string) error { return os.Rename(from, to) }
 
