dedup: apply encoded commands as a state machine

Machine has the methods of a replicated state machine. It takes terms from the log entries instead of the commands, because a proposer could state an old or future term and a key would then miss MarkUnknown.

--- /dev/null
+++ b/coord/dedup/machine.go
@@ -0,0 +1,125 @@
+package dedup
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Op selects the method that a command calls.
+type Op uint8
+
+// Operations of a Command.
+const (
+	OpBegin Op = iota + 1
+	OpFinish
+	OpMarkUnknown
+	OpExpire
+)
+
+// Command is an entry of the replicated log.
+type Command struct {
+	Op Op
+	// Now is the logical time.
+	Now time.Duration
+	// Key is used by OpBegin and OpFinish.
+	Key string
+	// Digest and Owner are used by OpBegin.
+	Digest Digest
+	Owner  string
+	// Outcome is used by OpFinish.
+	Outcome Outcome
+}
+
+// Result is what applying a Command returned.
+type Result struct {
+	// Decision is set by OpBegin.
+	Decision Decision
+	// Finish is set by OpFinish.
+	Finish FinishResult
+	// Count is set by OpMarkUnknown and OpExpire.
+	Count int
+	// Malformed is true if the command could not be decoded or has an unknown
+	// operation. It had no effect.
+	Malformed bool
+}
+
+// CommandError reports a command or result that cannot be encoded or decoded.
+type CommandError struct {
+	Err error
+}
+
+// Error implements error.
+func (e *CommandError) Error() string { return "dedup: command or result: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *CommandError) Unwrap() error { return e.Err }
+
+// EncodeCommand returns the bytes to propose.
+func EncodeCommand(c Command) ([]byte, error) { return encode(&c) }
+
+// DecodeResult reads what Machine.Apply returned.
+func DecodeResult(data []byte) (Result, error) {
+	var r Result
+	if err := msgpack.Unmarshal(data, &r); err != nil {
+		return Result{}, &CommandError{Err: err}
+	}
+	return r, nil
+}
+
+func encode(v any) ([]byte, error) {
+	var out bytes.Buffer
+	encoder := msgpack.NewEncoder(&out)
+	encoder.UseArrayEncodedStructs(true)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(v); err != nil {
+		return nil, &CommandError{Err: err}
+	}
+	return out.Bytes(), nil
+}
+
+// Machine applies encoded commands to a Table. The terms are those of the log
+// entries, which cannot go back and which a proposer cannot choose: OpBegin
+// records the term of its entry, and OpMarkUnknown covers all earlier terms.
+type Machine struct {
+	Table *Table
+}
+
+// NewMachine returns a machine with an empty table.
+func NewMachine(cfg Config) *Machine { return &Machine{Table: New(cfg)} }
+
+// Apply applies one committed command and returns the encoded Result.
+func (m *Machine) Apply(_, term uint64, command []byte) []byte {
+	var c Command
+	r := Result{Malformed: true}
+	if msgpack.Unmarshal(command, &c) == nil {
+		r = m.run(term, &c)
+	}
+	out, err := encode(&r)
+	if err != nil {
+		return nil
+	}
+	return out
+}
+
+func (m *Machine) run(term uint64, c *Command) Result {
+	switch c.Op {
+	case OpBegin:
+		request := Request{Key: c.Key, Digest: c.Digest, Owner: c.Owner, Term: term}
+		return Result{Decision: m.Table.Begin(c.Now, request)}
+	case OpFinish:
+		return Result{Finish: m.Table.Finish(c.Now, c.Key, c.Outcome)}
+	case OpMarkUnknown:
+		return Result{Count: m.Table.MarkUnknown(c.Now, term)}
+	case OpExpire:
+		return Result{Count: m.Table.Expire(c.Now)}
+	}
+	return Result{Malformed: true}
+}
+
+// Snapshot encodes the table.
+func (m *Machine) Snapshot() ([]byte, error) { return m.Table.Snapshot() }
+
+// Restore replaces the table.
+func (m *Machine) Restore(data []byte) error { return m.Table.Restore(data) }
--- a/coord/dedup/table_test.go
+++ b/coord/dedup/table_test.go
@@ -38,6 +38,43 @@
 	})
 })
 
+var _ = Describe("Machine", func() {
+	apply := func(m *dedup.Machine, term uint64, c dedup.Command) dedup.Result {
+		data, err := dedup.EncodeCommand(c)
+		Expect(err).NotTo(HaveOccurred())
+		r, err := dedup.DecodeResult(m.Apply(1, term, data))
+		Expect(err).NotTo(HaveOccurred())
+		return r
+	}
+
+	It("applies commands under the terms of their entries", func() {
+		m := dedup.NewMachine(bounds)
+		begin := dedup.Command{Op: dedup.OpBegin, Key: "k", Digest: dedup.Digest{1}, Owner: "host-1"}
+		Expect(apply(m, 3, begin).Decision.Kind).To(Equal(dedup.Send))
+		again := apply(m, 3, begin).Decision
+		Expect(again).To(Equal(dedup.Decision{Kind: dedup.InProgress, Owner: "host-1", Term: 3}))
+		Expect(apply(m, 4, dedup.Command{Op: dedup.OpMarkUnknown}).Count).To(Equal(1))
+		Expect(apply(m, 4, begin).Decision.Kind).To(Equal(dedup.UnknownOutcome))
+		answer := dedup.Outcome{Kind: dedup.Answered, Status: 200, Body: []byte("body")}
+		finish := dedup.Command{Op: dedup.OpFinish, Key: "k", Outcome: answer}
+		Expect(apply(m, 4, finish).Finish).To(Equal(dedup.Stored))
+		Expect(apply(m, 4, begin).Decision.Outcome).To(Equal(answer))
+		late := dedup.Command{Op: dedup.OpBegin, Key: "late"}
+		Expect(apply(m, 3, late).Decision.Kind).To(Equal(dedup.StaleTerm))
+		expire := dedup.Command{Op: dedup.OpExpire, Now: 2 * bounds.Retention}
+		Expect(apply(m, 4, expire).Count).To(Equal(1))
+	})
+
+	It("reports malformed commands without an effect", func() {
+		m := dedup.NewMachine(bounds)
+		Expect(apply(m, 1, dedup.Command{Op: 9}).Malformed).To(BeTrue())
+		r, err := dedup.DecodeResult(m.Apply(1, 1, []byte("\xc1")))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Malformed).To(BeTrue())
+		Expect(m.Table.Usage()).To(Equal(dedup.Usage{}))
+	})
+})
+
 // Measures heap, accounted and snapshot bytes for each key, to check the
 // constants behind MaxBytes.
 func BenchmarkBytesPerKey(b *testing.B) {
