Add focused tests of raft and replica, and shorten elections after a split vote

A failed campaign is now repeated after a quarter to three quarters of a timeout; the last leader is not protected any more at that time, so leases are not affected.

--- a/coord/raft/election.go
+++ b/coord/raft/election.go
@@ -7,6 +7,10 @@
 	// electionSpread is the divisor of the random part of the timeout. Half
 	// a timeout keeps failover within two timeouts.
 	electionSpread = 2
+	// retryDivisor is the divisor of the fixed part of the time after which a
+	// campaign is repeated. The last leader is not protected any more then, so
+	// that a split vote need not cost a whole timeout.
+	retryDivisor = 4
 	// lowPriorityFactor is the number of timeouts a node of low priority
 	// waits, so that a node of normal priority campaigns first.
 	lowPriorityFactor = 2
@@ -39,7 +43,17 @@
 }
 
 func (n *Node) resetElectionDeadline() {
-	wait := n.cfg.ElectionTimeout
+	n.electionDeadlineAfter(n.cfg.ElectionTimeout)
+}
+
+// retryElectionSoon sets the deadline of a campaign that may fail. A leader
+// that is heard meanwhile resets it.
+func (n *Node) retryElectionSoon() {
+	n.electionDeadlineAfter(n.cfg.ElectionTimeout / retryDivisor)
+}
+
+// electionDeadlineAfter adds a random time to the given one.
+func (n *Node) electionDeadlineAfter(wait time.Duration) {
 	if n.cfg.LowPriority {
 		wait *= lowPriorityFactor
 	}
@@ -71,7 +85,7 @@
 	n.election.force = force
 	n.election.begun = n.now
 	n.election.votes = map[string]bool{n.cfg.ID: true}
-	n.resetElectionDeadline()
+	n.retryElectionSoon()
 	if role == RoleCandidate {
 		n.term++
 		n.vote = n.cfg.ID
@@ -120,6 +134,7 @@
 		n.becomeLeader()
 	case refused >= quorum:
 		n.becomeFollower(n.term, "")
+		n.retryElectionSoon()
 	}
 }
 
--- /dev/null
+++ b/coord/raft/raft_test.go
@@ -0,0 +1,323 @@
+package raft_test
+
+import (
+	"flag"
+	"math"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+
+	"cranberrydrum.dev/coord/raft"
+)
+
+// TestMain fixes the seed and the number of checks unless they were given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	defaults := map[string]string{
+		"rapid.seed": "20261204", "rapid.checks": "300", "rapid.steps": "60", "rapid.nofailfile": "true",
+	}
+	for name, value := range defaults {
+		if !given[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func TestRaft(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "raft")
+}
+
+var members = raft.Membership{Voters: []string{"a", "b", "c"}, Learners: []string{"d"}}
+
+func restored() raft.Restored {
+	return raft.Restored{
+		HardState:    raft.HardState{Term: 3, Commit: 6},
+		Snapshot:     raft.SnapshotMeta{Index: 5, Term: 2, Membership: members},
+		SnapshotData: []byte("snapshot"),
+		Entries: []raft.Entry{
+			{Index: 6, Term: 2, Kind: raft.EntryCommand, Data: []byte("x")},
+			{Index: 7, Term: 3, Kind: raft.EntryCommand, Data: []byte("y")},
+		},
+	}
+}
+
+func newNode() *raft.Node {
+	n, err := raft.New(raft.Config{ID: "a", Group: "g", SnapshotChunkBytes: 4}, restored())
+	if err != nil {
+		panic(err)
+	}
+	n.Tick(0)
+	return n
+}
+
+// newLeader makes node a the leader of term 4 at time 2 s.
+func newLeader() *raft.Node {
+	n := newNode()
+	n.Tick(2 * time.Second)
+	for _, kind := range []raft.Kind{raft.KindPreVoteReply, raft.KindVoteReply} {
+		m := raft.Message{Kind: kind, Group: "g", From: "b", To: "a", Term: 4, Sent: 2 * time.Second}
+		if err := n.Step(2*time.Second, m); err != nil {
+			panic(err)
+		}
+	}
+	drain(n)
+	return n
+}
+
+func drain(n *raft.Node) []raft.Message {
+	var sent []raft.Message
+	for {
+		rd, todo := n.Ready()
+		if !todo {
+			return sent
+		}
+		sent = append(sent, rd.Messages...)
+		n.Advance(rd)
+	}
+}
+
+var _ = Describe("Step", func() {
+	valid := raft.Message{
+		Kind: raft.KindAppend, Group: "g", From: "b", To: "a", Term: 3, Index: 7, LogTerm: 3,
+		Entries: []raft.Entry{{Index: 8, Term: 3, Kind: raft.EntryCommand}},
+	}
+	chunk := raft.Message{
+		Kind: raft.KindSnapshot, Group: "g", From: "b", To: "a", Term: 3,
+		Chunk: &raft.SnapshotChunk{
+			Meta: raft.SnapshotMeta{Index: 9, Term: 3, Membership: members}, Total: 3, Data: []byte("abc"),
+		},
+	}
+	malformed := func(m raft.Message, alter func(*raft.Message)) error {
+		m.Entries = append([]raft.Entry(nil), m.Entries...)
+		if m.Chunk != nil {
+			c := *m.Chunk
+			m.Chunk = &c
+		}
+		alter(&m)
+		n := newNode()
+		before := n.Status()
+		err := n.Step(time.Second, m)
+		Expect(n.Status()).To(Equal(before), "a malformed message must change nothing")
+		return err
+	}
+
+	It("accepts the messages that the table alters", func() {
+		Expect(newNode().Step(0, valid)).To(Succeed())
+		Expect(newNode().Step(0, chunk)).To(Succeed())
+	})
+
+	// Frames come from a network: a message that is not understood must not
+	// stop the process or alter the log.
+	DescribeTable("rejects", func(base raft.Message, alter func(*raft.Message), want error) {
+		Expect(malformed(base, alter)).To(BeAssignableToTypeOf(want))
+	},
+		Entry("unknown kind", valid, func(m *raft.Message) { m.Kind = 99 }, &raft.MalformedMessageError{}),
+		Entry("no kind", valid, func(m *raft.Message) { m.Kind = 0 }, &raft.MalformedMessageError{}),
+		Entry("other group", valid, func(m *raft.Message) { m.Group = "x" }, &raft.WrongGroupError{}),
+		Entry("other host", valid, func(m *raft.Message) { m.To = "b" }, &raft.WrongGroupError{}),
+		Entry("no sender", valid, func(m *raft.Message) { m.From = "" }, &raft.MalformedMessageError{}),
+		Entry("own sender", valid, func(m *raft.Message) { m.From = "a" }, &raft.MalformedMessageError{}),
+		Entry("no term", valid, func(m *raft.Message) { m.Term = 0 }, &raft.MalformedMessageError{}),
+		Entry("log term after term", valid, func(m *raft.Message) { m.LogTerm = 4 }, &raft.MalformedMessageError{}),
+		Entry("gap", valid, func(m *raft.Message) { m.Entries[0].Index = 9 }, &raft.MalformedMessageError{}),
+		Entry("wrapped index", valid, func(m *raft.Message) { m.Index, m.Entries[0].Index = math.MaxUint64, 0 }, &raft.MalformedMessageError{}),
+		Entry("entry term goes back", valid, func(m *raft.Message) { m.Entries[0].Term = 2 }, &raft.MalformedMessageError{}),
+		Entry("entry term after term", valid, func(m *raft.Message) { m.Entries[0].Term = 4 }, &raft.MalformedMessageError{}),
+		Entry("entry kind", valid, func(m *raft.Message) { m.Entries[0].Kind = 9 }, &raft.MalformedMessageError{}),
+		Entry("broken change", valid, func(m *raft.Message) { m.Entries[0].Kind = raft.EntryChange }, &raft.MalformedMessageError{}),
+		Entry("entries in a vote", valid, func(m *raft.Message) { m.Kind = raft.KindVote }, &raft.MalformedMessageError{}),
+		Entry("no chunk", chunk, func(m *raft.Message) { m.Chunk = nil }, &raft.MalformedMessageError{}),
+		Entry("chunk beyond the end", chunk, func(m *raft.Message) { m.Chunk.Offset = math.MaxUint64 }, &raft.MalformedMessageError{}),
+		Entry("chunk without membership", chunk, func(m *raft.Message) { m.Chunk.Meta.Membership = raft.Membership{} }, &raft.MalformedMessageError{}),
+		Entry("chunk without data", chunk, func(m *raft.Message) { m.Chunk.Data = nil }, &raft.MalformedMessageError{}),
+	)
+
+	It("reports a second leader in a term", func() {
+		m := valid
+		m.Term = 4
+		Expect(newLeader().Step(2*time.Second, m)).To(BeAssignableToTypeOf(&raft.ConflictError{}))
+	})
+
+	It("reports an acknowledgement of entries that do not exist", func() {
+		m := raft.Message{Kind: raft.KindAppendReply, Group: "g", From: "b", To: "a", Term: 4, Index: 99}
+		Expect(newLeader().Step(2*time.Second, m)).To(BeAssignableToTypeOf(&raft.ConflictError{}))
+	})
+})
+
+var _ = Describe("New", func() {
+	config := raft.Config{ID: "a", Group: "g"}
+
+	// Repairing contradictory state silently could drop committed entries.
+	DescribeTable("refuses", func(alter func(*raft.Restored)) {
+		r := restored()
+		alter(&r)
+		_, err := raft.New(config, r)
+		Expect(err).To(BeAssignableToTypeOf(&raft.CorruptStateError{}))
+	},
+		Entry("a gap", func(r *raft.Restored) { r.Entries[1].Index = 9 }),
+		Entry("a gap after the snapshot", func(r *raft.Restored) { r.Entries = r.Entries[1:] }),
+		Entry("a term that goes back", func(r *raft.Restored) { r.Entries[1].Term = 1 }),
+		Entry("an entry newer than the hard state", func(r *raft.Restored) { r.Entries[1].Term = 4 }),
+		Entry("an entry that contradicts the snapshot", func(r *raft.Restored) {
+			r.Entries = []raft.Entry{{Index: 5, Term: 1, Kind: raft.EntryNoop}}
+		}),
+		Entry("a snapshot without membership", func(r *raft.Restored) { r.Snapshot.Membership = raft.Membership{} }),
+		Entry("a member listed twice", func(r *raft.Restored) {
+			r.Snapshot.Membership = raft.Membership{Voters: []string{"a"}, Removed: []string{"a"}}
+		}),
+	)
+
+	DescribeTable("refuses the configuration", func(field string, c raft.Config) {
+		_, err := raft.New(c, raft.Restored{})
+		Expect(err).To(MatchError(&raft.ConfigError{Field: field}))
+	},
+		Entry("without ID", "ID", raft.Config{Group: "g"}),
+		Entry("without group", "Group", raft.Config{ID: "a"}),
+		Entry("with rare heartbeats", "HeartbeatInterval", raft.Config{ID: "a", Group: "g", HeartbeatInterval: time.Second}),
+		Entry("with bad clocks", "ClockError", raft.Config{ID: "a", Group: "g", ClockError: time.Second}),
+	)
+})
+
+var _ = Describe("a leader", func() {
+	It("limits commands and the uncommitted log", func() {
+		n := newLeader()
+		_, _, err := n.Propose(2*time.Second, make([]byte, 1<<20))
+		Expect(err).To(BeAssignableToTypeOf(&raft.TooLargeError{}))
+		for err = nil; err == nil; {
+			_, _, err = n.Propose(2*time.Second, make([]byte, 200<<10))
+		}
+		Expect(err).To(BeAssignableToTypeOf(&raft.OverloadedError{}))
+	})
+
+	// A batch is the unit that is lost or resent, and must fit a frame.
+	It("bounds batches and the number in flight", func() {
+		n := newLeader()
+		drain(n)
+		for range 100 {
+			_, _, err := n.Propose(2*time.Second, make([]byte, 100<<10))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		batches := 0
+		for _, m := range drain(n) {
+			Expect(m.Size()).To(BeNumerically("<", 300<<10))
+			if m.To == "b" && len(m.Entries) > 0 {
+				batches++
+			}
+		}
+		Expect(batches).To(Equal(15), "16 in flight, including the one with the no-op")
+	})
+
+	// Without this, a member that is away would cost a batch per heartbeat.
+	It("sends no entries to a member whose log it does not know", func() {
+		n := newLeader()
+		reject := raft.Message{Kind: raft.KindAppendReply, Group: "g", From: "b", To: "a", Term: 4, Index: 7, Reject: true, Hint: 6, HintTerm: 2, Sent: 2 * time.Second}
+		Expect(n.Step(2*time.Second, reject)).To(Succeed())
+		for _, m := range drain(n) {
+			Expect(m.Entries).To(BeEmpty())
+			Expect(m.Index).To(Equal(uint64(6)))
+		}
+	})
+})
+
+// genMessage generates messages that are mostly close to valid ones.
+func genMessage() *rapid.Generator[raft.Message] {
+	number := rapid.OneOf(rapid.Uint64Range(0, 12), rapid.Uint64Range(3, 9), rapid.Just(uint64(math.MaxUint64)))
+	id := rapid.SampledFrom([]string{"b", "c", "d", "e", "a", "", strings.Repeat("x", 200)})
+	return rapid.Custom(func(t *rapid.T) raft.Message {
+		m := raft.Message{
+			Kind: raft.Kind(rapid.IntRange(0, 12).Draw(t, "kind")), Group: "g",
+			From: id.Draw(t, "from"), To: "a", Term: number.Draw(t, "term"),
+			Index: number.Draw(t, "index"), LogTerm: rapid.Uint64Range(0, 4).Draw(t, "log term"),
+			Commit: number.Draw(t, "commit"), Reject: rapid.Bool().Draw(t, "reject"),
+			Hint: number.Draw(t, "hint"), HintTerm: number.Draw(t, "hint term"),
+			Force: rapid.Bool().Draw(t, "force"),
+			Sent:  time.Duration(rapid.Int64Range(0, int64(4*time.Second)).Draw(t, "sent")),
+		}
+		next := m.Index
+		for range rapid.IntRange(0, 3).Draw(t, "entries") {
+			next++
+			kind := raft.EntryKind(rapid.IntRange(0, 4).Draw(t, "entry kind"))
+			data := rapid.SampledFrom([]string{"", "\x01d", "\x02d", "\x03a", "\x03c", "\x09z"}).Draw(t, "data")
+			m.Entries = append(m.Entries, raft.Entry{Index: next, Term: m.LogTerm, Kind: kind, Data: []byte(data)})
+		}
+		if m.Kind == raft.KindSnapshot {
+			m.Entries = nil
+			data := rapid.SliceOfN(rapid.Byte(), 0, 4).Draw(t, "content")
+			meta := raft.SnapshotMeta{Index: m.Index, Term: m.LogTerm, Membership: members}
+			m.Chunk = &raft.SnapshotChunk{Meta: meta, Offset: m.Hint, Total: number.Draw(t, "total"), Data: data}
+		}
+		return m
+	})
+}
+
+// TestStepNeverPanics guards against messages that stop the process: whatever
+// arrives, a node returns an error of this package or none, its indexes stay in
+// order, and what it sends survives the encoding.
+func TestStepNeverPanics(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNode()
+		now := time.Duration(0)
+		if rapid.Bool().Draw(t, "leader") {
+			n = newLeader()
+			now = 2 * time.Second
+		}
+		commit := n.Status().Commit
+		t.Repeat(map[string]func(*rapid.T){
+			"step": func(t *rapid.T) {
+				err := n.Step(now, genMessage().Draw(t, "message"))
+				if err != nil && reflect.TypeOf(err).Elem().PkgPath() != reflect.TypeFor[raft.Message]().PkgPath() {
+					t.Fatalf("untyped error %v", err)
+				}
+			},
+			"tick": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond
+				n.Tick(now)
+			},
+			"propose": func(t *rapid.T) { _, _, _ = n.Propose(now, []byte("z")) },
+			"transfer": func(t *rapid.T) {
+				_ = n.TransferLeadership(now, rapid.SampledFrom([]string{"b", "d", "x"}).Draw(t, "to"))
+			},
+			"change": func(t *rapid.T) {
+				op := raft.ChangeOp(rapid.IntRange(0, 4).Draw(t, "op"))
+				id := rapid.SampledFrom([]string{"a", "b", "d", "e", ""}).Draw(t, "id")
+				_, _, _ = n.ProposeChange(now, raft.MemberChange{Op: op, ID: id})
+			},
+			"": func(t *rapid.T) {
+				for _, m := range drain(n) {
+					checkEncoding(t, m)
+				}
+				s := n.Status()
+				if s.Commit < commit || s.Applied != s.Commit || s.Commit > s.LastIndex || s.FirstIndex > s.Commit+1 {
+					t.Fatalf("indexes out of order: %+v", s)
+				}
+				commit = s.Commit
+			},
+		})
+	})
+}
+
+func checkEncoding(t *rapid.T, m raft.Message) {
+	encoded, err := msgpack.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var decoded raft.Message
+	if err := msgpack.Unmarshal(encoded, &decoded); err != nil {
+		t.Fatal(err)
+	}
+	again, err := msgpack.Marshal(decoded)
+	if err != nil || string(again) != string(encoded) {
+		t.Fatalf("encoding changed %+v to %+v (%v)", m, decoded, err)
+	}
+}
--- a/coord/replica/cluster_test.go
+++ b/coord/replica/cluster_test.go
@@ -419,10 +419,11 @@
 	})
 }
 
-// converged reports whether all members have applied the same.
+// converged reports whether all members have applied the whole log of a leader
+// that has committed it.
 func (c *cluster) converged() bool {
 	l := c.leader()
-	if l == nil {
+	if l == nil || l.replica.Status().Commit < l.replica.Status().LastIndex {
 		return false
 	}
 	for _, id := range l.replica.Status().Membership.Members() {
