Let the policy decide how much is kept free of longer work

A crest can raise short work faster than long work ends, and only slots that were free before it help then. The policy now moves the standing share from 1 % (completion) to 20 % (crest), and the demand follows within 300 ms.

--- a/scheduler/serving/size.go
+++ b/scheduler/serving/size.go
@@ -54,7 +54,7 @@
 // times over within two seconds. usualMemory is that of the demand on which
 // the wait of long work is estimated, which outlasts a crest.
 const (
-	demandMemory = time.Second
+	demandMemory = 300 * time.Millisecond
 	usualMemory  = 30 * time.Second
 )
 
@@ -145,9 +145,9 @@
 	}
 	return tuning{
 		balance:    balance,
-		deviations: mix(0, 1),
+		deviations: mix(0, 2),
 		tolerated:  mix(0.5, 0.25),
-		minKeep:    mix(0.01, 0.04),
+		minKeep:    mix(0.01, 0.20),
 		maxKeep:    [tierCount]float64{medium: mix(0.3, 0.7), long: mix(0.5, 0.9)},
 		ageAfter:   [classCount]time.Duration{urgent: never, normal: seconds(1, 4), bulk: seconds(3, 12)},
 		agedShare:  mix(0.25, 0.05),
