Claim without a full search and keep one turn per customer

Cause: after its small slots were used, a guaranteed gang was first tried in a cell whose block was partly bound by others, failed, and fell back to a search of all workers with one allocation per place; the fair phase examined all buckets of all customers for each decision. Change: the free search looks only at blocks that the smallest open slot could bind, places within a worker are kept by value, and each customer caches its next job.

--- a/scheduler/guarantee/cells.go
+++ b/scheduler/guarantee/cells.go
@@ -58,6 +58,16 @@
 	return mask & alignedStarts[level]
 }
 
+// wholeBlocks returns the accelerators in aligned cells of a level that lie
+// completely inside the mask.
+func wholeBlocks(mask Mask, level int) Mask {
+	mask = wholeCells(mask, level)
+	for l := range level {
+		mask |= mask << (1 << l)
+	}
+	return mask
+}
+
 // CellAt returns the mask of the aligned cell of a level at a start.
 func CellAt(start, level int) Mask {
 	return FullMask(1<<level) << start
--- a/scheduler/guarantee/ledger.go
+++ b/scheduler/guarantee/ledger.go
@@ -273,3 +273,28 @@
 	}
 	return room
 }
+
+// SlotFor returns the level of the smallest open slot that holds a gang of n
+// accelerators, or the level of a rack.
+func (l *Ledger) SlotFor(customer, n int) int {
+	for level := range l.rack {
+		if l.accounts[customer].open[level] > 0 && l.size(level) >= n {
+			return level
+		}
+	}
+	return l.rack
+}
+
+// Bindable returns the accelerators of a worker that lie in blocks of a level
+// without accelerators bound by other customers.
+func (l *Ledger) Bindable(customer, worker, level int) Mask {
+	usable := l.workers[worker].usable
+	foreign := l.Foreign(customer, worker)
+	if foreign == 0 {
+		return usable
+	}
+	if level > l.top {
+		return 0
+	}
+	return wholeBlocks(usable&^foreign, level)
+}
--- a/scheduler/placement/phases.go
+++ b/scheduler/placement/phases.go
@@ -174,11 +174,12 @@
 		r.start(j, parts)
 		return true
 	}
-	for _, c := range r.candidates(j, noAccount, r.s.cfg.UrgentGrace) {
-		r.makeRoom(j, c.parts, r.s.cfg.UrgentGrace)
-		return true
+	candidates := r.candidates(j, noAccount, r.s.cfg.UrgentGrace)
+	if len(candidates) == 0 {
+		return false
 	}
-	return false
+	r.makeRoom(j, candidates[0].place(), r.s.cfg.UrgentGrace)
+	return true
 }
 
 // fair serves all other jobs by priority and weighted fair share, with
@@ -188,39 +189,36 @@
 	for _, c := range waiting {
 		c.resetCursors()
 	}
+	for _, c := range waiting {
+		c.turn.bucket, c.turn.job = r.next(c, nil)
+	}
 	for !r.done() {
-		c, b, j := r.nextFair(waiting)
-		if j == nil {
+		c := r.nextFair(waiting)
+		if c == nil {
 			return
 		}
-		if r.never(j) {
-			continue
+		if !r.never(c.turn.job) {
+			r.serveFair(c, c.turn.bucket, c.turn.job)
 		}
-		r.serveFair(c, b, j)
+		c.turn.bucket, c.turn.job = r.next(c, nil)
 	}
 }
 
 // nextFair picks the highest effective priority, then the customer with the
 // smallest weighted share.
-func (r *round) nextFair(waiting []*customer) (*customer, *bucket, *job) {
+func (r *round) nextFair(waiting []*customer) *customer {
 	var first *customer
-	var from *bucket
-	var best *job
+	var level structs.Priority
 	for _, c := range waiting {
-		if c.blocked {
-			continue
-		}
-		b, j := r.next(c, nil)
-		if j == nil {
-			c.blocked = true
+		if c.blocked || c.turn.job == nil {
 			continue
 		}
-		higher := best == nil || r.level(j) > r.level(best)
-		if higher || (r.level(j) == r.level(best) && c.less(first)) {
-			first, from, best = c, b, j
+		l := r.level(c.turn.job)
+		if first == nil || l > level || (l == level && c.less(first)) {
+			first, level = c, l
 		}
 	}
-	return first, from, best
+	return first
 }
 
 // serveFair starts the head of a bucket or decides how it waits.
--- a/scheduler/placement/reclaim.go
+++ b/scheduler/placement/reclaim.go
@@ -13,6 +13,9 @@
 
 // candidate is a place for a gang that may be occupied by jobs to be preempted.
 type candidate struct {
+	// first is the only part of a gang within a worker; parts holds those of a
+	// larger gang.
+	first guarantee.Part
 	parts []guarantee.Part
 	cost  preemption.Cost
 	// state is startable if nothing occupies the place, leaving if only jobs
@@ -21,6 +24,14 @@
 	rank  int
 }
 
+// place returns all parts of the candidate.
+func (c *candidate) place() []guarantee.Part {
+	if c.parts == nil {
+		return []guarantee.Part{c.first}
+	}
+	return c.parts
+}
+
 // candidateState orders candidates of equal cost.
 type candidateState int
 
@@ -61,15 +72,16 @@
 	j *job, candidates []candidate, grace time.Duration,
 	claim func(int, []guarantee.Part) bool, worst candidateState,
 ) bool {
-	for _, place := range candidates {
-		if place.state > worst || !claim(j.customer.account, place.parts) {
+	for i := range candidates {
+		c := &candidates[i]
+		if c.state > worst || !claim(j.customer.account, c.place()) {
 			continue
 		}
 		j.customer.roundInside += j.spec.Accelerators
-		if place.state == startable {
-			r.start(j, place.parts)
+		if c.state == startable {
+			r.start(j, c.place())
 		} else {
-			r.makeRoom(j, place.parts, grace)
+			r.makeRoom(j, c.place(), grace)
 		}
 		return true
 	}
@@ -92,7 +104,15 @@
 	if !r.s.ledger.MayHold(c.account, j.spec.Accelerators) {
 		return nil
 	}
-	return r.findFree(j, c.account)
+	look := r.freeView(j, c.account)
+	level := r.s.ledger.SlotFor(c.account, j.spec.Accelerators)
+	return r.find(j.spec.Accelerators, func(at int, w *worker) guarantee.Mask {
+		room := look(at, w)
+		if room == 0 {
+			return 0
+		}
+		return room & r.s.ledger.Bindable(c.account, at, level)
+	})
 }
 
 // mayStop reports whether a job may be stopped for a requester: jobs that stop
@@ -120,18 +140,12 @@
 		if j.avoids(w) {
 			return 0
 		}
-		room := w.free
-		for _, o := range w.jobs {
-			if r.mayStop(j, o.job, account) {
-				room |= o.mask & w.usable
-			}
-		}
+		room := w.usable &^ w.taken
 		for _, o := range w.jobs {
 			if !r.mayStop(j, o.job, account) {
 				room &^= o.mask
 			}
 		}
-		room &^= w.taken
 		if account != noAccount {
 			room &^= r.s.ledger.Foreign(account, at)
 		}
@@ -177,37 +191,52 @@
 		rank := bits.OnesCount64(room)
 		for start := 0; start < r.s.perWorker; start += 1 << level {
 			if mask, ok := guarantee.Fit(room&guarantee.CellAt(start, level), n); ok {
-				found = append(found, r.weigh(j, []guarantee.Part{{Worker: at, Mask: mask}}, rank, grace))
+				found = append(found, r.weighOne(j, guarantee.Part{Worker: at, Mask: mask}, rank, grace))
 			}
 		}
 		if mask, ok := guarantee.Fit(room, n); ok && n&(n-1) != 0 {
-			found = append(found, r.weigh(j, []guarantee.Part{{Worker: at, Mask: mask}}, rank+1, grace))
+			found = append(found, r.weighOne(j, guarantee.Part{Worker: at, Mask: mask}, rank+1, grace))
 		}
 	}
 	return found
 }
 
-// weigh returns a candidate with its cost.
+// weighOne returns a candidate within one worker with its cost.
+func (r *round) weighOne(j *job, p guarantee.Part, rank int, grace time.Duration) candidate {
+	c := candidate{first: p, rank: rank}
+	for _, o := range r.s.workers[p.Worker].jobs {
+		if o.mask&p.Mask != 0 {
+			r.addVictim(&c, j, o.job, grace)
+		}
+	}
+	return c
+}
+
+// weigh returns a candidate over several workers with its cost.
 func (r *round) weigh(j *job, parts []guarantee.Part, rank int, grace time.Duration) candidate {
 	c := candidate{parts: parts, rank: rank}
 	var seen []*job
 	for _, p := range parts {
 		for _, o := range r.s.workers[p.Worker].jobs {
-			if o.mask&p.Mask == 0 || slices.Contains(seen, o.job) {
-				continue
+			if o.mask&p.Mask != 0 && !slices.Contains(seen, o.job) {
+				seen = append(seen, o.job)
+				r.addVictim(&c, j, o.job, grace)
 			}
-			c.state = max(c.state, leavingOnly)
-			if r.leaving(o.job) {
-				continue
-			}
-			c.state = occupied
-			seen = append(seen, o.job)
-			c.cost = c.cost.Add(r.assess(j, o.job, grace).Cost)
 		}
 	}
 	return c
 }
 
+// addVictim adds a job on the candidate's place to its cost.
+func (r *round) addVictim(c *candidate, requester, victim *job, grace time.Duration) {
+	if r.leaving(victim) {
+		c.state = max(c.state, leavingOnly)
+		return
+	}
+	c.state = occupied
+	c.cost = c.cost.Add(r.assess(requester, victim, grace).Cost)
+}
+
 // rackCandidate appends the cheapest place of a gang in a rack.
 func (r *round) rackCandidate(
 	found []candidate, j *job, k *rack, n int, look view, grace time.Duration,
--- a/scheduler/placement/reserve.go
+++ b/scheduler/placement/reserve.go
@@ -42,11 +42,13 @@
 // reserve holds the accelerators that are expected to be free first for a
 // starving gang.
 func (r *round) reserve(j *job) bool {
-	if r.reservations >= r.s.cfg.MaxReservations {
+	n := j.spec.Accelerators
+	if r.reservations >= r.s.cfg.MaxReservations || r.unreservable[n] {
 		return false
 	}
 	parts, start := r.earliest(j)
 	if parts == nil {
+		r.unreservable[n] = len(j.avoid) == 0
 		return false
 	}
 	r.reservations++
--- a/scheduler/placement/round.go
+++ b/scheduler/placement/round.go
@@ -22,12 +22,14 @@
 	reservations int
 	// full lists gang sizes for which nothing is available any more.
 	full map[int]bool
+	// unreservable lists gang sizes for which nothing can be reserved.
+	unreservable map[int]bool
 }
 
 // newRound starts a round.
 func newRound(s *Scheduler, now time.Duration) *round {
 	s.stamp++
-	return &round{s: s, now: now, mark: s.ledger.Mark(), full: make(map[int]bool)}
+	return &round{s: s, now: now, mark: s.ledger.Mark(), full: make(map[int]bool), unreservable: make(map[int]bool)}
 }
 
 // rollBack undoes the tentative changes.
@@ -43,6 +45,7 @@
 	for _, c := range r.s.names {
 		c.roundHeld, c.roundInside = 0, 0
 		c.blocked = false
+		c.turn.bucket, c.turn.job = nil, nil
 	}
 }
 
--- a/scheduler/placement/state.go
+++ b/scheduler/placement/state.go
@@ -87,6 +87,11 @@
 	// roundHeld and roundInside are added in the current round.
 	roundHeld, roundInside int
 	blocked                bool
+	// turn is the job that the customer would run next.
+	turn struct {
+		bucket *bucket
+		job    *job
+	}
 }
 
 // noAccount marks a customer without a guarantee.
