transport: bound silence, not the time that a frame takes

Cause: read and write deadlines covered a whole frame. On a busy link a frame of up to 1 MiB takes longer than the silence timeout, so the connection was closed as silent while bytes arrived, calls on it became unknown and the same bytes were sent again. Before: a call of 768 KiB that takes 600 ms with a silence timeout of 300 ms failed with 'no reply: connection lost'.

--- a/daemon/transport/inbound.go
+++ b/daemon/transport/inbound.go
@@ -63,9 +63,8 @@
 }
 
 func (in *inbound) readLoop() string {
-	reader := bufio.NewReader(in.conn)
+	reader := bufio.NewReader(in.t.stream(in.conn))
 	for {
-		_ = in.conn.SetReadDeadline(time.Now().Add(in.t.cfg.SilenceTimeout))
 		f, size, err := readFrame(reader, MaxFrameBytes)
 		if err != nil {
 			return closeReason(err)
@@ -155,8 +154,7 @@
 		}
 		data, _ = encodeFrame(&frame{Kind: KindReply, ID: f.ID, Code: codeFailed, Body: []byte(err.Error())})
 	}
-	_ = in.conn.SetWriteDeadline(time.Now().Add(in.t.cfg.SilenceTimeout))
-	if _, err := in.conn.Write(data); err != nil {
+	if _, err := in.t.stream(in.conn).Write(data); err != nil {
 		return false
 	}
 	in.t.cfg.Observer.FrameSent(in.peer, f.Kind, len(data))
--- a/daemon/transport/outbound.go
+++ b/daemon/transport/outbound.go
@@ -140,9 +140,8 @@
 }
 
 func (o *outbound) readLoop(conn net.Conn) string {
-	reader := bufio.NewReader(conn)
+	reader := bufio.NewReader(o.t.stream(conn))
 	for {
-		_ = conn.SetReadDeadline(time.Now().Add(o.t.cfg.SilenceTimeout))
 		f, size, err := readFrame(reader, MaxFrameBytes)
 		if err != nil {
 			return closeReason(err)
@@ -221,8 +220,7 @@
 		o.t.cfg.Observer.FrameDropped(o.peer.Host, f.Kind, "encode")
 		return true
 	}
-	_ = conn.SetWriteDeadline(time.Now().Add(o.t.cfg.SilenceTimeout))
-	if _, err := conn.Write(data); err != nil {
+	if _, err := o.t.stream(conn).Write(data); err != nil {
 		_ = conn.Close()
 		return false
 	}
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -218,6 +218,10 @@
 	delete(t.accepted, conn)
 }
 
+func (t *Transport) stream(conn net.Conn) *stream {
+	return &stream{conn: conn, silence: t.cfg.SilenceTimeout}
+}
+
 func (t *Transport) stopping() bool {
 	select {
 	case <-t.stop:
