transport: close at once while dialling; add Wait for handlers

Cause: Close waited up to 2 s for a dial or a handshake with a silent peer. It also did not cover the goroutines that answer calls, so nothing told the host when its handlers no longer use what it closes next. Change: dials end with the transport, and connections in their handshake are closed with the others. Wait returns when the last handler has answered; it is apart from Close, since a handler may wait for a service that is stopped after the transport.

--- a/daemon/transport/inbound.go
+++ b/daemon/transport/inbound.go
@@ -93,7 +93,9 @@
 		in.reply(&frame{Kind: KindReply, ID: f.ID, Code: codeBusy})
 		return
 	}
+	in.t.calls.Add(1)
 	go func() {
+		defer in.t.calls.Done()
 		defer func() { <-in.calls }()
 		remaining := time.Duration(f.RemainingMS) * time.Millisecond
 		body, err := in.t.handler.HandleCall(in.peer, f.Method, f.Body, remaining)
--- a/daemon/transport/outbound.go
+++ b/daemon/transport/outbound.go
@@ -65,6 +65,7 @@
 		o.countRefused(err)
 		return false
 	}
+	defer o.close(conn)
 	opened := time.Now()
 	reason := o.serve(conn)
 	o.t.cfg.Observer.ConnectionClosed(o.peer.Host, reason)
@@ -80,24 +81,31 @@
 }
 
 func (o *outbound) dial() (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", o.peer.Address, handshakeTimeout)
+	dialer := net.Dialer{Timeout: handshakeTimeout}
+	conn, err := dialer.DialContext(o.t.stop, "tcp", o.peer.Address)
 	if err != nil {
 		return nil, err
 	}
+	if !o.t.track(conn) {
+		_ = conn.Close()
+		return nil, &HandshakeError{Peer: o.peer.Host, Reason: "this host is stopping"}
+	}
 	boundSendBuffer(conn)
 	if err := o.t.dialHandshake(conn, o.peer.Host); err != nil {
-		_ = conn.Close()
+		o.close(conn)
 		return nil, err
 	}
 	return conn, nil
 }
 
+func (o *outbound) close(conn net.Conn) {
+	_ = conn.Close()
+	o.t.untrack(conn)
+}
+
 // serve runs one connection until it breaks and returns the reason.
 func (o *outbound) serve(conn net.Conn) string {
-	if !o.attach(conn) {
-		_ = conn.Close()
-		return "stopped"
-	}
+	o.attach(conn)
 	done := make(chan struct{})
 	var writer sync.WaitGroup
 	writer.Add(1)
@@ -113,16 +121,12 @@
 	return reason
 }
 
-func (o *outbound) attach(conn net.Conn) bool {
+func (o *outbound) attach(conn net.Conn) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.t.stopping() {
-		return false
-	}
 	o.conn = conn
 	o.err = nil
 	o.signal()
-	return true
 }
 
 // detach ends the calls that were open. Those that may have left have an
@@ -358,12 +362,3 @@
 	defer o.mu.Unlock()
 	o.err = err
 }
-
-// interrupt closes the open connection so that run ends.
-func (o *outbound) interrupt() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.conn != nil {
-		_ = o.conn.Close()
-	}
-}
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -68,23 +69,31 @@
 	handler  Handler
 	listener net.Listener
 
-	mu       sync.Mutex
-	peers    map[string]*outbound
-	accepted map[net.Conn]struct{}
-	closed   bool
-	stop     chan struct{}
-	wg       sync.WaitGroup
+	// stop is done when the transport closes.
+	stop   context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	// calls counts the calls of peers that a handler still answers.
+	calls sync.WaitGroup
+
+	mu    sync.Mutex
+	peers map[string]*outbound
+	// open holds all connections, those in their handshake included.
+	open   map[net.Conn]struct{}
+	closed bool
 }
 
 // New returns a transport that is not yet started.
 func New(cfg Config, handler Handler) *Transport {
 	cfg = withDefaults(cfg)
+	stop, cancel := context.WithCancel(context.Background())
 	return &Transport{
-		cfg:      cfg,
-		handler:  handler,
-		peers:    map[string]*outbound{},
-		accepted: map[net.Conn]struct{}{},
-		stop:     make(chan struct{}),
+		cfg:     cfg,
+		handler: handler,
+		stop:    stop,
+		cancel:  cancel,
+		peers:   map[string]*outbound{},
+		open:    map[net.Conn]struct{}{},
 	}
 }
 
@@ -153,7 +162,9 @@
 	return out.lastError()
 }
 
-// Close ends all connections and waits for the goroutines of the transport.
+// Close ends all connections and waits for the goroutines of the transport,
+// but not for calls that the handler still answers: it may need more than the
+// transport to be stopped. Wait waits for those.
 func (t *Transport) Close() {
 	t.mu.Lock()
 	if t.closed {
@@ -161,13 +172,10 @@
 		return
 	}
 	t.closed = true
-	close(t.stop)
-	for conn := range t.accepted {
+	t.cancel()
+	for conn := range t.open {
 		_ = conn.Close()
 	}
-	for _, out := range t.peers {
-		out.interrupt()
-	}
 	t.mu.Unlock()
 	if t.listener != nil {
 		_ = t.listener.Close()
@@ -175,6 +183,10 @@
 	t.wg.Wait()
 }
 
+// Wait returns when no handler answers a call any more. It is called after
+// Close, and after what the handler waits for has been stopped.
+func (t *Transport) Wait() { t.calls.Wait() }
+
 func (t *Transport) outboundTo(host string) *outbound {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -208,14 +220,14 @@
 	if t.closed {
 		return false
 	}
-	t.accepted[conn] = struct{}{}
+	t.open[conn] = struct{}{}
 	return true
 }
 
 func (t *Transport) untrack(conn net.Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.accepted, conn)
+	delete(t.open, conn)
 }
 
 func (t *Transport) stream(conn net.Conn) *stream {
@@ -223,12 +235,7 @@
 }
 
 func (t *Transport) stopping() bool {
-	select {
-	case <-t.stop:
-		return true
-	default:
-		return false
-	}
+	return t.stop.Err() != nil
 }
 
 // pause waits unless the transport stops first.
@@ -237,7 +244,7 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-t.stop:
+	case <-t.stop.Done():
 	}
 }
 
