transport: state the time that is left when a call is written

Cause: the remaining time of a call was set when it was queued. A peer worked on for the time that the call had waited, after the caller had given up, and calls without any time left were still written. Change: the remaining time is computed when the call is written; a call whose time is over is not written and ends as not sent. Before: a call that waited 300 ms of its 2 s stated 2000 ms.

--- a/daemon/transport/frame.go
+++ b/daemon/transport/frame.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/binary"
 	"io"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -70,6 +71,9 @@
 	RemainingMS int64  `msgpack:"r,omitempty"`
 	Code        string `msgpack:"c,omitempty"`
 	Body        []byte `msgpack:"b,omitempty"`
+	// deadline of a call that waits in the send queue. RemainingMS is set from
+	// it when the call is written.
+	deadline time.Time
 }
 
 // encodeFrame returns the frame with its length in front.
--- a/daemon/transport/outbound.go
+++ b/daemon/transport/outbound.go
@@ -208,14 +208,26 @@
 	if f := o.control.pop(); f != nil {
 		return f
 	}
-	f := o.calls.pop()
-	if f == nil {
-		return nil
-	}
-	if call := o.pending[f.ID]; call != nil {
+	return o.popCall()
+}
+
+// popCall returns the next call that has time left. Its remaining time is what
+// the wait in the queue left of it. The caller holds the lock.
+func (o *outbound) popCall() *frame {
+	for {
+		f := o.calls.pop()
+		if f == nil {
+			return nil
+		}
+		remaining := time.Until(f.deadline)
+		call := o.pending[f.ID]
+		if call == nil || remaining <= 0 {
+			continue
+		}
+		f.RemainingMS = remaining.Milliseconds()
 		call.written = true
+		return f
 	}
-	return f
 }
 
 func (o *outbound) write(conn net.Conn, f *frame) bool {
@@ -307,7 +319,7 @@
 	defer o.mu.Unlock()
 	o.nextID++
 	id := o.nextID
-	f := &frame{Kind: KindCall, ID: id, Method: method, Body: body, RemainingMS: timeout.Milliseconds()}
+	f := &frame{Kind: KindCall, ID: id, Method: method, Body: body, deadline: time.Now().Add(timeout)}
 	if err := o.enqueue(f); err != nil {
 		return 0, err
 	}
@@ -333,7 +345,8 @@
 	return nil, &NotSentError{Peer: o.peer.Host, Reason: "timeout in the send queue"}
 }
 
-// failQueued ends the calls that wait for a connection.
+// failQueued ends the calls that wait for a connection. Calls that were written
+// have ended with their connection.
 func (o *outbound) failQueued(reason string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
