--- a/daemon/transport/inbound.go
+++ b/daemon/transport/inbound.go
@@ -63,9 +63,8 @@
 }
 
 func (in *inbound) readLoop() string {
-	reader := bufio.NewReader(in.conn)
+	reader := bufio.NewReader(in.t.stream(in.conn))
 	for {
-		_ = in.conn.SetReadDeadline(time.Now().Add(in.t.cfg.SilenceTimeout))
 		f, size, err := readFrame(reader, MaxFrameBytes)
 		if err != nil {
 			return closeReason(err)
@@ -94,7 +93,9 @@
 		in.reply(&frame{Kind: KindReply, ID: f.ID, Code: codeBusy})
 		return
 	}
+	in.t.calls.Add(1)
 	go func() {
+		defer in.t.calls.Done()
 		defer func() { <-in.calls }()
 		remaining := time.Duration(f.RemainingMS) * time.Millisecond
 		body, err := in.t.handler.HandleCall(in.peer, f.Method, f.Body, remaining)
@@ -155,8 +156,7 @@
 		}
 		data, _ = encodeFrame(&frame{Kind: KindReply, ID: f.ID, Code: codeFailed, Body: []byte(err.Error())})
 	}
-	_ = in.conn.SetWriteDeadline(time.Now().Add(in.t.cfg.SilenceTimeout))
-	if _, err := in.conn.Write(data); err != nil {
+	if _, err := in.t.stream(in.conn).Write(data); err != nil {
 		return false
 	}
 	in.t.cfg.Observer.FrameSent(in.peer, f.Kind, len(data))
--- a/daemon/transport/outbound.go
+++ b/daemon/transport/outbound.go
@@ -65,6 +65,7 @@
 		o.countRefused(err)
 		return false
 	}
+	defer o.close(conn)
 	opened := time.Now()
 	reason := o.serve(conn)
 	o.t.cfg.Observer.ConnectionClosed(o.peer.Host, reason)
@@ -80,24 +81,31 @@
 }
 
 func (o *outbound) dial() (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", o.peer.Address, handshakeTimeout)
+	dialer := net.Dialer{Timeout: handshakeTimeout}
+	conn, err := dialer.DialContext(o.t.stop, "tcp", o.peer.Address)
 	if err != nil {
 		return nil, err
 	}
+	if !o.t.track(conn) {
+		_ = conn.Close()
+		return nil, &HandshakeError{Peer: o.peer.Host, Reason: "this host is stopping"}
+	}
 	boundSendBuffer(conn)
 	if err := o.t.dialHandshake(conn, o.peer.Host); err != nil {
-		_ = conn.Close()
+		o.close(conn)
 		return nil, err
 	}
 	return conn, nil
 }
 
+func (o *outbound) close(conn net.Conn) {
+	_ = conn.Close()
+	o.t.untrack(conn)
+}
+
 // serve runs one connection until it breaks and returns the reason.
 func (o *outbound) serve(conn net.Conn) string {
-	if !o.attach(conn) {
-		_ = conn.Close()
-		return "stopped"
-	}
+	o.attach(conn)
 	done := make(chan struct{})
 	var writer sync.WaitGroup
 	writer.Add(1)
@@ -113,16 +121,12 @@
 	return reason
 }
 
-func (o *outbound) attach(conn net.Conn) bool {
+func (o *outbound) attach(conn net.Conn) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.t.stopping() {
-		return false
-	}
 	o.conn = conn
 	o.err = nil
 	o.signal()
-	return true
 }
 
 // detach ends the calls that were open. Those that may have left have an
@@ -140,9 +144,8 @@
 }
 
 func (o *outbound) readLoop(conn net.Conn) string {
-	reader := bufio.NewReader(conn)
+	reader := bufio.NewReader(o.t.stream(conn))
 	for {
-		_ = conn.SetReadDeadline(time.Now().Add(o.t.cfg.SilenceTimeout))
 		f, size, err := readFrame(reader, MaxFrameBytes)
 		if err != nil {
 			return closeReason(err)
@@ -205,14 +208,26 @@
 	if f := o.control.pop(); f != nil {
 		return f
 	}
-	f := o.calls.pop()
-	if f == nil {
-		return nil
-	}
-	if call := o.pending[f.ID]; call != nil {
+	return o.popCall()
+}
+
+// popCall returns the next call that has time left. Its remaining time is what
+// the wait in the queue left of it. The caller holds the lock.
+func (o *outbound) popCall() *frame {
+	for {
+		f := o.calls.pop()
+		if f == nil {
+			return nil
+		}
+		remaining := time.Until(f.deadline)
+		call := o.pending[f.ID]
+		if call == nil || remaining <= 0 {
+			continue
+		}
+		f.RemainingMS = remaining.Milliseconds()
 		call.written = true
+		return f
 	}
-	return f
 }
 
 func (o *outbound) write(conn net.Conn, f *frame) bool {
@@ -221,8 +236,7 @@
 		o.t.cfg.Observer.FrameDropped(o.peer.Host, f.Kind, "encode")
 		return true
 	}
-	_ = conn.SetWriteDeadline(time.Now().Add(o.t.cfg.SilenceTimeout))
-	if _, err := conn.Write(data); err != nil {
+	if _, err := o.t.stream(conn).Write(data); err != nil {
 		_ = conn.Close()
 		return false
 	}
@@ -305,7 +319,7 @@
 	defer o.mu.Unlock()
 	o.nextID++
 	id := o.nextID
-	f := &frame{Kind: KindCall, ID: id, Method: method, Body: body, RemainingMS: timeout.Milliseconds()}
+	f := &frame{Kind: KindCall, ID: id, Method: method, Body: body, deadline: time.Now().Add(timeout)}
 	if err := o.enqueue(f); err != nil {
 		return 0, err
 	}
@@ -331,7 +345,8 @@
 	return nil, &NotSentError{Peer: o.peer.Host, Reason: "timeout in the send queue"}
 }
 
-// failQueued ends the calls that wait for a connection.
+// failQueued ends the calls that wait for a connection. Calls that were written
+// have ended with their connection.
 func (o *outbound) failQueued(reason string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -360,12 +375,3 @@
 	defer o.mu.Unlock()
 	o.err = err
 }
-
-// interrupt closes the open connection so that run ends.
-func (o *outbound) interrupt() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.conn != nil {
-		_ = o.conn.Close()
-	}
-}
