--- a/coord/dedup/machine.go
+++ b/coord/dedup/machine.go
@@ -28,6 +28,8 @@
 	// Digest and Owner are used by OpBegin.
 	Digest Digest
 	Owner  string
+	// Token is used by OpBegin and OpFinish.
+	Token string
 	// Outcome is used by OpFinish.
 	Outcome Outcome
 }
@@ -106,10 +108,10 @@
 func (m *Machine) run(term uint64, c *Command) Result {
 	switch c.Op {
 	case OpBegin:
-		request := Request{Key: c.Key, Digest: c.Digest, Owner: c.Owner, Term: term}
+		request := Request{Key: c.Key, Digest: c.Digest, Owner: c.Owner, Term: term, Token: c.Token}
 		return Result{Decision: m.Table.Begin(c.Now, request)}
 	case OpFinish:
-		return Result{Finish: m.Table.Finish(c.Now, c.Key, c.Outcome)}
+		return Result{Finish: m.Table.Finish(c.Now, c.Key, c.Token, c.Outcome)}
 	case OpMarkUnknown:
 		return Result{Count: m.Table.MarkUnknown(c.Now, term)}
 	case OpExpire:
--- a/daemon/httpapi/jobs.go
+++ b/daemon/httpapi/jobs.go
@@ -12,7 +12,7 @@
 )
 
 func (s *Server) submitJob(ctx *fasthttp.RequestCtx) (any, error) {
-	who, err := s.auth.require(ctx, structs.RoleCaller)
+	who, err := s.auth.require(ctx, structs.RoleCaller, structs.RoleOperator)
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/httpapi/operators.go
+++ b/daemon/httpapi/operators.go
@@ -97,7 +97,7 @@
 	if err := s.node.AddMember(request.Group, request.Host, memberTimeout); err != nil {
 		return nil, err
 	}
-	return api.Done{Done: true}, nil
+	return s.node.GroupStatus(request.Group, clientTimeout), nil
 }
 
 func (s *Server) removeMember(ctx *fasthttp.RequestCtx) (any, error) {
@@ -112,5 +112,5 @@
 	if err := s.node.RemoveMember(group, host, memberTimeout); err != nil {
 		return nil, err
 	}
-	return api.Done{Done: true}, nil
+	return s.node.GroupStatus(group, clientTimeout), nil
 }
--- a/daemon/node/domainowner.go
+++ b/daemon/node/domainowner.go
@@ -151,7 +151,7 @@
 	clock := o.controller.Clock(now)
 	if o.state.TakenOver() < o.term && now >= o.nextTakeOver {
 		o.nextTakeOver = now + commandRetry
-		commands = o.appendCommand(commands)(domain.EncodeTakeOver(clock, o.term))
+		commands = o.appendCommand(commands)(domain.EncodeTakeOver(clock))
 	}
 	if policy := o.keyPolicy(now, clock); policy != nil {
 		commands = append(commands, policy)
--- a/daemon/node/keys.go
+++ b/daemon/node/keys.go
@@ -144,7 +144,6 @@
 			Key:    storedKey(c.Request),
 			Digest: digestOf(c),
 			Owner:  n.cfg.HostID,
-			Term:   o.term,
 			Token:  token,
 		})
 		return err
--- a/daemon/node/members.go
+++ b/daemon/node/members.go
@@ -132,12 +132,13 @@
 	}
 	groups := make([]api.GroupStatus, 0, len(names))
 	for _, name := range names {
-		groups = append(groups, n.groupStatus(name, timeout))
+		groups = append(groups, n.GroupStatus(name, timeout))
 	}
 	return groups
 }
 
-func (n *Node) groupStatus(name string, timeout time.Duration) api.GroupStatus {
+// GroupStatus returns the status of a log, from its leader where reachable.
+func (n *Node) GroupStatus(name string, timeout time.Duration) api.GroupStatus {
 	report, err := callCurrentLeader[groupReport](n, name, methodMembers, &groupQuery{Group: name}, timeout)
 	if err == nil && report.Found {
 		return report.Group
--- a/scheduler/domain/command.go
+++ b/scheduler/domain/command.go
@@ -38,11 +38,6 @@
 	Outcome dedup.Outcome `msgpack:"o"`
 }
 
-// takeOver marks the keys that earlier leaders left in sending as unknown.
-type takeOver struct {
-	Term uint64 `msgpack:"t"`
-}
-
 // keyPolicy changes how long and how many keys are kept.
 type keyPolicy struct {
 	Version   uint64        `msgpack:"v"`
@@ -77,9 +72,9 @@
 }
 
 // EncodeTakeOver returns the log entry with which a new leader ends the keys
-// of its predecessors.
-func EncodeTakeOver(clock time.Duration, term uint64) ([]byte, error) {
-	return encodeBody(KindTakeOver, clock, &takeOver{Term: term})
+// of its predecessors: those that are recorded as sending become unknown.
+func EncodeTakeOver(clock time.Duration) ([]byte, error) {
+	return encodeEnvelope(envelope{Kind: KindTakeOver, Clock: clock})
 }
 
 // EncodeExpire returns the log entry that drops expired keys.
--- a/scheduler/domain/state.go
+++ b/scheduler/domain/state.go
@@ -67,8 +67,9 @@
 // commands. It never goes back and does not depend on the clock of one host.
 func (s *State) Clock() time.Duration { return max(s.clock, s.jobs.Clock()) }
 
-// Apply runs one command of the log.
-func (s *State) Apply(index, _ uint64, command []byte) []byte {
+// Apply runs one command of the log. Keys are recorded under the term of the
+// entry, which a proposer cannot choose.
+func (s *State) Apply(index, term uint64, command []byte) []byte {
 	var e envelope
 	if err := msgpack.Unmarshal(command, &e); err != nil {
 		return encodeJobResult(invalidCommand(err))
@@ -78,11 +79,12 @@
 	case KindJobs:
 		return s.applyJobs(index, e.Body)
 	case KindKeyBegin:
-		return s.applyBegin(e.Body)
+		return s.applyBegin(term, e.Body)
 	case KindKeyFinish:
 		return s.applyFinish(e.Body)
 	case KindTakeOver:
-		return s.applyTakeOver(e.Body)
+		s.keys.MarkUnknown(s.Clock(), term)
+		s.takenOver = max(s.takenOver, term)
 	case KindKeyExpire:
 		s.keys.Expire(s.Clock())
 	case KindKeyPolicy:
@@ -109,11 +111,12 @@
 	return encodeJobResult(s.jobs.Apply(index, command))
 }
 
-func (s *State) applyBegin(body []byte) []byte {
+func (s *State) applyBegin(term uint64, body []byte) []byte {
 	var r dedup.Request
 	if err := msgpack.Unmarshal(body, &r); err != nil {
 		return nil
 	}
+	r.Term = term
 	return encodePlain(s.keys.Begin(s.Clock(), r))
 }
 
@@ -125,16 +128,6 @@
 	return encodePlain(s.keys.Finish(s.Clock(), f.Key, f.Token, f.Outcome))
 }
 
-func (s *State) applyTakeOver(body []byte) []byte {
-	var t takeOver
-	if err := msgpack.Unmarshal(body, &t); err != nil {
-		return nil
-	}
-	s.keys.MarkUnknown(s.Clock(), t.Term)
-	s.takenOver = max(s.takenOver, t.Term)
-	return nil
-}
-
 func invalidCommand(err error) jobs.Result {
 	return jobs.Result{Refusal: structs.NotRun(structs.CodeInvalid, err.Error())}
 }
--- a/scheduler/jobs/sim_test.go
+++ b/scheduler/jobs/sim_test.go
@@ -410,7 +410,7 @@
 			w.kill(runKey{e.Job, e.Run})
 		case agent.CheckpointTask:
 			w.after(w.upTo(4*time.Second), func() {
-				w.here(w.inc, func() { w.step(agent.CheckpointDone{Job: e.Job, Run: e.Run}) })
+				w.here(w.inc, func() { w.step(agent.CheckpointDone(e)) })
 			})
 		}
 	}
