--- a/coord/replica/replica_test.go
+++ b/coord/replica/replica_test.go
@@ -126,6 +126,7 @@
 			ids := c.others(l)
 			c.net.Partition([]string{l.id}, ids[:1])
 			c.run(5 * electionTimeout / 2)
+			c.net.Partition([]string{l.id}, ids)
 			c.crash(c.hosts[ids[1]])
 			c.start(c.hosts[ids[1]])
 			c.run(electionTimeout)
