--- a/coord/replica/memory.go
+++ b/coord/replica/memory.go
@@ -110,8 +110,10 @@
 // Close implements Storage. The storage can be used again.
 func (s *MemoryStorage) Close() error { return s.failure }
 
+// beginWrite remembers the durable state if the write may be lost.
 func (s *MemoryStorage) beginWrite() {
-	if s.durable == nil {
+	mayBeLost := s.noSync || s.powerLoss
+	if mayBeLost && s.durable == nil {
 		s.durable = s.current.clone()
 	}
 }
@@ -129,7 +131,7 @@
 // replaceFrom appends entries in place of those from the first index on.
 func (s *memoryState) replaceFrom(entries []raft.Entry) {
 	at, _ := s.find(entries[0].Index)
-	s.entries = append(s.entries[:at:at], entries...)
+	s.entries = append(s.entries[:at], entries...)
 }
 
 // dropThrough drops the entries up to a snapshot, and all of them if the log
