Add the placement experiment with two baselines

Loads for both current sizes and the target drive the scheduler and the baselines through the same interface.

--- /dev/null
+++ b/scheduler/experiment/placement/run_test.go
@@ -0,0 +1,42 @@
+package placement
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestExperiment(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placement experiment")
+}
+
+var _ = Describe("the experiment", func() {
+	It("is deterministic and keeps the guarantees with the scheduler only", func() {
+		o := Options{Size: SizeRemada, Length: 12 * time.Hour, Seed: 5}
+		table := Run(o)
+		Expect(Run(o).CSV()).To(Equal(table.CSV()))
+		scheduler := table.Rows[0]
+		Expect(scheduler.Violations).To(BeZero())
+		Expect(scheduler.DoubleUse).To(BeZero())
+		Expect(scheduler.Unfinished).To(BeZero())
+		Expect(scheduler.Probes).To(BeNumerically(">", 0))
+		Expect(scheduler.UrgentMax).To(BeNumerically("<=", 2500*time.Millisecond))
+		Expect(scheduler.Refused).To(BeNumerically(">", 0))
+	})
+})
+
+// TestTables prints the tables of the sizes named in PLACEMENT_SIZES.
+func TestTables(t *testing.T) {
+	if os.Getenv("PLACEMENT_SIZES") == "" {
+		t.Skip("PLACEMENT_SIZES is not set")
+	}
+	for _, size := range []Size{SizeKorbfrisch, SizeRemada, SizeTarget} {
+		begin := time.Now()
+		table := Run(Options{Size: size, Seed: 1})
+		t.Logf("%s in %v\n%s", size, time.Since(begin), table)
+	}
+}
