transport: bound the bytes that wait for a peer

Cause: send queues were bounded by 1024 frames only, which is 1 GiB of bodies for each peer, and a call that fetches a configuration waited behind them. The kernel buffer was bounded on dialled connections only, not for replies. Change: 4 MiB of calls and 4 MiB of other messages wait for a peer; beyond that the oldest raft messages are dropped and others refused as not sent. Accepted connections have the bounded buffer, too.

--- a/daemon/transport/call_test.go
+++ b/daemon/transport/call_test.go
@@ -205,6 +205,19 @@
 		Eventually(func() error { return errorOf(goCall(a, nil, 20*time.Millisecond)) }).Should(beNotSent)
 	})
 
+	It("bound the bytes that wait as well as the frames", func() {
+		// Guards against 1024 bodies of 1 MiB in memory for each peer.
+		a, raw := rawPair(func(c *Config) { c.SilenceTimeout, c.QueueBytes = 2*time.Second, 1600<<10 })
+		conn := raw.next()
+		beat(conn)
+		stall(a)
+		Expect(errorOf(goCall(a, make([]byte, 700<<10), time.Second))).To(MatchError(ContainSubstring("queue full")))
+		for range 4 {
+			Expect(a.Send("b", KindRaft, make([]byte, 700<<10))).To(Succeed())
+		}
+		Expect(a.seen.droppedFor("raft/queue full")).To(Equal(2))
+	})
+
 	It("let control frames overtake the calls that wait", func() {
 		a, raw := rawPair(func(c *Config) { c.SilenceTimeout = 2 * time.Second })
 		conn := raw.next()
@@ -238,19 +251,36 @@
 		a := startHost("a", func(c *Config) { c.SilenceTimeout = 2 * time.Second }, Peer{Host: "b", Address: relay.Address()})
 		a.waitFor("b")
 		body := []byte(strings.Repeat("x", 700<<10))
+		stop := make(chan struct{})
+		defer close(stop)
 		for range 40 {
-			goCall(a, body, 4*time.Second)
+			go keepCalling(a, body, stop)
 		}
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
 		started := time.Now()
 		Expect(a.Send("b", KindHostStatus, []byte("v2"))).To(Succeed())
 		Eventually(b.handler.messages, 3*time.Second).Should(Receive(Equal("host_status:v2")))
 		took := time.Since(started)
+		_, err = a.Call("b", "m", nil, 3*time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		AddReportEntry("with a call after it", time.Since(started).String())
 		AddReportEntry("control frame", took.String())
 		Expect(took).To(BeNumerically("<", 3*time.Second))
 	})
 })
 
+// keepCalling offers more calls than the link takes.
+func keepCalling(a *testHost, body []byte, stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(10 * time.Millisecond):
+			_, _ = a.Call("b", "m", body, 4*time.Second)
+		}
+	}
+}
+
 var _ = Describe("closeReason", func() {
 	It("names malformed, silent and closed connections", func() {
 		Expect(closeReason(&FrameError{})).To(Equal("malformed"))
--- a/daemon/transport/outbound.go
+++ b/daemon/transport/outbound.go
@@ -255,7 +255,7 @@
 	if o.conn == nil {
 		return &NotSentError{Peer: o.peer.Host, Reason: "not connected"}
 	}
-	if !o.makeRoom(f.Kind) {
+	if !o.makeRoom(f) {
 		o.t.cfg.Observer.FrameDropped(o.peer.Host, f.Kind, "queue full")
 		return &NotSentError{Peer: o.peer.Host, Reason: "send queue full"}
 	}
@@ -268,19 +268,19 @@
 	return nil
 }
 
-// makeRoom reports whether the queue of a kind takes one more frame. The
-// oldest raft message makes room: raft resends what is lost, other kinds do not.
-func (o *outbound) makeRoom(kind Kind) bool {
-	if kind == KindCall {
-		return o.calls.len() < o.t.cfg.QueueFrames
-	}
-	if o.control.len() < o.t.cfg.QueueFrames {
-		return true
+// makeRoom reports whether the queue of a frame takes it. The oldest raft
+// messages make room: raft resends what is lost, other kinds do not.
+func (o *outbound) makeRoom(f *frame) bool {
+	frames, bytes := o.t.cfg.QueueFrames, o.t.cfg.QueueBytes
+	if f.Kind == KindCall {
+		return o.calls.fits(f, frames, bytes)
 	}
-	if !o.control.removeFirst(func(f *frame) bool { return f.Kind == KindRaft }) {
-		return false
+	for !o.control.fits(f, frames, bytes) {
+		if !o.control.removeFirst(func(f *frame) bool { return f.Kind == KindRaft }) {
+			return false
+		}
+		o.t.cfg.Observer.FrameDropped(o.peer.Host, KindRaft, "queue full")
 	}
-	o.t.cfg.Observer.FrameDropped(o.peer.Host, KindRaft, "queue full")
 	return true
 }
 
--- a/daemon/transport/queue.go
+++ b/daemon/transport/queue.go
@@ -1,6 +1,9 @@
 package transport
 
-import "net"
+import (
+	"net"
+	"slices"
+)
 
 // sendBufferBytes bounds what the kernel holds for one connection. At
 // 30 Mbit/s this is 70 ms, which a control frame waits at most behind data
@@ -16,11 +19,20 @@
 // frameQueue is a first-in first-out queue of frames.
 type frameQueue struct {
 	frames []*frame
+	bytes  int
 }
 
 func (q *frameQueue) len() int { return len(q.frames) }
 
-func (q *frameQueue) push(f *frame) { q.frames = append(q.frames, f) }
+// fits reports whether a frame can be added within the bounds.
+func (q *frameQueue) fits(f *frame, frames, bytes int) bool {
+	return len(q.frames) < frames && q.bytes+len(f.Body) <= bytes
+}
+
+func (q *frameQueue) push(f *frame) {
+	q.frames = append(q.frames, f)
+	q.bytes += len(f.Body)
+}
 
 func (q *frameQueue) pop() *frame {
 	if len(q.frames) == 0 {
@@ -29,6 +41,7 @@
 	f := q.frames[0]
 	q.frames[0] = nil
 	q.frames = q.frames[1:]
+	q.bytes -= len(f.Body)
 	return f
 }
 
@@ -36,11 +49,12 @@
 func (q *frameQueue) removeFirst(match func(*frame) bool) bool {
 	for i, f := range q.frames {
 		if match(f) {
-			q.frames = append(q.frames[:i], q.frames[i+1:]...)
+			q.frames = slices.Delete(q.frames, i, i+1)
+			q.bytes -= len(f.Body)
 			return true
 		}
 	}
 	return false
 }
 
-func (q *frameQueue) clear() { q.frames = nil }
+func (q *frameQueue) clear() { q.frames, q.bytes = nil, 0 }
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -47,8 +47,11 @@
 	SilenceTimeout time.Duration
 	// QueueFrames bounds the frames that wait for one peer.
 	QueueFrames int
-	Logger      logr.Logger
-	Observer    Observer
+	// QueueBytes bounds the bodies of the calls, and apart from them those of
+	// the other messages, that wait for one peer.
+	QueueBytes int
+	Logger     logr.Logger
+	Observer   Observer
 }
 
 // Defaults of the link between two hosts.
@@ -56,6 +59,9 @@
 	DefaultHeartbeatInterval = 500 * time.Millisecond
 	DefaultSilenceTimeout    = 2 * time.Second
 	DefaultQueueFrames       = 1024
+	// DefaultQueueBytes takes 1.1 s at 30 Mbit/s, so that a call that fetches a
+	// configuration is answered within the 3 s in which it has to be in force.
+	DefaultQueueBytes = 4 << 20
 )
 
 const (
@@ -107,6 +113,9 @@
 	if cfg.QueueFrames <= 0 {
 		cfg.QueueFrames = DefaultQueueFrames
 	}
+	if cfg.QueueBytes <= 0 {
+		cfg.QueueBytes = DefaultQueueBytes
+	}
 	if cfg.CheckPeer == nil {
 		cfg.CheckPeer = func(string, string) string { return "" }
 	}
@@ -209,6 +218,7 @@
 			_ = conn.Close()
 			return
 		}
+		boundSendBuffer(conn)
 		t.wg.Add(1)
 		go t.serve(conn)
 	}
