transport: let small calls and replies overtake large ones

Cause: a host that follows a new configuration fetches it with a call, which waited behind the bodies of forwarded requests; its reply waited behind theirs. Change: calls and replies of at most 16 KiB go before larger ones.

--- a/daemon/transport/call_test.go
+++ b/daemon/transport/call_test.go
@@ -52,7 +52,7 @@
 	o := h.outboundTo("b")
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.control.len(), o.calls.len()
+	return o.control.len(), o.smallCalls.len() + o.calls.len()
 }
 
 // stall makes the writer of a host wait for a peer that does not read.
@@ -218,26 +218,29 @@
 		Expect(a.seen.droppedFor("raft/queue full")).To(Equal(2))
 	})
 
-	It("let control frames overtake the calls that wait", func() {
+	It("let control frames and small calls overtake the calls that wait", func() {
 		a, raw := rawPair(func(c *Config) { c.SilenceTimeout = 2 * time.Second })
 		conn := raw.next()
 		stall(a)
 		waiting, _ := queueLengths(a)
 		Expect(waiting).To(BeZero())
 		_, before := queueLengths(a)
+		small := goCall(a, []byte("small"), 2*time.Second)
+		Eventually(func() int { _, calls := queueLengths(a); return calls }, time.Second).Should(Equal(before + 1))
 		Expect(a.Send("b", KindRaft, []byte("vote"))).To(Succeed())
-		written := 0
-		for {
+		var order []string
+		for len(order) < 2 {
 			f, err := readOne(conn)
 			Expect(err).NotTo(HaveOccurred())
-			if f.Kind == KindRaft {
-				break
+			if len(f.Body) < 10 && f.Kind != KindHeartbeat {
+				order = append(order, string(f.Body))
 			}
-			written++
 		}
+		Expect(order).To(Equal([]string{"vote", "small"}))
+		Expect(small).NotTo(Receive())
 		_, after := queueLengths(a)
 		Expect(before).To(BeNumerically(">=", 2))
-		Expect(after).To(BeNumerically(">=", before-1))
+		Expect(after).To(BeNumerically(">=", before-2))
 	})
 })
 
@@ -261,7 +264,8 @@
 		Expect(a.Send("b", KindHostStatus, []byte("v2"))).To(Succeed())
 		Eventually(b.handler.messages, 3*time.Second).Should(Receive(Equal("host_status:v2")))
 		took := time.Since(started)
-		_, err = a.Call("b", "m", nil, 3*time.Second)
+		// A follower fetches a new configuration with a small call.
+		_, err = a.Call("b", "m", nil, 3*time.Second-time.Since(started))
 		Expect(err).NotTo(HaveOccurred())
 		AddReportEntry("with a call after it", time.Since(started).String())
 		AddReportEntry("control frame", took.String())
--- a/daemon/transport/inbound.go
+++ b/daemon/transport/inbound.go
@@ -28,6 +28,7 @@
 		t:     t,
 		peer:  peer,
 		conn:  conn,
+		small: make(chan *frame, t.cfg.QueueFrames),
 		out:   make(chan *frame, t.cfg.QueueFrames),
 		done:  make(chan struct{}),
 		calls: make(chan struct{}, maxCallsPerConnection),
@@ -43,9 +44,11 @@
 // inbound is a connection that a peer opened. The peer sends messages and
 // calls on it; replies and heartbeats go back.
 type inbound struct {
-	t     *Transport
-	peer  string
-	conn  net.Conn
+	t    *Transport
+	peer string
+	conn net.Conn
+	// small holds the replies that overtake those in out.
+	small chan *frame
 	out   chan *frame
 	done  chan struct{}
 	once  sync.Once
@@ -117,8 +120,12 @@
 }
 
 func (in *inbound) reply(f *frame) {
+	out := in.out
+	if len(f.Body) <= smallBodyBytes {
+		out = in.small
+	}
 	select {
-	case in.out <- f:
+	case out <- f:
 	case <-in.done:
 		in.t.cfg.Observer.FrameDropped(in.peer, f.Kind, "connection closed")
 	}
@@ -130,21 +137,33 @@
 	ticker := time.NewTicker(in.t.cfg.HeartbeatInterval)
 	defer ticker.Stop()
 	for {
-		select {
-		case <-in.done:
+		f := in.next(ticker.C)
+		if f == nil || !in.write(f) {
 			return
-		case <-ticker.C:
-			if !in.write(&frame{Kind: KindHeartbeat}) {
-				return
-			}
-		case f := <-in.out:
-			if !in.write(f) {
-				return
-			}
 		}
 	}
 }
 
+// next waits for the frame to write next, small replies first, or returns nil
+// when the connection has ended.
+func (in *inbound) next(heartbeat <-chan time.Time) *frame {
+	select {
+	case f := <-in.small:
+		return f
+	default:
+	}
+	select {
+	case <-in.done:
+		return nil
+	case <-heartbeat:
+		return &frame{Kind: KindHeartbeat}
+	case f := <-in.small:
+		return f
+	case f := <-in.out:
+		return f
+	}
+}
+
 // write sends one frame; a failed write closes the connection, which ends the
 // read loop too.
 func (in *inbound) write(f *frame) bool {
--- a/daemon/transport/outbound.go
+++ b/daemon/transport/outbound.go
@@ -15,15 +15,16 @@
 
 	mu   sync.Mutex
 	conn net.Conn
-	// control holds raft, membership and configuration messages, calls holds
-	// calls. Control frames go first, so that a link full of forwarded
-	// requests does not delay elections or configuration.
-	control frameQueue
-	calls   frameQueue
-	wake    chan struct{}
-	nextID  uint64
-	pending map[uint64]*pendingCall
-	err     error
+	// control holds raft, membership and configuration messages. They go first,
+	// then small calls, so that a link full of forwarded requests does not
+	// delay elections or the fetch of a configuration.
+	control    frameQueue
+	smallCalls frameQueue
+	calls      frameQueue
+	wake       chan struct{}
+	nextID     uint64
+	pending    map[uint64]*pendingCall
+	err        error
 }
 
 // pendingCall waits for its reply. written is set once bytes may have left.
@@ -215,7 +216,10 @@
 // the wait in the queue left of it. The caller holds the lock.
 func (o *outbound) popCall() *frame {
 	for {
-		f := o.calls.pop()
+		f := o.smallCalls.pop()
+		if f == nil {
+			f = o.calls.pop()
+		}
 		if f == nil {
 			return nil
 		}
@@ -259,21 +263,27 @@
 		o.t.cfg.Observer.FrameDropped(o.peer.Host, f.Kind, "queue full")
 		return &NotSentError{Peer: o.peer.Host, Reason: "send queue full"}
 	}
-	if f.Kind == KindCall {
-		o.calls.push(f)
-	} else {
-		o.control.push(f)
-	}
+	o.queueOf(f).push(f)
 	o.signal()
 	return nil
 }
 
+func (o *outbound) queueOf(f *frame) *frameQueue {
+	switch {
+	case f.Kind != KindCall:
+		return &o.control
+	case len(f.Body) <= smallBodyBytes:
+		return &o.smallCalls
+	}
+	return &o.calls
+}
+
 // makeRoom reports whether the queue of a frame takes it. The oldest raft
 // messages make room: raft resends what is lost, other kinds do not.
 func (o *outbound) makeRoom(f *frame) bool {
 	frames, bytes := o.t.cfg.QueueFrames, o.t.cfg.QueueBytes
 	if f.Kind == KindCall {
-		return o.calls.fits(f, frames, bytes)
+		return o.queueOf(f).fits(f, frames, bytes)
 	}
 	for !o.control.fits(f, frames, bytes) {
 		if !o.control.removeFirst(func(f *frame) bool { return f.Kind == KindRaft }) {
@@ -341,7 +351,10 @@
 	if pending.written {
 		return nil, &LostReplyError{Peer: o.peer.Host, Reason: "timeout"}
 	}
-	o.calls.removeFirst(func(f *frame) bool { return f.ID == id })
+	byID := func(f *frame) bool { return f.ID == id }
+	if !o.smallCalls.removeFirst(byID) {
+		o.calls.removeFirst(byID)
+	}
 	return nil, &NotSentError{Peer: o.peer.Host, Reason: "timeout in the send queue"}
 }
 
@@ -351,6 +364,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.control.clear()
+	o.smallCalls.clear()
 	o.calls.clear()
 	for id, call := range o.pending {
 		call.done <- result{err: &NotSentError{Peer: o.peer.Host, Reason: reason}}
--- a/daemon/transport/queue.go
+++ b/daemon/transport/queue.go
@@ -10,6 +10,9 @@
 // that was already handed over.
 const sendBufferBytes = 256 << 10
 
+// smallBodyBytes bounds the calls and replies that overtake larger ones.
+const smallBodyBytes = 16 << 10
+
 func boundSendBuffer(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetWriteBuffer(sendBufferBytes)
