--- a/daemon/node/forward.go
+++ b/daemon/node/forward.go
@@ -51,8 +51,8 @@
 // routingConfig divides the spill budget of a link among the hosts of the region.
 func (n *Node) routingConfig() routing.Config {
 	cfg := routing.Config{Domain: n.cfg.Domain, Region: n.cfg.Region, HostsInRegion: 1}
-	for _, p := range n.cfg.Peers {
-		if p.Region == n.cfg.Region {
+	for _, h := range n.hosts.all() {
+		if h.Region == n.cfg.Region {
 			cfg.HostsInRegion++
 		}
 	}
--- a/daemon/node/groups.go
+++ b/daemon/node/groups.go
@@ -217,7 +217,8 @@
 	if !found {
 		return false
 	}
-	return slices.ContainsFunc(n.deploymentHosts(), func(h routing.Host) bool { return h.Domain == domainName })
+	return slices.Contains(n.domains(), domainName) ||
+		slices.ContainsFunc(n.deploymentHosts(), func(h routing.Host) bool { return h.Domain == domainName })
 }
 
 // handOver transfers the leadership of all logs that this host leads.
--- a/daemon/node/hosts.go
+++ b/daemon/node/hosts.go
@@ -65,6 +65,29 @@
 	return t
 }
 
+// learn adds a host that the configuration lists. A host of the settings keeps
+// the address that the settings give.
+func (t *hostTable) learn(p settings.Peer) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.hosts[p.ID] != nil {
+		return false
+	}
+	t.hosts[p.ID] = &host{Peer: p}
+	return true
+}
+
+// get returns a host by its id.
+func (t *hostTable) get(id string) (host, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.hosts[id]
+	if h == nil {
+		return host{}, false
+	}
+	return *h, true
+}
+
 // update records the status of a host. Hosts that are not configured are ignored.
 func (t *hostTable) update(now time.Duration, id string, status hostStatus) {
 	t.mu.Lock()
--- a/daemon/node/members.go
+++ b/daemon/node/members.go
@@ -51,7 +51,7 @@
 		return &empty{}, nil
 	}
 	if !n.knownHost(c.Host) {
-		return nil, structs.NotRun(structs.CodeNotFound, "host "+c.Host+" is not in the settings of the leader "+n.cfg.HostID)
+		return nil, structs.NotRun(structs.CodeNotFound, "host "+c.Host+" is neither in the rules nor in the settings of "+n.cfg.HostID)
 	}
 	if !membership.IsLearner(c.Host) {
 		if err := g.Change(raft.MemberChange{Op: raft.AddLearner, ID: c.Host}, remaining); err != nil {
@@ -80,12 +80,8 @@
 	if id == n.cfg.HostID {
 		return true
 	}
-	for _, p := range n.cfg.Peers {
-		if p.ID == id {
-			return true
-		}
-	}
-	return false
+	_, known := n.hosts.get(id)
+	return known
 }
 
 // groupReport is what a member of a log knows about it.
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -230,6 +230,9 @@
 		return
 	}
 	n.log.Info("configuration in force", "version", current.Version, "digest", current.Digest)
+	if n.transport != nil {
+		n.learnHosts(current.Config)
+	}
 	n.router.setConfig(n.now(), n.routingConfig())
 	n.updateServices(current.Config)
 	if n.transport != nil {
--- a/daemon/node/services.go
+++ b/daemon/node/services.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 
+	"cranberrydrum.dev/daemon/settings"
+	"cranberrydrum.dev/daemon/transport"
 	"cranberrydrum.dev/scheduler/serving"
 	"cranberrydrum.dev/scheduler/structs"
 )
@@ -33,7 +35,7 @@
 func (n *Node) dispatcherConfig(rule structs.Service, cfg *structs.Config) serving.Config {
 	return serving.Config{
 		Self:       n.cfg.HostID,
-		Hosts:      n.domainHosts(),
+		Hosts:      n.slotHosts(),
 		Domain:     n.cfg.Domain,
 		Service:    rule,
 		Classes:    classesOf(cfg, rule.Name),
@@ -48,22 +50,60 @@
 func (n *Node) ledgerConfig() serving.LedgerConfig {
 	return serving.LedgerConfig{
 		Self:        n.cfg.HostID,
-		Hosts:       n.domainHosts(),
+		Hosts:       n.slotHosts(),
 		Incarnation: uint64(n.start.UnixNano()),
 	}
 }
 
-// domainHosts returns the hosts configured in this failure domain, which
-// divide the slots of its executors.
-func (n *Node) domainHosts() []string {
+// slotHosts returns the hosts that divide the slots of this failure domain's
+// executors: those of the rules or, if the rules list none, of the settings.
+// All hosts must agree on them, so a host that is only known by its connection
+// is left out; it borrows slots.
+func (n *Node) slotHosts() []string {
+	if hosts := n.ruledHosts(); len(hosts) > 0 {
+		return hosts
+	}
 	hosts := []string{n.cfg.HostID}
-	for _, h := range n.hosts.inDomain(n.cfg.Domain) {
-		hosts = append(hosts, h.ID)
+	for _, p := range n.cfg.Peers {
+		if p.Domain == n.cfg.Domain {
+			hosts = append(hosts, p.ID)
+		}
 	}
 	slices.Sort(hosts)
 	return hosts
 }
 
+func (n *Node) ruledHosts() []string {
+	cfg := n.config.current().Config
+	if cfg == nil {
+		return nil
+	}
+	var hosts []string
+	for _, h := range cfg.Hosts {
+		if h.Domain == n.cfg.Domain {
+			hosts = append(hosts, h.Name)
+		}
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
+// learnHosts connects to the hosts that the rules list.
+func (n *Node) learnHosts(cfg *structs.Config) {
+	region := map[string]string{}
+	for _, d := range cfg.Domains {
+		region[d.Name] = d.Region
+	}
+	for _, h := range cfg.Hosts {
+		peer := settings.Peer{ID: h.Name, Domain: h.Domain, Region: region[h.Domain], Address: h.PeerAddress, Disk: h.Disk}
+		if peer.ID == n.cfg.HostID || !n.hosts.learn(peer) {
+			continue
+		}
+		n.log.Info("connecting to a host that the rules list", "peer", peer.ID, "address", peer.Address)
+		n.transport.AddPeer(transport.Peer{Host: peer.ID, Address: peer.Address})
+	}
+}
+
 func classesOf(cfg *structs.Config, service string) []structs.ClassRule {
 	var classes []structs.ClassRule
 	for _, c := range cfg.Classes {
@@ -96,6 +136,7 @@
 	s.post(func() {
 		s.dispatcher.SetRules(rule, classesOf(cfg, rule.Name), cfg.Customers, cfg.Policy)
 		s.step(serving.Tick{})
+		s.ledgerStep(serving.HostsChanged{Hosts: s.node.slotHosts()})
 	})
 }
 
--- a/daemon/node/sync.go
+++ b/daemon/node/sync.go
@@ -23,8 +23,8 @@
 		n.log.Error(err, "the host status cannot be encoded")
 		return
 	}
-	for _, p := range n.cfg.Peers {
-		_ = n.transport.Send(p.ID, transport.KindHostStatus, body)
+	for _, h := range n.hosts.all() {
+		_ = n.transport.Send(h.ID, transport.KindHostStatus, body)
 	}
 }
 
@@ -150,12 +150,8 @@
 func (o *observer) ConnectionClosed(_, reason string) { o.node.metrics.ConnectionClosed(reason) }
 
 func (n *Node) otherRegion(peer string) bool {
-	for _, p := range n.cfg.Peers {
-		if p.ID == peer {
-			return p.Region != n.cfg.Region
-		}
-	}
-	return false
+	h, known := n.hosts.get(peer)
+	return known && h.Region != n.cfg.Region
 }
 
 // age returns how long ago a host was heard of, or -1.
--- a/scheduler/rules/build.go
+++ b/scheduler/rules/build.go
@@ -39,6 +39,16 @@
 	})
 }
 
+func addHost(c *structs.Config, s *statement) {
+	c.Hosts = append(c.Hosts, structs.Host{
+		Name:        s.name(0),
+		Domain:      s.text(keyDomain),
+		PeerAddress: s.text(keyPeer),
+		Disk:        s.text(keyDisk) == "on",
+		Source:      s.source(),
+	})
+}
+
 func addLink(c *structs.Config, s *statement) {
 	c.Links = append(c.Links, structs.Link{
 		From:                s.name(0),
--- a/scheduler/rules/check.go
+++ b/scheduler/rules/check.go
@@ -88,6 +88,7 @@
 
 var references = []reference{
 	{keyword: kwDomain, target: kwRegion, key: keyRegion},
+	{keyword: kwHost, target: kwDomain, key: keyDomain},
 	{keyword: kwLink, target: kwRegion, index: 0},
 	{keyword: kwLink, target: kwRegion, index: 1},
 	{keyword: kwGuarantee, target: kwCustomer, index: 0},
--- a/scheduler/rules/hints.go
+++ b/scheduler/rules/hints.go
@@ -20,6 +20,8 @@
 	switch k {
 	case kindDigest:
 		return validDigest(s)
+	case kindAddress:
+		return validAddress(s)
 	case kindWord:
 		return slices.Contains(allowed, s)
 	}
--- a/scheduler/rules/line.go
+++ b/scheduler/rules/line.go
@@ -187,7 +187,7 @@
 
 func (p *lineParser) parseValue(spec *fieldSpec, raw string, column int) (value, bool) {
 	switch spec.kind {
-	case kindName, kindDigest, kindWord:
+	case kindName, kindDigest, kindWord, kindAddress:
 		if !validText(spec.kind, raw, spec.allowed) {
 			p.fail(column, CodeBadValue, quote(raw)+" is not a valid value of "+spec.key, textHint(spec.kind, raw, spec.allowed))
 			return value{}, false
--- a/scheduler/rules/schema.go
+++ b/scheduler/rules/schema.go
@@ -38,6 +38,7 @@
 const (
 	kwRegion    = "region"
 	kwDomain    = "failure-domain"
+	kwHost      = "host"
 	kwLink      = "link"
 	kwCustomer  = "customer"
 	kwGuarantee = "guarantee"
@@ -57,6 +58,8 @@
 	keyWorkersPerRack = "workers-per-rack"
 	keyAccelPerWorker = "accelerators-per-worker"
 	keyKeys           = "keys"
+	keyPeer           = "peer"
+	keyDisk           = "disk"
 	keyCapacity       = "capacity"
 	keySpill          = "spill"
 	keyWeight         = "weight"
@@ -114,6 +117,11 @@
 		{key: keyAccelPerWorker, kind: kindCount, required: true, min: 1, max: maxPerWorker},
 		{key: keyKeys, kind: kindWord, allowed: onOff},
 	}},
+	{keyword: kwHost, names: []nameSpec{{label: "host"}}, add: addHost, fields: []fieldSpec{
+		{key: keyDomain, required: true},
+		{key: keyPeer, kind: kindAddress, required: true},
+		{key: keyDisk, kind: kindWord, allowed: onOff},
+	}},
 	{keyword: kwLink, names: []nameSpec{{label: "region"}, {label: "other region"}}, add: addLink, fields: []fieldSpec{
 		{key: keyCapacity, kind: kindRate, required: true, min: 1, max: maxRate},
 		{key: keySpill, kind: kindRate, required: true, max: maxRate},
--- a/scheduler/rules/value.go
+++ b/scheduler/rules/value.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"strconv"
 	"strings"
 )
@@ -13,6 +14,7 @@
 	kindName kind = iota
 	kindDigest
 	kindWord
+	kindAddress
 	kindCount
 	kindDuration
 	kindRate
@@ -76,6 +78,8 @@
 		return "write a percentage such as 25% or 2.5%"
 	case kindCount:
 		return "write a whole number such as 8"
+	case kindAddress:
+		return "write an IP address and port such as 10.0.0.7:7401"
 	case kindDigest:
 		return "write the SHA-256 digest of the token as 64 lower-case hexadecimal digits"
 	}
@@ -142,6 +146,12 @@
 	return whole + "." + strings.TrimRight(digits, "0") + "%"
 }
 
+// validAddress reports whether s is an IP address with a port, in its usual form.
+func validAddress(s string) bool {
+	address, err := netip.ParseAddrPort(s)
+	return err == nil && address.Port() != 0 && !address.Addr().IsUnspecified() && address.String() == s
+}
+
 // validName reports whether s is a name of a region, customer and the like.
 func validName(s string) bool {
 	if s == "" || len(s) > maxNameBytes || s[0] < 'a' || s[0] > 'z' {
--- a/scheduler/structs/config.go
+++ b/scheduler/structs/config.go
@@ -6,6 +6,7 @@
 type Config struct {
 	Regions    []Region
 	Domains    []FailureDomain
+	Hosts      []Host
 	Links      []Link
 	Customers  []Customer
 	Guarantees []Guarantee
@@ -46,6 +47,18 @@
 	Source                Source
 }
 
+// Host is an entry host. The hosts of a failure domain that the rules list
+// divide the slots of its executors among them.
+type Host struct {
+	Name   string
+	Domain string
+	// PeerAddress is where other hosts reach it.
+	PeerAddress string
+	// Disk tells that the host has a data folder.
+	Disk   bool
+	Source Source
+}
+
 // Link limits what requests may send across a pair of regions.
 type Link struct {
 	From, To string
