Keep a restarted host from going back to an earlier configuration

Change: a host with a disk keeps the accepted text in its data folder, synced before it is in force, and starts from it. A host without a disk holds every version back until the leader of the configuration, or the owner of its own failure domain while cut off, has named the latest one.

--- a/daemon/node/config.go
+++ b/daemon/node/config.go
@@ -1,6 +1,10 @@
 package node
 
 import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -18,12 +22,22 @@
 	mu       sync.Mutex
 	follower *configstate.Follower
 	changed  func()
+	// mustConfirm holds a configuration back until the host knows that no later
+	// one is committed. A host without a replica of the configuration may have
+	// had a later version in force before its restart.
+	mustConfirm bool
+	// file keeps the configuration of a host that has a disk but no replica.
+	file string
 }
 
 func newConfigKeeper() *configKeeper {
 	return &configKeeper{follower: configstate.NewFollower(), changed: func() {}}
 }
 
+// held reports whether the known configuration is not yet in force. The caller
+// holds the lock.
+func (k *configKeeper) held() bool { return k.mustConfirm && !k.follower.Readiness().Ready }
+
 // accepted is a configuration in force.
 type accepted struct {
 	Version uint64          `msgpack:"v"`
@@ -36,11 +50,37 @@
 func (k *configKeeper) current() accepted {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.held() {
+		return accepted{}
+	}
+	return k.content()
+}
+
+// content returns what the follower has. The caller holds the lock.
+func (k *configKeeper) content() accepted {
 	f := k.follower
 	return accepted{Version: f.Version(), Digest: f.Digest(), Text: f.Text(), Config: f.Config()}
 }
 
+// version returns the version in force, or 0.
 func (k *configKeeper) version() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.held() {
+		return 0
+	}
+	return k.follower.Version()
+}
+
+// latest returns the configuration that this host has, in force or held back.
+func (k *configKeeper) latest() accepted {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.content()
+}
+
+// known returns the highest version that this host has, in force or held back.
+func (k *configKeeper) known() uint64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.follower.Version()
@@ -56,18 +96,60 @@
 func (k *configKeeper) offer(version uint64, digest string, text []byte) error {
 	k.mu.Lock()
 	taken, err := k.follower.Offer(version, digest, text)
+	inForce := taken && !k.held()
+	if err == nil && taken {
+		err = k.save()
+	}
 	k.mu.Unlock()
-	if taken {
+	if inForce {
 		k.changed()
 	}
 	return err
 }
 
+// save makes the configuration durable before it is used. The caller holds the lock.
+func (k *configKeeper) save() error {
+	if k.file == "" {
+		return nil
+	}
+	content := k.content()
+	data, err := encodeMessage(&content)
+	if err != nil {
+		return err
+	}
+	if err := writeFileSync(k.file, data); err != nil {
+		return &FolderError{Folder: filepath.Dir(k.file), Cause: err}
+	}
+	return nil
+}
+
+// load reads the configuration that save kept.
+func (k *configKeeper) load() error {
+	data, err := os.ReadFile(k.file)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return &FolderError{Folder: filepath.Dir(k.file), Cause: err}
+	}
+	var kept accepted
+	if err := decodeMessage("kept configuration", data, &kept); err != nil {
+		return err
+	}
+	_, err = k.follower.Offer(kept.Version, kept.Digest, kept.Text)
+	return err
+}
+
 // confirm records which version is the latest, as far as the source knows.
 func (k *configKeeper) confirm(source configstate.Source, version uint64) {
 	k.mu.Lock()
-	defer k.mu.Unlock()
+	before := k.held()
 	k.follower.Confirm(source, version)
+	released := before && !k.held()
+	k.mu.Unlock()
+	if released {
+		k.changed()
+	}
 }
 
 // configOwner puts in force what the replicated log has accepted.
@@ -80,7 +162,7 @@
 // Step implements group.Owner.
 func (o *configOwner) Step(_ time.Duration, view group.View) [][]byte {
 	version := o.state.Version()
-	if version > o.keeper.version() {
+	if version > o.keeper.known() {
 		if err := o.keeper.offer(version, o.state.Digest(), o.state.Text()); err != nil {
 			o.failed(err)
 		}
@@ -101,12 +183,12 @@
 type empty struct{}
 
 func (n *Node) handleConfigGet(string, *empty, time.Duration) (any, error) {
-	current := n.config.current()
-	return &current, nil
+	kept := n.config.latest()
+	return &kept, nil
 }
 
 func (n *Node) handleConfigLatest(string, *empty, time.Duration) (any, error) {
-	reply := &configVersionReply{Version: n.config.version()}
+	reply := &configVersionReply{Version: n.config.known()}
 	g := n.group(groupConfig)
 	if g == nil || !g.Barrier() {
 		return reply, nil
@@ -176,7 +258,7 @@
 
 // followConfig fetches a newer configuration that another host has reported.
 func (n *Node) followConfig(from string, version uint64) {
-	if version <= n.config.version() || !n.fetching.CompareAndSwap(false, true) {
+	if version <= n.config.known() || !n.fetching.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
@@ -192,11 +274,11 @@
 	}()
 }
 
-// confirmConfig makes a host without a disk ready: it asks the leader of the
-// configuration for the latest version or, when cut off from it, the hosts of
-// its own failure domain.
+// confirmConfig puts the configuration of a host without a replica of it in
+// force after a start: it asks the leader of the configuration for the latest
+// version or, when cut off from it, the owner of its own failure domain.
 func (n *Node) confirmConfig() {
-	if n.config.readiness().Ready || !n.confirming.CompareAndSwap(false, true) {
+	if !n.config.mustConfirm || n.config.readiness().Ready || !n.confirming.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
@@ -211,15 +293,9 @@
 }
 
 func (n *Node) confirmFromDomain() {
-	highest := uint64(0)
-	for _, h := range n.hosts.inDomain(n.cfg.Domain) {
-		latest, err := call[configVersionReply](n, h.ID, methodConfigLatest, &empty{}, n.cfg.Timeouts.Call)
-		if err != nil {
-			return
-		}
-		highest = max(highest, latest.Version)
-	}
-	if highest > 0 {
-		n.config.confirm(configstate.SourceDomain, highest)
+	latest, err := callLeader[configVersionReply](n, domainGroup(n.cfg.Domain), methodConfigLatest, &empty{}, n.cfg.Timeouts.Call, true)
+	if err != nil || latest.Version == 0 {
+		return
 	}
+	n.config.confirm(configstate.SourceDomain, latest.Version)
 }
--- a/daemon/node/identity.go
+++ b/daemon/node/identity.go
@@ -14,6 +14,7 @@
 const (
 	identityFile  = "identity.json"
 	peersFile     = "peers.json"
+	configFile    = "config.msgpack"
 	storeIDBytes  = 16
 	folderMode    = 0o700
 	fileMode      = 0o600
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -92,10 +93,29 @@
 		n.closeGroups()
 		return nil, err
 	}
+	if err := n.openConfig(); err != nil {
+		n.closeGroups()
+		return nil, err
+	}
 	n.transport = transport.New(n.transportConfig(), n)
 	return n, nil
 }
 
+// openConfig prepares a host that has no replica of the configuration. With a
+// disk it goes on from the version that it had in force; without one it cannot
+// know that version, and asks.
+func (n *Node) openConfig() error {
+	if n.group(groupConfig) != nil {
+		return nil
+	}
+	if n.cfg.DataDir == "" {
+		n.config.mustConfirm = true
+		return nil
+	}
+	n.config.file = filepath.Join(n.cfg.DataDir, configFile)
+	return n.config.load()
+}
+
 func (n *Node) openIdentity() error {
 	n.identity = identity{Host: n.cfg.HostID, Store: storeIDAbsent}
 	if n.cfg.DataDir != "" {
@@ -194,12 +214,12 @@
 	if n.stopping.Load() {
 		return "stopping"
 	}
+	if n.config.version() == 0 && n.config.known() > 0 {
+		return "the latest configuration is not confirmed"
+	}
 	if n.config.version() == 0 {
 		return "no configuration is in force"
 	}
-	if n.cfg.DataDir == "" && !n.config.readiness().Ready {
-		return "the latest configuration is not confirmed"
-	}
 	return ""
 }
 
