--- a/cmd/e2e/path_test.go
+++ b/cmd/e2e/path_test.go
@@ -12,10 +12,8 @@
 	It("serves a request through each of six processes", func() {
 		c := newCluster(sixHosts)
 		c.begin(baseRules())
-		c.executors(2)
-		for _, p := range c.hosts {
-			c.awaitServing(p)
-		}
+		c.executors(2, oerlikon, altstetten, renens)
+		c.awaitServing(c.hosts...)
 	})
 
 	// Guards against a charge that runs twice when the caller resends it
@@ -23,10 +21,8 @@
 	It("runs a non-idempotent request once and repeats its answer", func() {
 		c := newCluster(sixHosts)
 		c.begin(baseRules())
-		executors := c.executors(1)
-		for _, p := range c.hosts {
-			c.awaitServing(p)
-		}
+		executors := c.executors(1, oerlikon, altstetten, renens)
+		c.awaitServing(c.hosts...)
 		headers := map[string]string{api.HeaderNonIdempotent: "true", api.HeaderKey: "charge-1"}
 		for _, p := range c.hosts {
 			a, err := c.request(p, "fee 40", headers)
