--- a/daemon/node/hosts.go
+++ b/daemon/node/hosts.go
@@ -38,8 +38,9 @@
 	Executors int    `msgpack:"e"`
 	FreeSlots int    `msgpack:"f"`
 	Queued    int    `msgpack:"q"`
-	// WaitMS is the expected wait of a new urgent request.
-	WaitMS int64 `msgpack:"w"`
+	// WaitMS and ServiceMS are the expected times in the queue and on an executor.
+	WaitMS    int64 `msgpack:"w"`
+	ServiceMS int64 `msgpack:"m"`
 }
 
 // host is a peer with the last status that it sent.
@@ -64,6 +65,29 @@
 	return t
 }
 
+// learn adds a host that the configuration lists. A host of the settings keeps
+// the address that the settings give.
+func (t *hostTable) learn(p settings.Peer) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.hosts[p.ID] != nil {
+		return false
+	}
+	t.hosts[p.ID] = &host{Peer: p}
+	return true
+}
+
+// get returns a host by its id.
+func (t *hostTable) get(id string) (host, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.hosts[id]
+	if h == nil {
+		return host{}, false
+	}
+	return *h, true
+}
+
 // update records the status of a host. Hosts that are not configured are ignored.
 func (t *hostTable) update(now time.Duration, id string, status hostStatus) {
 	t.mu.Lock()
--- a/daemon/node/requests.go
+++ b/daemon/node/requests.go
@@ -1,14 +1,11 @@
 package node
 
 import (
-	"errors"
 	"slices"
 	"time"
 
-	"cranberrydrum.dev/daemon/transport"
 	"cranberrydrum.dev/daemon/upstream"
 	"cranberrydrum.dev/scheduler/routing"
-	"cranberrydrum.dev/scheduler/serving"
 	"cranberrydrum.dev/scheduler/structs"
 )
 
@@ -167,12 +164,30 @@
 	return remoteAnswerOf(response), nil
 }
 
+// handleBegunRequest serves a non-idempotent request for the owner of its key.
+func (n *Node) handleBegunRequest(_ string, r *remoteCall, remaining time.Duration) (any, error) {
+	if n.refusing.Load() {
+		return nil, structs.NotRun(structs.CodeStopping, "this host is stopping")
+	}
+	n.inFlight.begin()
+	defer n.inFlight.end()
+	c := r.call(remaining)
+	c.Begun = true
+	response, err := n.serveLocally(c)
+	if err != nil {
+		return nil, err
+	}
+	return remoteAnswerOf(response), nil
+}
+
 // handleKeyedRequest serves a non-idempotent request as the owner of its key.
 // A host that is stopping still serves, until it has handed over leadership.
 func (n *Node) handleKeyedRequest(_ string, r *remoteCall, remaining time.Duration) (any, error) {
 	n.inFlight.begin()
 	defer n.inFlight.end()
 	c := r.call(remaining)
+	// The owner of a key may forward, because it was not chosen for its load.
+	c.Forwarded = false
 	seen, err := n.recordedAnswer(c)
 	if err != nil {
 		return nil, err
@@ -205,41 +220,3 @@
 	})
 	return response, err
 }
-
-// forward offers a request that cannot be served here to another failure domain.
-func (s *service) forward(e serving.Forward) {
-	p := s.pending[e.RequestID]
-	if p == nil {
-		return
-	}
-	target := s.node.forwardTarget(s.name, e)
-	if target == "" {
-		s.step(serving.ForwardFinished{RequestID: e.RequestID, Result: serving.ResultNotSent})
-		return
-	}
-	go func() {
-		answer, err := call[remoteAnswer](s.node, target, methodRequest, remoteCallOf(p.call), e.Remaining)
-		s.post(func() { s.finishForward(p, e.RequestID, answer, err) })
-	}()
-}
-
-func (s *service) finishForward(p *pendingRequest, id string, answer *remoteAnswer, err error) {
-	finished := serving.ForwardFinished{RequestID: id, Result: serving.ResultOK}
-	var refusal *structs.Refusal
-	var notSent *transport.NotSentError
-	switch {
-	case err == nil:
-		p.forwarded = answer.response()
-	case errors.As(err, &refusal):
-		finished.Refusal = refusal
-		finished.Result = serving.ResultBackendError
-		if refusal.Outcome == structs.OutcomeNotRun {
-			finished.Result = serving.ResultNotSent
-		}
-	case errors.As(err, &notSent):
-		finished.Result = serving.ResultNotSent
-	default:
-		finished.Result = serving.ResultBroken
-	}
-	s.step(finished)
-}
--- a/daemon/node/service.go
+++ b/daemon/node/service.go
@@ -27,6 +27,9 @@
 	Headers [][2]string
 	// Forwarded marks a request from another host; it is not forwarded again.
 	Forwarded bool
+	// Begun marks a non-idempotent request whose key the owner has recorded as
+	// sending before it forwarded the request.
+	Begun bool
 }
 
 // service runs the dispatcher of one service on a goroutine of its own.
@@ -39,6 +42,7 @@
 
 	// The fields below belong to the goroutine of the service.
 	dispatcher *serving.Dispatcher
+	ledger     *serving.SlotLedger
 	pending    map[string]*pendingRequest
 	backends   map[string]structs.Backend
 	nextID     uint64
@@ -73,6 +77,7 @@
 		stop:       make(chan struct{}),
 		done:       make(chan struct{}),
 		dispatcher: serving.NewDispatcher(cfg),
+		ledger:     serving.NewSlotLedger(n.now(), n.ledgerConfig()),
 		pending:    map[string]*pendingRequest{},
 		backends:   map[string]structs.Backend{},
 	}
@@ -101,6 +106,7 @@
 			event()
 		case <-refresh.C:
 			s.refreshBackends()
+			s.reportUse()
 			s.publish()
 		case <-timer.C:
 			s.step(serving.Tick{})
@@ -110,7 +116,7 @@
 }
 
 func (s *service) untilWake() time.Duration {
-	wake, ok := s.dispatcher.NextWake(s.node.now())
+	wake, ok := s.dispatcher.NextWake()
 	if !ok {
 		return maxServiceTick
 	}
@@ -324,6 +330,7 @@
 			b.State = structs.BackendLeft
 			delete(s.backends, id)
 			s.step(serving.BackendUpdated{Backend: b})
+			s.announceSlots(b)
 			s.node.pool.Forget(b.Address)
 		}
 	}
@@ -331,6 +338,7 @@
 		if s.backends[id] != b {
 			s.backends[id] = b
 			s.step(serving.BackendUpdated{Backend: b})
+			s.announceSlots(b)
 		}
 	}
 }
--- a/daemon/transport/inbound.go
+++ b/daemon/transport/inbound.go
@@ -28,6 +28,7 @@
 		t:     t,
 		peer:  peer,
 		conn:  conn,
+		small: make(chan *frame, t.cfg.QueueFrames),
 		out:   make(chan *frame, t.cfg.QueueFrames),
 		done:  make(chan struct{}),
 		calls: make(chan struct{}, maxCallsPerConnection),
@@ -35,8 +36,7 @@
 	in.wg.Add(1)
 	go in.writeLoop()
 	reason := in.readLoop()
-	close(in.done)
-	_ = conn.Close()
+	in.close()
 	in.wg.Wait()
 	t.cfg.Observer.ConnectionClosed(peer, reason)
 }
@@ -44,20 +44,31 @@
 // inbound is a connection that a peer opened. The peer sends messages and
 // calls on it; replies and heartbeats go back.
 type inbound struct {
-	t     *Transport
-	peer  string
-	conn  net.Conn
+	t    *Transport
+	peer string
+	conn net.Conn
+	// small holds the replies that overtake those in out.
+	small chan *frame
 	out   chan *frame
 	done  chan struct{}
+	once  sync.Once
 	calls chan struct{}
 	wg    sync.WaitGroup
 }
 
+// close ends both loops. The writer calls it too: the reader may wait for
+// room in the queue of replies, which nobody empties after a failed write.
+func (in *inbound) close() {
+	in.once.Do(func() {
+		close(in.done)
+		_ = in.conn.Close()
+	})
+}
+
 func (in *inbound) readLoop() string {
-	reader := bufio.NewReader(in.conn)
+	reader := bufio.NewReader(in.t.stream(in.conn))
 	for {
-		_ = in.conn.SetReadDeadline(time.Now().Add(in.t.cfg.SilenceTimeout))
-		f, size, err := readFrame(reader)
+		f, size, err := readFrame(reader, MaxFrameBytes)
 		if err != nil {
 			return closeReason(err)
 		}
@@ -71,7 +82,7 @@
 	case KindHeartbeat:
 	case KindCall:
 		in.startCall(f)
-	case KindHello, KindChallenge, KindProof, KindReply:
+	case KindHello, KindChallenge, KindProof, KindReply, KindVerdict:
 		in.t.cfg.Observer.FrameDropped(in.peer, f.Kind, "unexpected")
 	default:
 		in.t.handler.HandleMessage(in.peer, f.Kind, f.Body)
@@ -85,7 +96,9 @@
 		in.reply(&frame{Kind: KindReply, ID: f.ID, Code: codeBusy})
 		return
 	}
+	in.t.calls.Add(1)
 	go func() {
+		defer in.t.calls.Done()
 		defer func() { <-in.calls }()
 		remaining := time.Duration(f.RemainingMS) * time.Millisecond
 		body, err := in.t.handler.HandleCall(in.peer, f.Method, f.Body, remaining)
@@ -107,8 +120,12 @@
 }
 
 func (in *inbound) reply(f *frame) {
+	out := in.out
+	if len(f.Body) <= smallBodyBytes {
+		out = in.small
+	}
 	select {
-	case in.out <- f:
+	case out <- f:
 	case <-in.done:
 		in.t.cfg.Observer.FrameDropped(in.peer, f.Kind, "connection closed")
 	}
@@ -116,24 +133,37 @@
 
 func (in *inbound) writeLoop() {
 	defer in.wg.Done()
+	defer in.close()
 	ticker := time.NewTicker(in.t.cfg.HeartbeatInterval)
 	defer ticker.Stop()
 	for {
-		select {
-		case <-in.done:
+		f := in.next(ticker.C)
+		if f == nil || !in.write(f) {
 			return
-		case <-ticker.C:
-			if !in.write(&frame{Kind: KindHeartbeat}) {
-				return
-			}
-		case f := <-in.out:
-			if !in.write(f) {
-				return
-			}
 		}
 	}
 }
 
+// next waits for the frame to write next, small replies first, or returns nil
+// when the connection has ended.
+func (in *inbound) next(heartbeat <-chan time.Time) *frame {
+	select {
+	case f := <-in.small:
+		return f
+	default:
+	}
+	select {
+	case <-in.done:
+		return nil
+	case <-heartbeat:
+		return &frame{Kind: KindHeartbeat}
+	case f := <-in.small:
+		return f
+	case f := <-in.out:
+		return f
+	}
+}
+
 // write sends one frame; a failed write closes the connection, which ends the
 // read loop too.
 func (in *inbound) write(f *frame) bool {
@@ -145,9 +175,7 @@
 		}
 		data, _ = encodeFrame(&frame{Kind: KindReply, ID: f.ID, Code: codeFailed, Body: []byte(err.Error())})
 	}
-	_ = in.conn.SetWriteDeadline(time.Now().Add(in.t.cfg.SilenceTimeout))
-	if _, err := in.conn.Write(data); err != nil {
-		_ = in.conn.Close()
+	if _, err := in.t.stream(in.conn).Write(data); err != nil {
 		return false
 	}
 	in.t.cfg.Observer.FrameSent(in.peer, f.Kind, len(data))
--- a/scheduler/domain/command.go
+++ b/scheduler/domain/command.go
@@ -7,6 +7,7 @@
 
 	"cranberrydrum.dev/coord/dedup"
 	"cranberrydrum.dev/scheduler/jobs"
+	"cranberrydrum.dev/scheduler/structs"
 )
 
 // Kind tells the commands apart in the log. The values are part of the log
@@ -20,6 +21,7 @@
 	KindKeyFinish Kind = 3
 	KindTakeOver  Kind = 4
 	KindKeyExpire Kind = 5
+	KindKeyPolicy Kind = 6
 )
 
 // envelope is one entry of the log. Clock is the domain clock at the leader.
@@ -36,9 +38,17 @@
 	Outcome dedup.Outcome `msgpack:"o"`
 }
 
-// takeOver marks the keys that earlier leaders left in sending as unknown.
-type takeOver struct {
-	Term uint64 `msgpack:"t"`
+// keyPolicy changes how long and how many keys are kept.
+type keyPolicy struct {
+	Version   uint64        `msgpack:"v"`
+	Retention time.Duration `msgpack:"r"`
+	MaxKeys   int           `msgpack:"m"`
+}
+
+// EncodeKeyPolicy returns the log entry that puts the key policy of a
+// configuration version in force.
+func EncodeKeyPolicy(clock time.Duration, version uint64, p structs.KeyPolicy) ([]byte, error) {
+	return encodeBody(KindKeyPolicy, clock, &keyPolicy{Version: version, Retention: p.Retention, MaxKeys: p.MaxKeys})
 }
 
 // EncodeJobs returns the log entry of a job command.
@@ -62,9 +72,9 @@
 }
 
 // EncodeTakeOver returns the log entry with which a new leader ends the keys
-// of its predecessors.
-func EncodeTakeOver(clock time.Duration, term uint64) ([]byte, error) {
-	return encodeBody(KindTakeOver, clock, &takeOver{Term: term})
+// of its predecessors: those that are recorded as sending become unknown.
+func EncodeTakeOver(clock time.Duration) ([]byte, error) {
+	return encodeEnvelope(envelope{Kind: KindTakeOver, Clock: clock})
 }
 
 // EncodeExpire returns the log entry that drops expired keys.
