daemon/group: apply the stored log before a host serves

Cause: after a restart the group goroutine applied the stored log only at its first tick, 20 ms later. Until then the host answered with configuration version 0, and without a configuration the operator API is open on loopback addresses. Ruled out: a commit index that was not durable (the version came back without any peer) and the kept copy of hosts without a replica.

--- a/daemon/group/group.go
+++ b/daemon/group/group.go
@@ -103,9 +103,12 @@
 	}
 }
 
-// Start begins to run the group.
+// Start begins to run the group. The first step is taken before it returns, so
+// that what the log held when the process ended is applied before anyone asks.
 func (g *Group) Start() {
 	g.started = true
+	g.handle(g.cfg.Replica.Tick(g.cfg.Now()))
+	g.step()
 	go g.run()
 }
 
