group: keep a proposal open until its index is applied

Cause: a member that led again and gave out an index a second time answered the earlier proposer 'not run'. Proposals replaced by the empty entry of a new leader were never answered. Change: proposals wait at their index until an entry is applied there; an entry of another term, the empty one included, means not run.

--- a/daemon/group/group.go
+++ b/daemon/group/group.go
@@ -66,9 +66,9 @@
 	done      chan struct{}
 	started   bool
 
-	// waiting maps the index of a proposal to its proposer. Only the
-	// goroutine of the group uses it.
-	waiting  map[uint64]*proposal
+	// waiting maps an index to the proposals that were given it, in order of
+	// their terms. Only the goroutine of the group uses it.
+	waiting  map[uint64][]*proposal
 	restored bool
 	failure  error
 
@@ -98,7 +98,7 @@
 		jobs:      make(chan func(time.Duration), proposalBuffer),
 		stop:      make(chan struct{}),
 		done:      make(chan struct{}),
-		waiting:   map[uint64]*proposal{},
+		waiting:   map[uint64][]*proposal{},
 		status:    cfg.Replica.Status(),
 	}
 }
@@ -323,14 +323,12 @@
 	g.handle(out, err)
 }
 
-// wait registers the proposer at an index. An earlier proposer there lost its
-// entry: had it been committed, a later leader would not reuse the index.
+// wait registers the proposer at an index. An earlier proposer there stays: its
+// entry is gone from this log, but another host can still hold it and commit
+// it after an election, until the index is applied here.
 func (g *Group) wait(ticket replica.Ticket, p *proposal) {
 	p.term = ticket.Term
-	if old := g.waiting[ticket.Index]; old != nil {
-		old.done <- outcome{err: structs.NotRun(structs.CodeNotLeader, "another leader replaced the command")}
-	}
-	g.waiting[ticket.Index] = p
+	g.waiting[ticket.Index] = append(g.waiting[ticket.Index], p)
 }
 
 // handle processes the output of the replica. An error of the replica is
@@ -356,29 +354,49 @@
 		g.restored = true
 		g.abandonUpTo(out.Restored)
 	}
+	g.replaceUpTo(g.cfg.Replica.Status().Applied)
 }
 
-// resolve answers the proposer at an applied index. Another term at that index
+// resolve answers the proposers at an applied index. Another term at that index
 // means that the proposal was replaced and can never take effect.
 func (g *Group) resolve(a replica.Applied) {
-	p := g.waiting[a.Index]
-	if p == nil {
-		return
+	for _, p := range g.waiting[a.Index] {
+		if a.Term == p.term {
+			p.done <- outcome{result: a.Result}
+			continue
+		}
+		p.done <- replacedOutcome()
 	}
 	delete(g.waiting, a.Index)
-	if a.Term != p.term {
-		p.done <- outcome{err: structs.NotRun(structs.CodeNotLeader, "another leader replaced the command")}
-		return
+}
+
+func replacedOutcome() outcome {
+	return outcome{err: structs.NotRun(structs.CodeNotLeader, "another leader replaced the command")}
+}
+
+// replaceUpTo answers proposals whose index was applied without a result: the
+// empty entry of a new leader took their place.
+func (g *Group) replaceUpTo(applied uint64) {
+	for i, waiting := range g.waiting {
+		if i > applied {
+			continue
+		}
+		delete(g.waiting, i)
+		for _, p := range waiting {
+			p.done <- replacedOutcome()
+		}
 	}
-	p.done <- outcome{result: a.Result}
 }
 
 // abandonUpTo answers proposals that a snapshot has passed: whether they are
 // part of it cannot be told.
 func (g *Group) abandonUpTo(index uint64) {
-	for i, p := range g.waiting {
-		if i <= index {
-			delete(g.waiting, i)
+	for i, waiting := range g.waiting {
+		if i > index {
+			continue
+		}
+		delete(g.waiting, i)
+		for _, p := range waiting {
 			p.done <- outcome{err: structs.Unknown(structs.CodeNotLeader, "a snapshot replaced the state")}
 		}
 	}
--- /dev/null
+++ b/daemon/group/group_test.go
@@ -0,0 +1,380 @@
+package group_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"cranberrydrum.dev/coord/raft"
+	"cranberrydrum.dev/coord/replica"
+	"cranberrydrum.dev/daemon/group"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+func TestGroup(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "group")
+}
+
+// machine counts its commands and answers each with itself.
+type machine struct {
+	mu       sync.Mutex
+	commands uint64
+}
+
+func (m *machine) Apply(_, _ uint64, command []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.commands++
+	return append([]byte("done "), command...)
+}
+
+func (m *machine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return binary.BigEndian.AppendUint64(nil, m.commands), nil
+}
+
+func (m *machine) Restore(data []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.commands = binary.BigEndian.Uint64(data)
+	return nil
+}
+
+func (m *machine) count() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.commands
+}
+
+// lockedStorage lets a test read counters and set failures while a group runs.
+type lockedStorage struct {
+	mu sync.Mutex
+	*replica.MemoryStorage
+}
+
+func (s *lockedStorage) Save(h raft.HardState, e []raft.Entry) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.MemoryStorage.Save(h, e)
+}
+
+func (s *lockedStorage) SaveSnapshot(m raft.SnapshotMeta, data []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.MemoryStorage.SaveSnapshot(m, data)
+}
+
+func (s *lockedStorage) fail(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.SetFailure(err)
+}
+
+func (s *lockedStorage) syncs() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Syncs()
+}
+
+// member is one host's part in a group.
+type member struct {
+	*group.Group
+	machine  *machine
+	storage  *lockedStorage
+	failures chan error
+}
+
+// block keeps the goroutine of the group busy until the channel is closed.
+func (m *member) block() chan struct{} {
+	entered, release := make(chan struct{}), make(chan struct{})
+	go m.Do(func(time.Duration) {
+		close(entered)
+		<-release
+	})
+	<-entered
+	return release
+}
+
+// network delivers messages between members unless their sender or receiver is cut.
+type network struct {
+	mu      sync.Mutex
+	start   time.Time
+	members map[string]*member
+	cut     map[string]bool
+}
+
+func newNetwork(ids ...string) *network {
+	n := &network{start: time.Now(), members: map[string]*member{}, cut: map[string]bool{}}
+	for _, id := range ids {
+		n.add(id, "g", raft.Membership{Voters: ids})
+	}
+	DeferCleanup(func() {
+		for _, m := range n.all() {
+			m.Stop()
+		}
+	})
+	return n
+}
+
+func (n *network) add(id, name string, bootstrap raft.Membership) *member {
+	m := &member{machine: &machine{}, storage: &lockedStorage{MemoryStorage: replica.NewMemoryStorage()}, failures: make(chan error, 8)}
+	r, err := replica.Open(replica.Config{
+		Raft: raft.Config{ID: id, Group: name, ElectionTimeout: 150 * time.Millisecond, HeartbeatInterval: 30 * time.Millisecond,
+			ClockError: 10 * time.Millisecond, MaxBatchBytes: 64 << 10, SnapshotChunkBytes: 16 << 10, Seed: 7},
+		Bootstrap:       bootstrap,
+		SnapshotEntries: 50,
+		KeepEntries:     5,
+	}, m.storage, m.machine)
+	Expect(err).NotTo(HaveOccurred())
+	m.Group = group.New(group.Config{
+		Name:    name,
+		Replica: r,
+		Send:    func(msg raft.Message) { n.deliver(id, msg) },
+		Now:     func() time.Duration { return time.Since(n.start) },
+		Logger:  logr.Discard(),
+		Failed:  func(err error) { m.failures <- err },
+	})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.members[id] = m
+	m.Start()
+	return m
+}
+
+func (n *network) deliver(from string, msg raft.Message) {
+	n.mu.Lock()
+	to := n.members[msg.To]
+	blocked := n.cut[from] || n.cut[msg.To]
+	n.mu.Unlock()
+	if to != nil && !blocked {
+		to.Deliver(msg)
+	}
+}
+
+func (n *network) setCut(id string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[id] = cut
+}
+
+func (n *network) all() map[string]*member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	members := map[string]*member{}
+	for id, m := range n.members {
+		members[id] = m
+	}
+	return members
+}
+
+// leader waits for a member that leads, other than those excluded.
+func (n *network) leader(except ...string) (id string, found *member) {
+	GinkgoHelper()
+	Eventually(func() bool {
+		for name, m := range n.all() {
+			if !slices.Contains(except, name) && m.HoldsLease() && m.Barrier() {
+				id, found = name, m
+				return true
+			}
+		}
+		return false
+	}, 5*time.Second, 10*time.Millisecond).Should(BeTrue())
+	return id, found
+}
+
+func refusal(err error) *structs.Refusal {
+	GinkgoHelper()
+	var r *structs.Refusal
+	Expect(errors.As(err, &r)).To(BeTrue(), "%v", err)
+	return r
+}
+
+type ended struct {
+	result []byte
+	err    error
+}
+
+func proposeLater(m *member, command string, timeout time.Duration) chan ended {
+	done := make(chan ended, 1)
+	go func() {
+		result, err := m.Propose([]byte(command), timeout)
+		done <- ended{result, err}
+	}()
+	return done
+}
+
+var _ = Describe("proposals", func() {
+	It("return the result of the state machine, on every member", func() {
+		n := newNetwork("a", "b", "c")
+		_, leader := n.leader()
+		for i := range 20 {
+			command := strconv.Itoa(i)
+			result, err := leader.Propose([]byte(command), time.Second)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(result)).To(Equal("done " + command))
+		}
+		for _, m := range n.all() {
+			Eventually(m.machine.count, time.Second).Should(Equal(uint64(20)))
+		}
+	})
+
+	It("are refused as not run by a member that does not lead", func() {
+		n := newNetwork("a", "b", "c")
+		id, _ := n.leader()
+		for other, m := range n.all() {
+			if other == id {
+				continue
+			}
+			_, err := m.Propose([]byte("x"), time.Second)
+			Expect(*refusal(err)).To(And(HaveField("Code", structs.CodeNotLeader), HaveField("Outcome", structs.OutcomeNotRun)))
+		}
+	})
+
+	It("that wait at once share syncs", func() {
+		n := newNetwork("a")
+		_, leader := n.leader()
+		before := leader.storage.syncs()
+		release := leader.block()
+		var all []chan ended
+		for i := range 100 {
+			all = append(all, proposeLater(leader, strconv.Itoa(i), time.Second))
+		}
+		time.Sleep(50 * time.Millisecond)
+		close(release)
+		for _, done := range all {
+			Expect((<-done).err).NotTo(HaveOccurred())
+		}
+		// One sync for the batch, one for a snapshot of 50 entries each.
+		Expect(leader.storage.syncs() - before).To(BeNumerically("<=", 8))
+	})
+
+	It("are unknown after a timeout without a quorum, and not run once replaced", func() {
+		// Guards against a promise of "not run" before the index is applied.
+		n := newNetwork("a", "b", "c")
+		id, old := n.leader()
+		n.setCut(id, true)
+		_, err := old.Propose([]byte("short"), 30*time.Millisecond)
+		Expect(refusal(err).Outcome).To(Equal(structs.OutcomeUnknown))
+		lost := proposeLater(old, "lost", 5*time.Second)
+		_, next := n.leader(id)
+		for range 3 {
+			_, err := next.Propose([]byte("won"), time.Second)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Consistently(lost, 100*time.Millisecond).ShouldNot(Receive())
+		n.setCut(id, false)
+		var end ended
+		Eventually(lost, 3*time.Second).Should(Receive(&end))
+		Expect(*refusal(end.err)).To(And(HaveField("Code", structs.CodeNotLeader), HaveField("Outcome", structs.OutcomeNotRun)))
+		Eventually(old.machine.count, time.Second).Should(Equal(uint64(3)))
+	})
+
+	It("are not run once the empty entry of the next leader took their place", func() {
+		n := newNetwork("a", "b", "c")
+		id, old := n.leader()
+		n.setCut(id, true)
+		lost := proposeLater(old, "lost", 5*time.Second)
+		n.leader(id)
+		n.setCut(id, false)
+		var end ended
+		Eventually(lost, 3*time.Second).Should(Receive(&end))
+		Expect(refusal(end.err).Outcome).To(Equal(structs.OutcomeNotRun))
+	})
+
+	It("are unknown once a snapshot has passed them", func() {
+		n := newNetwork("a", "b", "c")
+		id, old := n.leader()
+		n.setCut(id, true)
+		lost := proposeLater(old, "lost", 10*time.Second)
+		_, next := n.leader(id)
+		for range 200 {
+			_, err := next.Propose([]byte("won"), time.Second)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		n.setCut(id, false)
+		var end ended
+		Eventually(lost, 3*time.Second).Should(Receive(&end))
+		Expect(refusal(end.err).Outcome).To(Equal(structs.OutcomeUnknown))
+		Eventually(old.machine.count, 3*time.Second).Should(Equal(uint64(200)))
+	})
+})
+
+var _ = Describe("a storage that fails", func() {
+	failure := errors.New("disk on fire")
+
+	DescribeTable("is reported once and leaves the outcome open", func(act func(m *member) error) {
+		n := newNetwork("a")
+		_, leader := n.leader()
+		release := leader.block()
+		done := make(chan error, 1)
+		go func() { done <- act(leader) }()
+		time.Sleep(20 * time.Millisecond)
+		leader.storage.fail(failure)
+		close(release)
+		var err error
+		Eventually(done, 2*time.Second).Should(Receive(&err))
+		Expect(refusal(err).Outcome).To(Equal(structs.OutcomeUnknown))
+		var reported error
+		Eventually(leader.failures, time.Second).Should(Receive(&reported))
+		Expect(reported).To(MatchError(failure))
+		Consistently(leader.failures, 100*time.Millisecond).ShouldNot(Receive())
+		_, err = leader.Propose([]byte("y"), time.Second)
+		Expect(refusal(err).Outcome).To(Equal(structs.OutcomeNotRun))
+		Expect(leader.Do(func(time.Duration) {})).To(BeFalse())
+		Expect(leader.HoldsLease()).To(BeFalse())
+	},
+		Entry("in a proposal", func(m *member) error {
+			_, err := m.Propose([]byte("x"), time.Second)
+			return err
+		}),
+		Entry("in a membership change", func(m *member) error {
+			return m.Change(raft.MemberChange{Op: raft.AddLearner, ID: "z"}, time.Second)
+		}),
+	)
+})
+
+var _ = Describe("several groups on a host", func() {
+	It("run and stop apart from each other, without a goroutine left", func() {
+		before := goleak.IgnoreCurrent()
+		n := newNetwork()
+		one := n.add("one", "one", raft.Membership{Voters: []string{"one"}})
+		two := n.add("two", "two", raft.Membership{Voters: []string{"two"}})
+		n.leader("two")
+		n.leader("one")
+		one.Stop()
+		one.Stop()
+		_, err := one.Propose([]byte("x"), time.Second)
+		Expect(refusal(err).Code).To(Equal(structs.CodeStopping))
+		result, err := two.Propose(bytes.Repeat([]byte("x"), 10), time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result).To(HaveLen(15))
+		_, err = two.Propose(make([]byte, 1<<20), time.Second)
+		Expect(refusal(err).Code).To(Equal(structs.CodeTooLarge))
+		two.Stop()
+		Expect(goleak.Find(before)).To(Succeed())
+	})
+
+	It("that were never started stop and answer", func() {
+		// Guards against a call that waits for a group which will never run.
+		r, err := replica.Open(replica.Config{Raft: raft.Config{ID: "a", Group: "g", ElectionTimeout: time.Second,
+			HeartbeatInterval: 100 * time.Millisecond, ClockError: time.Millisecond}}, replica.NewMemoryStorage(), &machine{})
+		Expect(err).NotTo(HaveOccurred())
+		g := group.New(group.Config{Name: "g", Replica: r, Logger: logr.Discard()})
+		g.Stop()
+		done := make(chan bool, 1)
+		go func() { done <- g.Do(func(time.Duration) {}) }()
+		Eventually(done, time.Second).Should(Receive(BeFalse()))
+	})
+})
