group: leave the outcome open after a failed membership change

Cause: a storage failure during a membership change was answered as not run and did not stop the group, though the change may be on disk; the output of a refused change or transfer was dropped; Do could report that a function had not run although it had, Propose preferred 'stopped' to a result that was there; Stop panicked when called twice and Do waited forever on a group that was stopped before it was started. Change: proposals, changes and transfers share the handling of output and errors; results win over the end of the group; Stop can be repeated.

--- a/daemon/group/group.go
+++ b/daemon/group/group.go
@@ -65,6 +65,7 @@
 	stop      chan struct{}
 	done      chan struct{}
 	started   bool
+	stopOnce  sync.Once
 
 	// waiting maps an index to the proposals that were given it, in order of
 	// their terms. Only the goroutine of the group uses it.
@@ -111,11 +112,13 @@
 
 // Stop ends the group and closes its storage.
 func (g *Group) Stop() {
-	close(g.stop)
-	if !g.started {
-		g.closeStorage()
-		return
-	}
+	g.stopOnce.Do(func() {
+		close(g.stop)
+		if !g.started {
+			g.closeStorage()
+			close(g.done)
+		}
+	})
 	<-g.done
 }
 
@@ -154,6 +157,11 @@
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
+	case <-g.done:
+		return nil, structs.NotRun(structs.CodeStopping, "this host is stopping")
+	default:
+	}
+	select {
 	case g.proposals <- p:
 	case <-timer.C:
 		return nil, structs.NotRun(structs.CodeQuorumUnavailable, "too many commands wait in "+g.cfg.Name)
@@ -166,7 +174,19 @@
 	case <-timer.C:
 		return nil, structs.Unknown(structs.CodeQuorumUnavailable, "no quorum of "+g.cfg.Name+" confirmed the command in time")
 	case <-g.done:
-		return nil, structs.Unknown(structs.CodeStopping, "this host stopped before the command was confirmed")
+		o := lastOutcome(p, "this host stopped before the command was confirmed")
+		return o.result, o.err
+	}
+}
+
+// lastOutcome returns the outcome of a proposal when the group is done. A
+// result that was delivered before counts.
+func lastOutcome(p *proposal, unknown string) outcome {
+	select {
+	case o := <-p.done:
+		return o
+	default:
+		return outcome{err: structs.Unknown(structs.CodeStopping, unknown)}
 	}
 }
 
@@ -187,6 +207,12 @@
 	case <-ran:
 		return true
 	case <-g.done:
+	}
+	// Both may have happened: the function runs before the group is done.
+	select {
+	case <-ran:
+		return true
+	default:
 		return false
 	}
 }
@@ -217,12 +243,15 @@
 	p := &proposal{done: make(chan outcome, 1)}
 	ran := g.Do(func(now time.Duration) {
 		ticket, out, err := g.cfg.Replica.Change(now, c)
-		if err != nil {
+		switch {
+		case err == nil:
+			g.wait(ticket, p)
+		case isRefusal(err):
 			p.done <- outcome{err: refusalOf(err)}
-			return
+		default:
+			p.done <- outcome{err: structs.Unknown(structs.CodeQuorumUnavailable, err.Error())}
 		}
-		g.wait(ticket, p)
-		g.process(out)
+		g.handleProposed(out, err)
 	})
 	if !ran {
 		return structs.NotRun(structs.CodeStopping, "this host is stopping")
@@ -234,6 +263,8 @@
 		return o.err
 	case <-timer.C:
 		return structs.Unknown(structs.CodeQuorumUnavailable, "the membership change was not confirmed in time")
+	case <-g.done:
+		return lastOutcome(p, "this host stopped before the change was confirmed").err
 	}
 }
 
@@ -243,9 +274,7 @@
 	g.Do(func(now time.Duration) {
 		var out replica.Output
 		out, err = g.cfg.Replica.Transfer(now, to)
-		if err == nil {
-			g.process(out)
-		}
+		g.handleProposed(out, err)
 	})
 	return err
 }
@@ -317,6 +346,12 @@
 		}
 		p.done <- outcome{err: refusalOf(err)}
 	}
+	g.handleProposed(out, err)
+}
+
+// handleProposed processes the output of a proposal, which a refusal does not
+// make void.
+func (g *Group) handleProposed(out replica.Output, err error) {
 	if isRefusal(err) {
 		err = nil
 	}
@@ -421,10 +456,7 @@
 		return
 	}
 	_, out, err := g.cfg.Replica.ProposeBatch(g.cfg.Now(), commands)
-	if isRefusal(err) {
-		err = nil
-	}
-	g.handle(out, err)
+	g.handleProposed(out, err)
 }
 
 func (g *Group) publish(view View) {
