standin: keep silence, kills and freezes true to what they stand for

Silence covered only connections that had carried a request and not requests in progress. Connections in a hung handler counted as open after the client had closed them, so that the connection bound looked violated. A silent first host delayed each announcement by 2 s, close to the time to live of 3 s. A freeze took effect with the next renewal, a checkpoint could be recorded while frozen or after its task had ended. Killing twice panicked. Change: the executor tracks its connections at the listener and leaves unanswered requests to the closing of their connection; hosts are tried from the one that answered last; Freeze wakes the worker.

--- a/daemon/standin/client.go
+++ b/daemon/standin/client.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
 )
@@ -16,12 +17,22 @@
 // Error implements error.
 func (e *PostError) Error() string { return "no host accepted " + e.Path + ": " + e.Reason }
 
-// postAny posts a body to the first host that answers 200 and decodes the
-// answer into result unless that is nil.
-func postAny(client *fasthttp.Client, hosts []string, path, token string, body []byte, result any) error {
+// hostList holds the base URLs of entry hosts. It starts with the one that
+// answered last: a host that stays silent would otherwise delay every
+// announcement by its timeout, up to the time to live.
+type hostList struct {
+	urls  []string
+	first atomic.Int64
+}
+
+// post posts a body to the first host that answers 200 and decodes the answer
+// into result unless that is nil.
+func (h *hostList) post(client *fasthttp.Client, path, token string, body []byte, result any) error {
 	reason := "no hosts"
-	for _, host := range hosts {
-		answer, status, err := post(client, host+path, token, body)
+	first := int(h.first.Load())
+	for i := range h.urls {
+		at := (first + i) % len(h.urls)
+		answer, status, err := post(client, h.urls[at]+path, token, body)
 		if err != nil {
 			reason = err.Error()
 			continue
@@ -30,6 +41,7 @@
 			reason = "status " + strconv.Itoa(status) + ": " + string(answer)
 			continue
 		}
+		h.first.Store(int64(at))
 		if result == nil {
 			return nil
 		}
--- a/daemon/standin/executor.go
+++ b/daemon/standin/executor.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -42,8 +43,9 @@
 type ExecutorStats struct {
 	Requests int
 	// MaxRunning and MaxConnections are the highest numbers seen at one time.
-	MaxRunning     int
-	MaxConnections int
+	MaxRunning      int
+	MaxConnections  int
+	OpenConnections int
 	// RunsByKey counts the executions of each request key.
 	RunsByKey map[string]int
 	// LastNew is when the last request arrived.
@@ -57,21 +59,21 @@
 	server   *fasthttp.Server
 	listener net.Listener
 	client   *fasthttp.Client
+	hosts    *hostList
+	conns    *connTable
 	stop     chan struct{}
+	stopOnce sync.Once
 	wg       sync.WaitGroup
 	born     uint64
 
 	mu       sync.Mutex
 	stats    ExecutorStats
 	running  int
-	open     int
 	rng      *rand.Rand
-	silent   map[uint64]bool
 	hang     bool
 	cutOff   bool
 	draining bool
 	mute     bool
-	connIDs  map[uint64]struct{}
 	sequence uint64
 }
 
@@ -88,16 +90,16 @@
 		cfg:      cfg,
 		listener: listener,
 		client:   &fasthttp.Client{ReadTimeout: announceTimeout, WriteTimeout: announceTimeout, MaxIdemponentCallAttempts: 1},
+		hosts:    &hostList{urls: cfg.Hosts},
+		conns:    &connTable{open: map[*trackedConn]struct{}{}},
 		stop:     make(chan struct{}),
 		born:     uint64(time.Now().UnixNano()),
 		rng:      rand.New(rand.NewPCG(cfg.Seed, 1)),
-		silent:   map[uint64]bool{},
-		connIDs:  map[uint64]struct{}{},
 	}
 	e.stats.RunsByKey = map[string]int{}
-	e.server = &fasthttp.Server{Handler: e.handle, ConnState: e.connState, NoDefaultServerHeader: true, MaxRequestBodySize: 4 << 20}
+	e.server = &fasthttp.Server{Handler: e.handle, NoDefaultServerHeader: true, MaxRequestBodySize: 4 << 20}
 	e.wg.Add(2)
-	go func() { defer e.wg.Done(); _ = e.server.Serve(listener) }()
+	go func() { defer e.wg.Done(); _ = e.server.Serve(&trackedListener{listener, e.conns}) }()
 	go e.announceLoop()
 	return e, nil
 }
@@ -112,6 +114,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	stats := e.stats
+	stats.OpenConnections, stats.MaxConnections = e.conns.counts()
 	stats.RunsByKey = make(map[string]int, len(e.stats.RunsByKey))
 	for key, runs := range e.stats.RunsByKey {
 		stats.RunsByKey[key] = runs
@@ -122,10 +125,8 @@
 // SilenceOpenConnections makes the connections that are open now go silent for
 // good. New connections work.
 func (e *Executor) SilenceOpenConnections() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for id := range e.connIDs {
-		e.silent[id] = true
+	for _, conn := range e.conns.all() {
+		conn.silent.Store(true)
 	}
 }
 
@@ -157,10 +158,16 @@
 	e.Kill()
 }
 
-// Kill stops the executor without a word to the system.
-func (e *Executor) Kill() {
+// Kill stops the executor without a word to the system. Requests in progress
+// are not answered.
+func (e *Executor) Kill() { e.stopOnce.Do(e.kill) }
+
+func (e *Executor) kill() {
 	close(e.stop)
 	_ = e.listener.Close()
+	for _, conn := range e.conns.all() {
+		_ = conn.Close()
+	}
 	e.server.CloseOnShutdown = true
 	done := make(chan struct{})
 	go func() { _ = e.server.Shutdown(); close(done) }()
@@ -172,18 +179,6 @@
 
 const killWait = 200 * time.Millisecond
 
-func (e *Executor) connState(_ net.Conn, state fasthttp.ConnState) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	switch state {
-	case fasthttp.StateNew:
-		e.open++
-		e.stats.MaxConnections = max(e.stats.MaxConnections, e.open)
-	case fasthttp.StateClosed, fasthttp.StateHijacked:
-		e.open--
-	}
-}
-
 func (e *Executor) handle(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != "/run" {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
@@ -191,14 +186,15 @@
 	}
 	work, hang, cutOff := e.begin(ctx)
 	if hang {
-		<-e.stop
+		stayOpen(ctx)
 		return
 	}
-	select {
-	case <-time.After(work):
-	case <-e.stop:
-	}
+	done := e.work(work)
 	e.end()
+	if !done || isSilent(ctx) {
+		stayOpen(ctx)
+		return
+	}
 	ctx.Response.Header.Set("X-Executor", e.cfg.ID)
 	if cutOff {
 		e.answerCutOff(ctx)
@@ -207,12 +203,34 @@
 	ctx.SetBody(append([]byte(nil), ctx.PostBody()...))
 }
 
+// work takes time and reports whether it was completed before a stop.
+func (e *Executor) work(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-e.stop:
+		return false
+	}
+}
+
+// stayOpen leaves a request without an answer until its connection is closed.
+func stayOpen(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+}
+
+func isSilent(ctx *fasthttp.RequestCtx) bool {
+	conn, ok := ctx.Conn().(*trackedConn)
+	return ok && conn.silent.Load()
+}
+
 // begin counts a request and decides how it is served.
 func (e *Executor) begin(ctx *fasthttp.RequestCtx) (work time.Duration, hang, cutOff bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.connIDs[ctx.ConnID()] = struct{}{}
-	if e.hang || e.silent[ctx.ConnID()] {
+	if e.hang || isSilent(ctx) {
 		return 0, true, false
 	}
 	e.stats.Requests++
@@ -311,7 +329,7 @@
 	if err != nil {
 		return &SetupError{What: "announcement", Cause: err}
 	}
-	return postAny(e.client, e.cfg.Hosts, "/v1/backends/announce", e.cfg.Token, body, nil)
+	return e.hosts.post(e.client, "/v1/backends/announce", e.cfg.Token, body, nil)
 }
 
 // depart posts a drain or leave call to the first host that takes it.
@@ -320,5 +338,5 @@
 	if err != nil {
 		return &SetupError{What: "departure", Cause: err}
 	}
-	return postAny(e.client, e.cfg.Hosts, path, e.cfg.Token, body, nil)
+	return e.hosts.post(e.client, path, e.cfg.Token, body, nil)
 }
--- /dev/null
+++ b/daemon/standin/standin_test.go
@@ -0,0 +1,275 @@
+package standin_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cranberrydrum.dev/daemon/standin"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+func TestStandin(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "standin")
+}
+
+func newExecutor(hosts ...string) *standin.Executor {
+	e, err := standin.NewExecutor(standin.ExecutorConfig{ID: "e", Service: "s", Domain: "d", Hosts: hosts, Slots: 2, Connections: 4,
+		ServiceTime: time.Millisecond, AnnounceInterval: 20 * time.Millisecond, Seed: 1})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(e.Kill)
+	return e
+}
+
+func newClient() *http.Client {
+	transport := &http.Transport{}
+	DeferCleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport, Timeout: 3 * time.Second}
+}
+
+// run posts a request with a service time and returns the body.
+func run(client *http.Client, e *standin.Executor, workMS, body string) (string, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+e.Address()+"/run", bytes.NewBufferString(body))
+	if err != nil {
+		return "", err
+	}
+	req.Header.Set(standin.HeaderWorkMS, workMS)
+	req.Header.Set(standin.HeaderKey, body)
+	resp, err := client.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	return string(got), err
+}
+
+var _ = Describe("executor", func() {
+	It("answers with the body and counts runs, slots and connections", func() {
+		e, client := newExecutor(), newClient()
+		var group sync.WaitGroup
+		for _, body := range []string{"a", "b", "c"} {
+			group.Go(func() {
+				defer GinkgoRecover()
+				Expect(run(client, e, "100", body)).To(Equal(body))
+			})
+		}
+		group.Wait()
+		Expect(run(client, e, "0", "a")).To(Equal("a"))
+		stats := e.Stats()
+		Expect(stats.Requests).To(Equal(4))
+		Expect(stats.MaxRunning).To(Equal(3))
+		Expect(stats.MaxConnections).To(Equal(3))
+		Expect(stats.RunsByKey).To(Equal(map[string]int{"a": 2, "b": 1, "c": 1}))
+		client.CloseIdleConnections()
+		Eventually(func() int { return e.Stats().OpenConnections }, time.Second).Should(BeZero())
+	})
+
+	It("keeps silent on open connections, also on requests in progress, and answers on new ones", func() {
+		// Guards against silence that ends with an answer, and against silent
+		// connections that count as open after the client has closed them.
+		e, client := newExecutor(), newClient()
+		client.Timeout = 300 * time.Millisecond
+		inProgress := make(chan error, 1)
+		go func() {
+			_, err := run(client, e, "150", "slow")
+			inProgress <- err
+		}()
+		Eventually(func() int { return e.Stats().MaxRunning }, time.Second).Should(Equal(1))
+		e.SilenceOpenConnections()
+		Expect(run(newClient(), e, "0", "new")).To(Equal("new"))
+		Eventually(inProgress, time.Second).Should(Receive(HaveOccurred()))
+		Eventually(func() int { return e.Stats().OpenConnections }, time.Second).Should(BeNumerically("<=", 1))
+	})
+
+	It("hangs, cuts answers off and drops requests when killed", func() {
+		e, client := newExecutor(), newClient()
+		e.SetCutOff(true)
+		got, err := run(client, e, "0", "body")
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		Expect(got).To(Equal("body"))
+		e.SetCutOff(false)
+		ended := make(chan error, 2)
+		e.SetHang(true)
+		go func() { _, err := run(client, e, "0", "hung"); ended <- err }()
+		Consistently(ended, 100*time.Millisecond).ShouldNot(Receive())
+		e.SetHang(false)
+		go func() { _, err := run(client, e, "10000", "long"); ended <- err }()
+		Eventually(func() int { return e.Stats().Requests }, time.Second).Should(Equal(2))
+		e.Kill()
+		e.Kill()
+		Eventually(ended, time.Second).Should(Receive(HaveOccurred()))
+		Eventually(ended, time.Second).Should(Receive(HaveOccurred()))
+	})
+
+	It("announces to another host when one is silent, and drains and leaves", func() {
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer silent.Close()
+		paths := make(chan string, 1000)
+		host := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { paths <- r.URL.Path }))
+		defer host.Close()
+		e := newExecutor("http://"+silent.Addr().String(), host.URL)
+		Eventually(paths, 4*time.Second).Should(Receive(Equal("/v1/backends/announce")))
+		// Guards against a silent host that delays every announcement by 2 s.
+		for range 5 {
+			Eventually(paths, 500*time.Millisecond).Should(Receive(Equal("/v1/backends/announce")))
+		}
+		Expect(e.Drain()).To(Succeed())
+		Eventually(paths, time.Second).Should(Receive(Equal("/v1/backends/drain")))
+		e.Close()
+		Eventually(paths, time.Second).Should(Receive(Equal("/v1/backends/leave")))
+	})
+})
+
+// echoThrough returns a connection through a relay to a server that echoes.
+func echoThrough(link *standin.Link) net.Conn {
+	GinkgoHelper()
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	go func() {
+		for {
+			conn, err := server.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn); _ = conn.Close() }()
+		}
+	}()
+	relay, err := standin.NewRelay(server.Addr().String(), link)
+	Expect(err).NotTo(HaveOccurred())
+	conn, err := net.Dial("tcp", relay.Address())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() {
+		_ = conn.Close()
+		relay.Close()
+		_ = server.Close()
+	})
+	return conn
+}
+
+// echo sends bytes and returns how long their echo took.
+func echo(conn net.Conn, size int) (time.Duration, error) {
+	started := time.Now()
+	go func() { _, _ = conn.Write(make([]byte, size)) }()
+	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	_, err := io.CopyN(io.Discard, conn, int64(size))
+	return time.Since(started), err
+}
+
+var _ = Describe("relay", func() {
+	It("delays by the latency and the bandwidth of each direction", func() {
+		conn := echoThrough(standin.NewLink(40*time.Millisecond, 1_000_000))
+		Expect(echo(conn, 1)).To(And(BeNumerically(">=", 80*time.Millisecond), BeNumerically("<", 200*time.Millisecond)))
+		// 400 kB take 400 ms one way; the way back overlaps.
+		Expect(echo(conn, 400_000)).To(And(BeNumerically(">=", 450*time.Millisecond), BeNumerically("<", 750*time.Millisecond)))
+	})
+
+	It("holds bytes while cut, in both directions or in one", func() {
+		link := standin.NewLink(0, 0)
+		conn := echoThrough(link)
+		Expect(echo(conn, 10)).To(BeNumerically("<", time.Second))
+		before := link.Bytes()
+		link.SetCut(true)
+		got := make(chan error, 1)
+		go func() { _, err := echo(conn, 10); got <- err }()
+		Consistently(got, 100*time.Millisecond).ShouldNot(Receive())
+		Expect(link.Bytes()).To(Equal(before))
+		link.SetCut(false)
+		Eventually(got, time.Second).Should(Receive(BeNil()))
+
+		link.Reversed().SetCutThere(true)
+		before = link.Bytes()
+		go func() { _, err := echo(conn, 10); got <- err }()
+		Eventually(link.Bytes, time.Second).Should(Equal(before + 10))
+		Consistently(got, 100*time.Millisecond).ShouldNot(Receive())
+		link.Reversed().SetCutThere(false)
+		Eventually(got, time.Second).Should(Receive(BeNil()))
+	})
+})
+
+// workerHost answers renewals with one running task until it is silenced.
+type workerHost struct {
+	mu     sync.Mutex
+	silent bool
+}
+
+func (h *workerHost) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var report structs.WorkerReport
+	_ = json.NewDecoder(r.Body).Decode(&report)
+	h.mu.Lock()
+	silent := h.silent
+	h.mu.Unlock()
+	if silent {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	order := structs.TaskOrder{Job: "d-1", Run: 1, Action: structs.ActionPrepare, Accelerators: []int{0, 1}, Command: []string{"run", "1m"}}
+	if len(report.Tasks) > 0 {
+		order.Action = structs.ActionStart
+	}
+	_ = json.NewEncoder(w).Encode(structs.WorkerOrders{Term: 1, Lease: 300 * time.Millisecond, Tasks: []structs.TaskOrder{order}})
+}
+
+func (h *workerHost) silence() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.silent = true
+}
+
+var _ = Describe("worker", func() {
+	var host *workerHost
+	var log *standin.TaskLog
+	var worker *standin.Worker
+
+	BeforeEach(func() {
+		host, log = &workerHost{}, standin.NewTaskLog()
+		server := httptest.NewServer(host)
+		DeferCleanup(server.Close)
+		worker = standin.NewWorker(standin.WorkerConfig{Worker: structs.Worker{ID: "w", Domain: "d", Accelerators: 4},
+			Hosts: []string{server.URL}, RenewInterval: 50 * time.Millisecond, Log: log})
+		DeferCleanup(worker.Kill)
+		Eventually(func() int { return log.Running("d-1") }, 2*time.Second, 5*time.Millisecond).Should(Equal(2))
+	})
+
+	It("stops its tasks when the lease ends", func() {
+		host.silence()
+		started := time.Now()
+		Eventually(func() int { return log.Running("d-1") }, 2*time.Second, 5*time.Millisecond).Should(BeZero())
+		Expect(time.Since(started)).To(And(BeNumerically(">", 150*time.Millisecond), BeNumerically("<", 450*time.Millisecond)))
+	})
+
+	It("runs nothing while frozen, and stops its tasks on waking after the lease", func() {
+		resume := worker.Freeze()
+		// At once, not at the next renewal.
+		Eventually(func() int { return log.Running("d-1") }, 40*time.Millisecond, time.Millisecond).Should(BeZero())
+		host.silence()
+		time.Sleep(400 * time.Millisecond)
+		resume()
+		Consistently(func() int { return log.Running("d-1") }, 200*time.Millisecond, time.Millisecond).Should(BeZero())
+	})
+
+	It("goes on after a short freeze", func() {
+		resume := worker.Freeze()
+		time.Sleep(50 * time.Millisecond)
+		resume()
+		Eventually(func() int { return log.Running("d-1") }, 100*time.Millisecond, time.Millisecond).Should(Equal(2))
+		Expect(log.Faults()).To(BeEmpty())
+	})
+
+	It("drops its tasks without a word when killed", func() {
+		worker.Kill()
+		worker.Kill()
+		Expect(log.Running("d-1")).To(BeZero())
+	})
+})
--- a/daemon/standin/worker.go
+++ b/daemon/standin/worker.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -33,13 +34,17 @@
 type Worker struct {
 	cfg    WorkerConfig
 	client *fasthttp.Client
+	hosts  *hostList
 	agent  *agent.Agent
 	start  time.Time
 	events chan agent.Event
-	stop   chan struct{}
-	done   chan struct{}
-	seq    uint64
-	tasks  map[agent.StopTask]*workerTask
+	// freezes wakes the worker when it is frozen.
+	freezes chan struct{}
+	stop    chan struct{}
+	killed  sync.Once
+	done    chan struct{}
+	seq     uint64
+	tasks   map[agent.StopTask]*workerTask
 
 	mu     sync.Mutex
 	frozen chan struct{}
@@ -49,6 +54,7 @@
 	started time.Time
 	resumed time.Duration
 	timer   *time.Timer
+	ended   atomic.Bool
 }
 
 const (
@@ -62,15 +68,20 @@
 	if cfg.RenewInterval <= 0 {
 		cfg.RenewInterval = defaultRenewInterval
 	}
+	if cfg.Log == nil {
+		cfg.Log = NewTaskLog()
+	}
 	w := &Worker{
-		cfg:    cfg,
-		client: &fasthttp.Client{ReadTimeout: announceTimeout, WriteTimeout: announceTimeout, MaxIdemponentCallAttempts: 1},
-		agent:  agent.New(cfg.Worker, uint64(time.Now().UnixNano())),
-		start:  time.Now(),
-		events: make(chan agent.Event, workerEvents),
-		stop:   make(chan struct{}),
-		done:   make(chan struct{}),
-		tasks:  map[agent.StopTask]*workerTask{},
+		cfg:     cfg,
+		client:  &fasthttp.Client{ReadTimeout: announceTimeout, WriteTimeout: announceTimeout, MaxIdemponentCallAttempts: 1},
+		hosts:   &hostList{urls: cfg.Hosts},
+		agent:   agent.New(cfg.Worker, uint64(time.Now().UnixNano())),
+		start:   time.Now(),
+		events:  make(chan agent.Event, workerEvents),
+		freezes: make(chan struct{}, 1),
+		stop:    make(chan struct{}),
+		done:    make(chan struct{}),
+		tasks:   map[agent.StopTask]*workerTask{},
 	}
 	go w.run()
 	return w
@@ -78,7 +89,7 @@
 
 // Kill ends the worker and its tasks without a word to the system.
 func (w *Worker) Kill() {
-	close(w.stop)
+	w.killed.Do(func() { close(w.stop) })
 	<-w.done
 }
 
@@ -89,6 +100,10 @@
 	defer w.mu.Unlock()
 	frozen := make(chan struct{})
 	w.frozen = frozen
+	select {
+	case w.freezes <- struct{}{}:
+	default:
+	}
 	return func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -112,6 +127,8 @@
 		select {
 		case <-w.stop:
 			return
+		case <-w.freezes:
+			w.waitWhileFrozen()
 		case <-renew.C:
 			w.waitWhileFrozen()
 			w.renew()
@@ -142,6 +159,20 @@
 	w.resume(suspended)
 }
 
+// awaitThaw returns when the worker is not frozen.
+func (w *Worker) awaitThaw() {
+	w.mu.Lock()
+	frozen := w.frozen
+	w.mu.Unlock()
+	if frozen == nil {
+		return
+	}
+	select {
+	case <-frozen:
+	case <-w.done:
+	}
+}
+
 // suspend takes the tasks out of the log, because a frozen machine runs nothing.
 func (w *Worker) suspend() []TaskStart {
 	var suspended []TaskStart
@@ -182,7 +213,7 @@
 	}
 	go func() {
 		var orders structs.WorkerOrders
-		if err := postAny(w.client, w.cfg.Hosts, "/v1/workers/renew", w.cfg.Token, body, &orders); err != nil {
+		if err := w.hosts.post(w.client, "/v1/workers/renew", w.cfg.Token, body, &orders); err != nil {
 			return
 		}
 		w.post(agent.OrdersReceived{Seq: seq, Orders: orders})
@@ -248,6 +279,9 @@
 }
 
 func (w *Worker) end(id agent.StopTask) {
+	if task := w.tasks[id]; task != nil {
+		task.ended.Store(true)
+	}
 	delete(w.tasks, id)
 	w.cfg.Log.ended(w.cfg.Worker.ID, id.Job, id.Run)
 }
@@ -258,6 +292,9 @@
 		return
 	}
 	time.AfterFunc(w.cfg.CheckpointTime, func() {
+		if w.awaitThaw(); task.ended.Load() {
+			return
+		}
 		w.cfg.Log.checkpoint(e.Job, task.resumed+time.Since(task.started))
 		w.post(agent.CheckpointDone(e))
 	})
