Add bench commands for serving and for the cost of control

Cause: the figures that docs/CAPACITY.md needs had no command. Change: cranberrydrum bench serving runs the serving experiment; cranberrydrum bench control measures bytes, CPU time, memory, syncs and times against sizes, with real hosts, logs and controllers in one process.

--- a/cmd/cranberrydrum/cli/env.go
+++ b/cmd/cranberrydrum/cli/env.go
@@ -58,19 +58,25 @@
 
 // Client returns a client for the given servers.
 func (e *Env) Client() (*api.Client, error) {
-	servers := e.servers
+	servers, token, err := e.Access()
+	if err != nil {
+		return nil, err
+	}
+	return api.NewClient(api.ClientConfig{Servers: servers, Token: token, Timeout: e.timeout})
+}
+
+// Access returns the given servers and the token for them.
+func (e *Env) Access() (servers []string, token string, err error) {
+	servers = e.servers
 	if len(servers) == 0 {
 		split := func(r rune) bool { return r == ',' || r == ' ' }
 		servers = strings.FieldsFunc(e.Getenv(EnvServer), split)
 	}
 	if len(servers) == 0 {
-		return nil, &UsageError{Reason: "no server: use --server or " + EnvServer}
+		return nil, "", &UsageError{Reason: "no server: use --server or " + EnvServer}
 	}
-	token, err := e.token()
-	if err != nil {
-		return nil, err
-	}
-	return api.NewClient(api.ClientConfig{Servers: servers, Token: token, Timeout: e.timeout})
+	token, err = e.token()
+	return servers, token, err
 }
 
 func (e *Env) token() (string, error) {
--- a/cmd/cranberrydrum/root.go
+++ b/cmd/cranberrydrum/root.go
@@ -20,6 +20,7 @@
 		cli.Group("workers", "Show workers", queries.WorkersList(env)),
 		queries.Status(env),
 		commands.Demo(env),
+		commands.Bench(env),
 		cli.Group("standin", "Stand-ins for backend servers and workers, for trying the system out", commands.StandinExecutor(env), commands.StandinWorker(env)),
 		queries.Version(env),
 	)
--- /dev/null
+++ b/daemon/experiment/control/cluster.go
@@ -0,0 +1,226 @@
+package control
+
+import (
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"cranberrydrum.dev/daemon/httpapi"
+	"cranberrydrum.dev/daemon/node"
+	"cranberrydrum.dev/daemon/settings"
+	"cranberrydrum.dev/scheduler/configstate"
+)
+
+// host is one host of a cluster in this process.
+type host struct {
+	id, domain, address string
+	node                *node.Node
+	server              *httpapi.Server
+}
+
+// cluster is a deployment of hosts on loopback addresses in this process.
+type cluster struct {
+	folder  string
+	domains []string
+	hosts   []*host
+	version uint64
+}
+
+const (
+	maxDomains   = 4
+	startTimeout = 15 * time.Second
+	applyTimeout = 5 * time.Second
+	poll         = time.Millisecond
+	closeTimeout = 5 * time.Second
+)
+
+// newCluster starts hosts, two or more in each failure domain, without rules.
+func newCluster(hosts int) (*cluster, error) {
+	folder, err := os.MkdirTemp("", "cranberrydrum-bench-")
+	if err != nil {
+		return nil, &SetupError{What: "temporary folder", Cause: err}
+	}
+	c := &cluster{folder: folder}
+	for i := range min(maxDomains, max(1, hosts/2)) {
+		c.domains = append(c.domains, "d"+strconv.Itoa(i+1))
+	}
+	if err := c.start(hosts); err != nil {
+		c.close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *cluster) start(count int) error {
+	for i := range count {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		d := c.domains[i%len(c.domains)]
+		c.hosts = append(c.hosts, &host{id: d + "-" + strconv.Itoa(i+1), domain: d, address: address})
+	}
+	for _, h := range c.hosts {
+		if err := c.startHost(h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", &SetupError{What: "free port", Cause: err}
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+func (c *cluster) startHost(h *host) error {
+	cfg, err := settings.Parse(c.arguments(h), nil)
+	if err != nil {
+		return err
+	}
+	if h.node, err = node.New(*cfg, logr.Discard()); err != nil {
+		return err
+	}
+	if h.server, err = httpapi.New(h.node, logr.Discard()); err != nil {
+		return err
+	}
+	if err := h.node.Start(); err != nil {
+		return err
+	}
+	go func() { _ = h.server.Serve() }()
+	return nil
+}
+
+func (c *cluster) arguments(h *host) []string {
+	args := []string{
+		"--host-id=" + h.id,
+		"--failure-domain=" + h.domain,
+		"--region=r",
+		"--http-listen=127.0.0.1:0",
+		"--peer-listen=" + h.address,
+		"--data-dir=" + filepath.Join(c.folder, h.id),
+		"--bootstrap",
+		"--balancer-wait=0s",
+	}
+	for _, other := range c.hosts {
+		if other != h {
+			args = append(args, "--peer="+other.id+"="+other.domain+"/r@"+other.address+",disk")
+		}
+	}
+	return args
+}
+
+// apply changes the rules and returns how long it took until they were
+// accepted, and from then until they were in force on all hosts.
+func (c *cluster) apply(racks, customers int) (accepted, inForce time.Duration, err error) {
+	text := rulesText(c.domains, racks, accelerators, customers)
+	text += "# change " + strconv.FormatUint(c.version, 10) + "\n"
+	id := "bench-" + strconv.FormatUint(c.version, 10)
+	command := configstate.Command{BaseVersion: c.version, Text: []byte(text), Author: "bench", RequestID: id}
+	start := time.Now()
+	result, err := c.propose(command)
+	if err != nil {
+		return 0, 0, err
+	}
+	if result.Refusal != nil {
+		return 0, 0, result.Refusal
+	}
+	accepted = time.Since(start)
+	c.version = result.Version
+	if !within(startTimeout, c.inForce) {
+		return 0, 0, StateError("the rules were not in force on all hosts in time")
+	}
+	return accepted, time.Since(start) - accepted, nil
+}
+
+// propose repeats a change until the first leader has been elected.
+func (c *cluster) propose(command configstate.Command) (*configstate.Result, error) {
+	deadline := time.Now().Add(startTimeout)
+	for {
+		result, err := c.hosts[0].node.ApplyRules(command, applyTimeout)
+		if err == nil || time.Now().After(deadline) {
+			return result, err
+		}
+		time.Sleep(poll)
+	}
+}
+
+// inForce reports whether all hosts have the accepted version.
+func (c *cluster) inForce() bool {
+	return !slices.ContainsFunc(c.hosts, func(h *host) bool {
+		_, v := h.node.Config()
+		return v < c.version
+	})
+}
+
+// within waits for a condition.
+func within(bound time.Duration, condition func() bool) bool {
+	deadline := time.Now().Add(bound)
+	for !condition() {
+		if time.Now().After(deadline) {
+			return false
+		}
+		time.Sleep(poll)
+	}
+	return true
+}
+
+// sent returns the bytes that all hosts have sent to others, by kind of frame.
+func (c *cluster) sent() (map[string]float64, error) {
+	bytes := map[string]float64{}
+	for _, h := range c.hosts {
+		families, err := h.node.Metrics().Registry.Gather()
+		if err != nil {
+			return nil, &SetupError{What: "metrics", Cause: err}
+		}
+		for _, f := range families {
+			if f.GetName() != "cranberrydrum_peer_bytes_total" {
+				continue
+			}
+			for _, m := range f.GetMetric() {
+				labels := map[string]string{}
+				for _, l := range m.GetLabel() {
+					labels[l.GetName()] = l.GetValue()
+				}
+				if labels["direction"] == "sent" {
+					bytes[labels["kind"]] += m.GetCounter().GetValue()
+				}
+			}
+		}
+	}
+	return bytes, nil
+}
+
+func (c *cluster) urls(domain string) []string {
+	var urls []string
+	for _, h := range c.hosts {
+		if h.domain == domain {
+			urls = append(urls, "http://"+h.server.Address())
+		}
+	}
+	return urls
+}
+
+func (c *cluster) close() {
+	bound, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, h := range c.hosts {
+		if h.server != nil {
+			h.server.Shutdown(bound)
+		}
+		if h.node != nil {
+			h.node.Close()
+		}
+	}
+	_ = os.RemoveAll(c.folder)
+}
--- /dev/null
+++ b/daemon/experiment/control/process.go
@@ -0,0 +1,159 @@
+package control
+
+import (
+	"encoding/json"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// renewing is the number of workers that renew with the measured process.
+var renewing = []int{0, 50, 150, 300}
+
+const (
+	// ticksPerSecond is the unit of CPU times in /proc on Linux.
+	ticksPerSecond = 100
+	renewTimeout   = 2 * time.Second
+	// userTimeField and residentField count from the field after the command.
+	userTimeField  = 11
+	statmResident  = 1
+	bytesPerMB     = 1 << 20
+	renewInterval  = time.Second
+	registerPeriod = 4 * time.Second
+)
+
+// measureProcess measures a running daemon while stand-in workers renew with
+// it. The daemon must have a configuration in force.
+func measureProcess(o Options) ([]Row, error) {
+	if o.Process.ID == 0 || len(o.Process.Servers) == 0 {
+		return nil, StateError("part process needs the process id, servers, token and failure domain of a running daemon")
+	}
+	memory := Row{Quantity: "cranberrydrumd: resident memory", Unit: "MB", Against: "workers renewing"}
+	cpu := Row{Quantity: "cranberrydrumd: CPU", Unit: "% of a core", Against: "workers renewing"}
+	failed := Row{Quantity: "renewals without an answer", Unit: "1", Against: "workers renewing"}
+	for _, workers := range renewing {
+		u, err := observeProcess(o, workers)
+		if err != nil {
+			return nil, err
+		}
+		size := float64(workers)
+		memory.Points = append(memory.Points, Point{size, u.megabytes})
+		cpu.Points = append(cpu.Points, Point{size, u.percent})
+		failed.Points = append(failed.Points, Point{size, float64(u.failed)})
+	}
+	return []Row{memory, cpu, failed}, nil
+}
+
+type processUse struct {
+	megabytes, percent float64
+	failed             int64
+}
+
+// observeProcess measures the process while a number of workers renew.
+func observeProcess(o Options, workers int) (processUse, error) {
+	var failed atomic.Int64
+	stop := make(chan struct{})
+	client := &fasthttp.Client{ReadTimeout: renewTimeout, WriteTimeout: renewTimeout}
+	for i := range workers {
+		go renewLoop(o.Process, client, i, workers, stop, &failed)
+	}
+	defer close(stop)
+	time.Sleep(o.seconds(registerPeriod, registerPeriod/2))
+	failed.Store(0)
+	before, err := cpuOf(o.Process.ID)
+	if err != nil {
+		return processUse{}, err
+	}
+	start := time.Now()
+	time.Sleep(o.seconds(15*time.Second, time.Second))
+	after, err := cpuOf(o.Process.ID)
+	if err != nil {
+		return processUse{}, err
+	}
+	use := processUse{percent: 100 * (after - before) / time.Since(start).Seconds(), failed: failed.Load()}
+	use.megabytes, err = residentOf(o.Process.ID)
+	return use, err
+}
+
+// renewLoop renews the lease of one worker every second. Workers start evenly
+// spread over the interval.
+func renewLoop(p Process, client *fasthttp.Client, i, workers int, stop chan struct{}, failed *atomic.Int64) {
+	time.Sleep(renewInterval * time.Duration(i) / time.Duration(workers))
+	w := worker(i, accelerators)
+	w.Domain = p.Domain
+	w.ID = p.Domain + "-bench-" + decimal(i)
+	report := structs.WorkerReport{Worker: w, Incarnation: uint64(time.Now().UnixNano())}
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		if !renewOnce(client, p.Servers[i%len(p.Servers)], p.Token, report) {
+			failed.Add(1)
+		}
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func renewOnce(client *fasthttp.Client, server, token string, report structs.WorkerReport) bool {
+	body, err := json.Marshal(&report)
+	if err != nil {
+		return false
+	}
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + server + "/v1/workers/renew")
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.SetContentType("application/json")
+	request.Header.Set("Authorization", "Bearer "+token)
+	request.SetBody(body)
+	err = client.DoTimeout(request, response, renewTimeout)
+	return err == nil && response.StatusCode() == fasthttp.StatusOK
+}
+
+// procFields reads the numbers of a file of a process, after its command.
+func procFields(pid int, file string) ([]string, error) {
+	data, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/" + file)
+	if err != nil {
+		return nil, &SetupError{What: "process " + strconv.Itoa(pid), Cause: err}
+	}
+	text := string(data)
+	text = text[strings.LastIndexByte(text, ')')+1:]
+	return strings.Fields(text), nil
+}
+
+// cpuOf returns the CPU time of a process in seconds.
+func cpuOf(pid int) (float64, error) {
+	fields, err := procFields(pid, "stat")
+	if err != nil {
+		return 0, err
+	}
+	if len(fields) <= userTimeField+1 {
+		return 0, StateError("the process has no CPU times")
+	}
+	user, _ := strconv.ParseFloat(fields[userTimeField], 64)
+	system, _ := strconv.ParseFloat(fields[userTimeField+1], 64)
+	return (user + system) / ticksPerSecond, nil
+}
+
+// residentOf returns the resident memory of a process in MB.
+func residentOf(pid int) (float64, error) {
+	fields, err := procFields(pid, "statm")
+	if err != nil {
+		return 0, err
+	}
+	if len(fields) <= statmResident {
+		return 0, StateError("the process has no resident memory")
+	}
+	pages, _ := strconv.ParseFloat(fields[statmResident], 64)
+	return pages * float64(os.Getpagesize()) / bytesPerMB, nil
+}
--- /dev/null
+++ b/daemon/experiment/control/renewal.go
@@ -0,0 +1,138 @@
+package control
+
+import (
+	"encoding/json"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// renewalCost is what one renewal with a number of tasks costs.
+type renewalCost struct {
+	tasks                           int
+	request, reply, call, callReply float64
+	entryMicros, ownerMicros        float64
+}
+
+// Sizes of the renewal measurement: at the target size a worker has
+// 16,000 / 910 = 17.6 tasks, more than the accelerators of a current worker.
+var tasksPerWorker = []int{0, 8, 18, 32}
+
+const (
+	renewingWorkers  = 64
+	maxTasks         = 32
+	renewalRepeats   = 20_000
+	renewalCustomers = 4
+)
+
+func measureRenewal(o Options) ([]Row, error) {
+	var costs []renewalCost
+	for _, tasks := range tasksPerWorker {
+		cost, err := renewal(o, tasks)
+		if err != nil {
+			return nil, err
+		}
+		costs = append(costs, cost)
+	}
+	pick := func(quantity, unit string, value func(renewalCost) float64) Row {
+		row := Row{Quantity: quantity, Unit: unit, Against: "tasks per worker"}
+		for _, c := range costs {
+			row.Points = append(row.Points, Point{Size: float64(c.tasks), Value: value(c)})
+		}
+		return row
+	}
+	return []Row{
+		pick("renewal request (JSON)", "B", func(c renewalCost) float64 { return c.request }),
+		pick("renewal reply (JSON)", "B", func(c renewalCost) float64 { return c.reply }),
+		pick("renewal call between hosts", "B", func(c renewalCost) float64 { return c.call }),
+		pick("renewal reply between hosts", "B", func(c renewalCost) float64 { return c.callReply }),
+		pick("CPU of a renewal at the entry host without sockets", "us", func(c renewalCost) float64 { return c.entryMicros }),
+		pick("CPU of a renewal at the owner without sockets", "us", func(c renewalCost) float64 { return c.ownerMicros }),
+	}, nil
+}
+
+// renewal measures the renewals of workers that run a number of tasks.
+func renewal(o Options, tasks int) (renewalCost, error) {
+	cost := renewalCost{tasks: tasks}
+	owner, err := newOwner(renewingWorkers, maxTasks, renewalCustomers)
+	if err != nil {
+		return cost, err
+	}
+	if err := owner.fill(tasks); err != nil {
+		return cost, err
+	}
+	report := owner.reports()[0]
+	orders, refusal := owner.controller.Renew(owner.now, report, true)
+	if refusal != nil {
+		return cost, refusal
+	}
+	if len(orders.Tasks) != tasks {
+		return cost, StateError("the orders do not cover the tasks of the worker")
+	}
+	return cost, cost.measure(o, owner, report, orders)
+}
+
+func (c *renewalCost) measure(o Options, owner *owner, report structs.WorkerReport, orders structs.WorkerOrders) error {
+	request, err := json.Marshal(&report)
+	if err != nil {
+		return &SetupError{What: "report", Cause: err}
+	}
+	reply, err := json.Marshal(&orders)
+	if err != nil {
+		return &SetupError{What: "orders", Cause: err}
+	}
+	call, err := msgpack.Marshal(&report)
+	if err != nil {
+		return &SetupError{What: "call", Cause: err}
+	}
+	answer, err := msgpack.Marshal(&orders)
+	if err != nil {
+		return &SetupError{What: "answer", Cause: err}
+	}
+	c.request, c.reply = float64(len(request)), float64(len(reply))
+	c.call, c.callReply = float64(len(call)), float64(len(answer))
+	repeats := o.repeats(renewalRepeats)
+	c.entryMicros, err = cpuMicros(repeats, func() error { return entryWork(request, answer) })
+	if err != nil {
+		return err
+	}
+	c.ownerMicros, err = cpuMicros(repeats, func() error { return ownerWork(owner, call) })
+	return err
+}
+
+// entryWork decodes a renewal, encodes the call, and the other way round for
+// the reply, as an entry host does.
+func entryWork(request, answer []byte) error {
+	var report structs.WorkerReport
+	if err := json.Unmarshal(request, &report); err != nil {
+		return &SetupError{What: "report", Cause: err}
+	}
+	if _, err := msgpack.Marshal(&report); err != nil {
+		return &SetupError{What: "call", Cause: err}
+	}
+	var orders structs.WorkerOrders
+	if err := msgpack.Unmarshal(answer, &orders); err != nil {
+		return &SetupError{What: "answer", Cause: err}
+	}
+	if _, err := json.Marshal(&orders); err != nil {
+		return &SetupError{What: "orders", Cause: err}
+	}
+	return nil
+}
+
+// ownerWork handles the call of a renewal, as the owner of the domain does.
+func ownerWork(o *owner, call []byte) error {
+	var report structs.WorkerReport
+	if err := msgpack.Unmarshal(call, &report); err != nil {
+		return &SetupError{What: "call", Cause: err}
+	}
+	orders, refusal := o.controller.Renew(o.now, report, true)
+	if refusal != nil {
+		return refusal
+	}
+	if _, err := msgpack.Marshal(&orders); err != nil {
+		return &SetupError{What: "answer", Cause: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/experiment/control/table.go
@@ -0,0 +1,108 @@
+package control
+
+import (
+	"strconv"
+	"strings"
+	"text/tabwriter"
+)
+
+// Point is one measured value at one size.
+type Point struct{ Size, Value float64 }
+
+// Row is one quantity measured at several sizes.
+type Row struct {
+	Part     Part
+	Quantity string
+	Unit     string
+	// Against names the size that varies; empty for a single value.
+	Against string
+	Points  []Point
+}
+
+// Table holds all measured quantities.
+type Table struct {
+	Options Options
+	Rows    []Row
+}
+
+// Line returns the least-squares line through the points.
+func (r Row) Line() (base, slope float64) {
+	n := float64(len(r.Points))
+	var sx, sy, sxx, sxy float64
+	for _, p := range r.Points {
+		sx += p.Size
+		sy += p.Value
+		sxx += p.Size * p.Size
+		sxy += p.Size * p.Value
+	}
+	spread := n*sxx - sx*sx
+	if spread == 0 {
+		return sy / max(n, 1), 0
+	}
+	slope = (n*sxy - sx*sy) / spread
+	return (sy - slope*sx) / n, slope
+}
+
+var header = []string{"part", "quantity", "unit", "against", "measured", "base", "slope"}
+
+func (r Row) cells() []string {
+	base, slope := r.Line()
+	cells := []string{string(r.Part), r.Quantity, r.Unit, r.Against, r.measured(), number(base), number(slope)}
+	if len(r.Points) < 2 {
+		cells[len(cells)-1] = ""
+	}
+	return cells
+}
+
+func (r Row) measured() string {
+	if r.Against == "" && len(r.Points) == 1 {
+		return number(r.Points[0].Value)
+	}
+	var parts []string
+	for _, p := range r.Points {
+		parts = append(parts, number(p.Size)+":"+number(p.Value))
+	}
+	return strings.Join(parts, " ")
+}
+
+const significantDigits = 4
+
+func number(v float64) string {
+	if v == float64(int64(v)) {
+		return strconv.FormatInt(int64(v), 10)
+	}
+	rounded, err := strconv.ParseFloat(strconv.FormatFloat(v, 'g', significantDigits, 64), 64)
+	if err != nil {
+		return strconv.FormatFloat(v, 'g', significantDigits, 64)
+	}
+	return strconv.FormatFloat(rounded, 'f', -1, 64)
+}
+
+// String returns the table aligned for reading.
+func (t Table) String() string {
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	for _, cells := range t.lines() {
+		_, _ = w.Write([]byte(strings.Join(cells, "\t") + "\n"))
+	}
+	_ = w.Flush()
+	return b.String()
+}
+
+// CSV returns the table as comma-separated values with a header line. No cell
+// contains a comma.
+func (t Table) CSV() string {
+	var b strings.Builder
+	for _, cells := range t.lines() {
+		b.WriteString(strings.Join(cells, ",") + "\n")
+	}
+	return b.String()
+}
+
+func (t Table) lines() [][]string {
+	lines := [][]string{header}
+	for _, r := range t.Rows {
+		lines = append(lines, r.cells())
+	}
+	return lines
+}
