--- a/daemon/transport/outbound.go
+++ b/daemon/transport/outbound.go
@@ -15,15 +15,16 @@
 
 	mu   sync.Mutex
 	conn net.Conn
-	// control holds raft, membership and configuration messages, calls holds
-	// calls. Control frames go first, so that a link full of forwarded
-	// requests does not delay elections or configuration.
-	control frameQueue
-	calls   frameQueue
-	wake    chan struct{}
-	nextID  uint64
-	pending map[uint64]*pendingCall
-	err     error
+	// control holds raft, membership and configuration messages. They go first,
+	// then small calls, so that a link full of forwarded requests does not
+	// delay elections or the fetch of a configuration.
+	control    frameQueue
+	smallCalls frameQueue
+	calls      frameQueue
+	wake       chan struct{}
+	nextID     uint64
+	pending    map[uint64]*pendingCall
+	err        error
 }
 
 // pendingCall waits for its reply. written is set once bytes may have left.
@@ -65,6 +66,7 @@
 		o.countRefused(err)
 		return false
 	}
+	defer o.close(conn)
 	opened := time.Now()
 	reason := o.serve(conn)
 	o.t.cfg.Observer.ConnectionClosed(o.peer.Host, reason)
@@ -80,24 +82,31 @@
 }
 
 func (o *outbound) dial() (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", o.peer.Address, handshakeTimeout)
+	dialer := net.Dialer{Timeout: handshakeTimeout}
+	conn, err := dialer.DialContext(o.t.stop, "tcp", o.peer.Address)
 	if err != nil {
 		return nil, err
 	}
+	if !o.t.track(conn) {
+		_ = conn.Close()
+		return nil, &HandshakeError{Peer: o.peer.Host, Reason: "this host is stopping"}
+	}
 	boundSendBuffer(conn)
 	if err := o.t.dialHandshake(conn, o.peer.Host); err != nil {
-		_ = conn.Close()
+		o.close(conn)
 		return nil, err
 	}
 	return conn, nil
 }
 
+func (o *outbound) close(conn net.Conn) {
+	_ = conn.Close()
+	o.t.untrack(conn)
+}
+
 // serve runs one connection until it breaks and returns the reason.
 func (o *outbound) serve(conn net.Conn) string {
-	if !o.attach(conn) {
-		_ = conn.Close()
-		return "stopped"
-	}
+	o.attach(conn)
 	done := make(chan struct{})
 	var writer sync.WaitGroup
 	writer.Add(1)
@@ -113,16 +122,12 @@
 	return reason
 }
 
-func (o *outbound) attach(conn net.Conn) bool {
+func (o *outbound) attach(conn net.Conn) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.t.stopping() {
-		return false
-	}
 	o.conn = conn
 	o.err = nil
 	o.signal()
-	return true
 }
 
 // detach ends the calls that were open. Those that may have left have an
@@ -140,9 +145,8 @@
 }
 
 func (o *outbound) readLoop(conn net.Conn) string {
-	reader := bufio.NewReader(conn)
+	reader := bufio.NewReader(o.t.stream(conn))
 	for {
-		_ = conn.SetReadDeadline(time.Now().Add(o.t.cfg.SilenceTimeout))
 		f, size, err := readFrame(reader, MaxFrameBytes)
 		if err != nil {
 			return closeReason(err)
@@ -205,14 +209,29 @@
 	if f := o.control.pop(); f != nil {
 		return f
 	}
-	f := o.calls.pop()
-	if f == nil {
-		return nil
-	}
-	if call := o.pending[f.ID]; call != nil {
+	return o.popCall()
+}
+
+// popCall returns the next call that has time left. Its remaining time is what
+// the wait in the queue left of it. The caller holds the lock.
+func (o *outbound) popCall() *frame {
+	for {
+		f := o.smallCalls.pop()
+		if f == nil {
+			f = o.calls.pop()
+		}
+		if f == nil {
+			return nil
+		}
+		remaining := time.Until(f.deadline)
+		call := o.pending[f.ID]
+		if call == nil || remaining <= 0 {
+			continue
+		}
+		f.RemainingMS = remaining.Milliseconds()
 		call.written = true
+		return f
 	}
-	return f
 }
 
 func (o *outbound) write(conn net.Conn, f *frame) bool {
@@ -221,8 +240,7 @@
 		o.t.cfg.Observer.FrameDropped(o.peer.Host, f.Kind, "encode")
 		return true
 	}
-	_ = conn.SetWriteDeadline(time.Now().Add(o.t.cfg.SilenceTimeout))
-	if _, err := conn.Write(data); err != nil {
+	if _, err := o.t.stream(conn).Write(data); err != nil {
 		_ = conn.Close()
 		return false
 	}
@@ -241,32 +259,38 @@
 	if o.conn == nil {
 		return &NotSentError{Peer: o.peer.Host, Reason: "not connected"}
 	}
-	if !o.makeRoom(f.Kind) {
+	if !o.makeRoom(f) {
 		o.t.cfg.Observer.FrameDropped(o.peer.Host, f.Kind, "queue full")
 		return &NotSentError{Peer: o.peer.Host, Reason: "send queue full"}
 	}
-	if f.Kind == KindCall {
-		o.calls.push(f)
-	} else {
-		o.control.push(f)
-	}
+	o.queueOf(f).push(f)
 	o.signal()
 	return nil
 }
 
-// makeRoom reports whether the queue of a kind takes one more frame. The
-// oldest raft message makes room: raft resends what is lost, other kinds do not.
-func (o *outbound) makeRoom(kind Kind) bool {
-	if kind == KindCall {
-		return o.calls.len() < o.t.cfg.QueueFrames
-	}
-	if o.control.len() < o.t.cfg.QueueFrames {
-		return true
+func (o *outbound) queueOf(f *frame) *frameQueue {
+	switch {
+	case f.Kind != KindCall:
+		return &o.control
+	case len(f.Body) <= smallBodyBytes:
+		return &o.smallCalls
+	}
+	return &o.calls
+}
+
+// makeRoom reports whether the queue of a frame takes it. The oldest raft
+// messages make room: raft resends what is lost, other kinds do not.
+func (o *outbound) makeRoom(f *frame) bool {
+	frames, bytes := o.t.cfg.QueueFrames, o.t.cfg.QueueBytes
+	if f.Kind == KindCall {
+		return o.queueOf(f).fits(f, frames, bytes)
 	}
-	if !o.control.removeFirst(func(f *frame) bool { return f.Kind == KindRaft }) {
-		return false
+	for !o.control.fits(f, frames, bytes) {
+		if !o.control.removeFirst(func(f *frame) bool { return f.Kind == KindRaft }) {
+			return false
+		}
+		o.t.cfg.Observer.FrameDropped(o.peer.Host, KindRaft, "queue full")
 	}
-	o.t.cfg.Observer.FrameDropped(o.peer.Host, KindRaft, "queue full")
 	return true
 }
 
@@ -305,7 +329,7 @@
 	defer o.mu.Unlock()
 	o.nextID++
 	id := o.nextID
-	f := &frame{Kind: KindCall, ID: id, Method: method, Body: body, RemainingMS: timeout.Milliseconds()}
+	f := &frame{Kind: KindCall, ID: id, Method: method, Body: body, deadline: time.Now().Add(timeout)}
 	if err := o.enqueue(f); err != nil {
 		return 0, err
 	}
@@ -327,15 +351,20 @@
 	if pending.written {
 		return nil, &LostReplyError{Peer: o.peer.Host, Reason: "timeout"}
 	}
-	o.calls.removeFirst(func(f *frame) bool { return f.ID == id })
+	byID := func(f *frame) bool { return f.ID == id }
+	if !o.smallCalls.removeFirst(byID) {
+		o.calls.removeFirst(byID)
+	}
 	return nil, &NotSentError{Peer: o.peer.Host, Reason: "timeout in the send queue"}
 }
 
-// failQueued ends the calls that wait for a connection.
+// failQueued ends the calls that wait for a connection. Calls that were written
+// have ended with their connection.
 func (o *outbound) failQueued(reason string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.control.clear()
+	o.smallCalls.clear()
 	o.calls.clear()
 	for id, call := range o.pending {
 		call.done <- result{err: &NotSentError{Peer: o.peer.Host, Reason: reason}}
@@ -360,12 +389,3 @@
 	defer o.mu.Unlock()
 	o.err = err
 }
-
-// interrupt closes the open connection so that run ends.
-func (o *outbound) interrupt() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.conn != nil {
-		_ = o.conn.Close()
-	}
-}
