--- /dev/null
+++ b/cmd/cranberrydrum/bench_test.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"encoding/csv"
+	"os"
+	"path/filepath"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("bench", func() {
+	// Guards against tables whose CSV columns do not line up and against
+	// results that differ between runs with one seed.
+	DescribeTable("prints the same table and CSV for the same seed", func(header string, args ...string) {
+		file := filepath.Join(GinkgoT().TempDir(), "table.csv")
+		args = append([]string{"bench"}, append(args, "--quick", "--seed", "7", "--csv", file)...)
+		first := execute(nil, "", args...)
+		Expect(first.Status).To(Equal(0), first.Stderr)
+		text, err := os.ReadFile(file)
+		Expect(err).NotTo(HaveOccurred())
+		records, err := csv.NewReader(strings.NewReader(string(text))).ReadAll()
+		Expect(err).NotTo(HaveOccurred(), "every line has as many cells as the header")
+		Expect(len(records)).To(BeNumerically(">", 1))
+		Expect(records[0]).To(ContainElement(header))
+		Expect(execute(nil, "", args...).Stdout).To(Equal(first.Stdout))
+	},
+		Entry("placement", "deployment", "placement"),
+		Entry("serving", "urgent_ok_%", "serving", "--deployment", "remada", "--policy", "completion"),
+	)
+
+	It("measures a part of the control cost", func() {
+		r := execute(nil, "", "bench", "control", "--quick", "--part", "round")
+		Expect(r.Status).To(Equal(0), r.Stderr)
+		Expect(r.Stdout).To(ContainSubstring("CPU of a round"))
+	})
+
+	It("limits placement to one policy and one deployment", func() {
+		r := execute(nil, "", "bench", "placement", "--quick", "--deployment", "remada", "--policy", "fcfs-first-fit")
+		Expect(r.Status).To(Equal(0), r.Stderr)
+		Expect(r.Stdout).To(And(ContainSubstring("deployment remada"), ContainSubstring("fcfs-first-fit")))
+		Expect(r.Stdout).NotTo(Or(ContainSubstring("korbfrisch"), ContainSubstring("quota-without-shape")))
+	})
+
+	DescribeTable("refuses wrong arguments before it measures", func(reason string, args ...string) {
+		r := execute(nil, "", append([]string{"bench"}, args...)...)
+		Expect(r.Status).To(Equal(2), r.Stderr)
+		Expect(r.Stderr).To(ContainSubstring(reason))
+	},
+		Entry(nil, "korbfrisch or remada", "placement", "--deployment", "elsewhere"),
+		Entry(nil, "korbfrisch or remada", "serving", "--deployment", "elsewhere"),
+		Entry(nil, "peak-demand, balanced or completion", "serving", "--policy", "crest"),
+		Entry(nil, "cranberrydrum, fcfs-first-fit", "placement", "--policy", "balanced"),
+		Entry(nil, "exclude each other", "placement", "--target", "--deployment", "remada"),
+		Entry(nil, "unknown part", "control", "--part", "weather"),
+		Entry(nil, "no server", "control", "--part", "process"),
+		Entry(nil, "--pid and --failure-domain", "control", "--part", "process", "--server", "127.0.0.1:1"),
+		Entry(nil, "needs a subcommand"),
+	)
+
+	It("reports a CSV file that cannot be written", func() {
+		r := execute(nil, "", "bench", "control", "--quick", "--part", "round", "--csv", filepath.Join(GinkgoT().TempDir(), "none", "t.csv"))
+		Expect(r.Status).To(Equal(1))
+		Expect(r.Stderr).To(ContainSubstring("output_failed"))
+	})
+})
--- /dev/null
+++ b/daemon/experiment/control/control_test.go
@@ -0,0 +1,81 @@
+package control_test
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cranberrydrum.dev/daemon/experiment/control"
+)
+
+func TestControl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "control cost")
+}
+
+func run(parts ...control.Part) control.Table {
+	table, err := control.Run(control.Options{Seed: 1, Quick: true, Parts: parts})
+	Expect(err).NotTo(HaveOccurred())
+	return table
+}
+
+func find(t control.Table, quantity string) control.Row {
+	for _, r := range t.Rows {
+		if strings.HasPrefix(r.Quantity, quantity) {
+			return r
+		}
+	}
+	Fail("no row " + quantity)
+	return control.Row{}
+}
+
+var _ = Describe("the measurements", func() {
+	It("fits a line through the points", func() {
+		base, slope := control.Row{Points: []control.Point{{Size: 1, Value: 5}, {Size: 2, Value: 7}, {Size: 4, Value: 11}}}.Line()
+		Expect(base).To(BeNumerically("~", 3, 1e-9))
+		Expect(slope).To(BeNumerically("~", 2, 1e-9))
+		base, slope = control.Row{Points: []control.Point{{Value: 4}}}.Line()
+		Expect([]float64{base, slope}).To(Equal([]float64{4, 0}))
+	})
+
+	// Guards against a log whose idle traffic or syncs grow, and against
+	// batches that are synced change by change.
+	It("finds one sync for a batch and heartbeats only when idle", func() {
+		t := run(control.PartLog)
+		for _, p := range find(t, "syncs per change: leader").Points {
+			Expect(p.Value*p.Size).To(BeNumerically("~", 1, 0.01), "batch of %v", p.Size)
+		}
+		Expect(find(t, "idle log: syncs").Points[0].Value).To(BeZero())
+		// A request and a reply for each of two replicas every 150 ms.
+		Expect(find(t, "idle log: frames").Points[0].Value).To(BeNumerically("<=", 4/0.15))
+		_, slope := find(t, "replication of a change: leader").Line()
+		Expect(slope).To(BeNumerically("~", 1, 0.05), "each byte is sent once to each replica")
+	})
+
+	// Guards against renewals that grow beyond the 19 KB/s of a node.
+	It("finds that a renewal of the target size stays small", func() {
+		t := run(control.PartRenewal)
+		for _, name := range []string{"renewal request", "renewal reply"} {
+			base, slope := find(t, name).Line()
+			Expect(base + 18*slope).To(BeNumerically("<", 2000))
+		}
+	})
+
+	It("restores the state of a domain and measures held state", func() {
+		t := run(control.PartRecovery, control.PartMemory, control.PartRound)
+		for _, r := range t.Rows {
+			if r.Against != "" {
+				Expect(len(r.Points)).To(BeNumerically(">=", 3), r.Quantity)
+			}
+		}
+	})
+
+	It("names an unknown part and a missing process", func() {
+		_, err := control.Run(control.Options{Parts: []control.Part{"weather"}})
+		Expect(err).To(BeAssignableToTypeOf(&control.UnknownPartError{}))
+		_, err = control.Run(control.Options{Parts: []control.Part{control.PartProcess}})
+		Expect(err).To(MatchError(ContainSubstring("process id")))
+	})
+})
--- a/daemon/experiment/control/memory.go
+++ b/daemon/experiment/control/memory.go
@@ -54,10 +54,10 @@
 	}
 }
 
-func measureMemory(Options) ([]Row, error) {
+func measureMemory(o Options) ([]Row, error) {
 	var rows []Row
 	for _, s := range heldStates() {
-		points, err := sweep(s.sizes, func(size int) (float64, error) {
+		points, err := sweep(o.sizes(s.sizes), func(size int) (float64, error) {
 			return heap(func() (any, error) { return s.build(size) })
 		})
 		if err != nil {
--- a/daemon/experiment/control/options.go
+++ b/daemon/experiment/control/options.go
@@ -33,8 +33,8 @@
 // Options select what Run measures.
 type Options struct {
 	Seed uint64
-	// Quick shortens each measurement. The sizes stay, so slopes are still
-	// from three sizes, but the times are less exact.
+	// Quick shortens each measurement and takes smaller states for memory.
+	// Slopes are still from three sizes, but less exact.
 	Quick bool
 	// Parts are the parts to run; none selects all that need no process.
 	Parts []Part
@@ -67,6 +67,19 @@
 	return full
 }
 
+// sizes returns the sizes of held state.
+func (o Options) sizes(full []int) []int {
+	const quickShare = 4
+	if !o.Quick {
+		return full
+	}
+	var reduced []int
+	for _, size := range full {
+		reduced = append(reduced, max(1, size/quickShare))
+	}
+	return reduced
+}
+
 func (o Options) parts() []Part {
 	if len(o.Parts) > 0 {
 		return o.Parts
