--- a/scheduler/agent/agent.go
+++ b/scheduler/agent/agent.go
@@ -65,6 +65,8 @@
 	accelerators []int
 	command      []string
 	throttled    bool
+	// forced is set once the task was told to stop at the end of a lease.
+	forced bool
 	// result and error are reported once the task has ended.
 	result structs.TaskPhase
 	err    string
@@ -97,7 +99,7 @@
 	for _, t := range a.tasks {
 		at := a.leaseEnd
 		switch {
-		case t.phase == phaseStopping:
+		case t.phase == phaseStopping && t.forced:
 			continue
 		case t.phase == phaseEnded && !t.omitted:
 			continue
@@ -137,7 +139,7 @@
 	}
 	var effects []Effect
 	for _, t := range a.sorted() {
-		effects = append(effects, t.stop()...)
+		effects = append(effects, t.stop(true)...)
 	}
 	return effects
 }
--- a/scheduler/agent/events.go
+++ b/scheduler/agent/events.go
@@ -55,10 +55,13 @@
 	Command      []string
 }
 
-// StopTask ends a task at once. TaskExited must follow.
+// StopTask ends a task. TaskExited must follow. A forced stop, at the end of
+// the lease, kills the task; another one may give it time to shut down, and is
+// followed by a forced one if the lease ends before the task.
 type StopTask struct {
-	Job string
-	Run uint64
+	Job   string
+	Run   uint64
+	Force bool
 }
 
 // CheckpointTask asks a task for a checkpoint. CheckpointDone follows unless
--- a/scheduler/agent/orders.go
+++ b/scheduler/agent/orders.go
@@ -67,7 +67,7 @@
 		t.omitted = true
 		t.forgetAt = now + a.lease
 	}
-	return t.stop()
+	return t.stop(false)
 }
 
 // order carries out one order.
@@ -82,7 +82,7 @@
 	}
 	switch o.Action {
 	case structs.ActionStop:
-		return t.stop()
+		return t.stop(false)
 	case structs.ActionStart:
 		if leased {
 			return t.start()
--- a/scheduler/agent/task.go
+++ b/scheduler/agent/task.go
@@ -39,22 +39,24 @@
 }
 
 // stop ends the task; one that never ran has ended at once.
-func (t *task) stop() []Effect {
-	if t.started() {
-		t.phase = phaseStopping
-		return []Effect{StopTask{Job: t.key.job, Run: t.key.run}}
-	}
-	if t.phase == phasePreparing || t.phase == phasePrepared {
+func (t *task) stop(force bool) []Effect {
+	switch {
+	case t.phase < phaseRunning:
 		t.end(structs.TaskStopped, "")
+		return nil
+	case t.phase == phaseEnded, t.phase == phaseStopping && (!force || t.forced):
+		return nil
 	}
-	return nil
+	t.phase = phaseStopping
+	t.forced = force
+	return []Effect{StopTask{Job: t.key.job, Run: t.key.run, Force: force}}
 }
 
 // checkpoint asks a running task for a checkpoint, once. A task that has not
 // started has nothing to save and stops.
 func (t *task) checkpoint() []Effect {
 	if t.phase < phaseRunning {
-		return t.stop()
+		return t.stop(false)
 	}
 	if t.phase != phaseRunning {
 		return nil
--- /dev/null
+++ b/scheduler/jobs/calm_test.go
@@ -0,0 +1,96 @@
+package jobs_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+const (
+	calmSeeds = 30
+	badSeeds  = 3
+)
+
+func newCalm(seed uint64, bad int, fail func(string, ...any)) *sim {
+	s := newSim(seed, 8, bad, fail)
+	s.faults = false
+	s.shutdown = killTime
+	// The first messages were sent with faults and take up to 10 s.
+	s.advance(12 * time.Second)
+	return s
+}
+
+// until advances until a condition holds and returns how long that took.
+func (s *sim) until(done func() bool) time.Duration {
+	start := s.now
+	for !done() {
+		if s.now-start > 10*time.Minute {
+			s.fail("the condition never holds")
+		}
+		s.advance(10 * time.Millisecond)
+	}
+	return s.now - start
+}
+
+// runningTasks counts the tasks of a job that truly run.
+func (s *sim) runningTasks(id string, run uint64) int {
+	n := 0
+	for _, w := range s.workers {
+		if w.tasks[runKey{id, run}] != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// TestCalmTimes guards the bound for the start of urgent work (4.8 s) and the
+// bound for the stop of a gang that lost a member, and prints the worst cases.
+func TestCalmTimes(t *testing.T) {
+	var slowestStart, slowestStop, slowestRestart time.Duration
+	for seed := range uint64(calmSeeds) {
+		s := newCalm(seed, 0, t.Fatalf)
+		s.longTasks = true
+		s.submit(structs.JobSpec{Name: "gang", Customer: "b", Accelerators: 24, Priority: structs.PriorityUrgent}, false)
+		id := s.follower.Jobs("")[0].ID
+		slowestStart = max(slowestStart, s.until(func() bool { return s.runningTasks(id, 1) == 6 }))
+		s.workers[2].crash()
+		slowestStop = max(slowestStop, s.until(func() bool { return s.runningTasks(id, 1) == 0 }))
+		slowestRestart = max(slowestRestart, s.until(func() bool { return s.runningTasks(id, 2) == 6 }))
+	}
+	t.Logf("slowest of %d: start of a gang of 6 workers %v, stop after the loss of a worker %v, restart after the stop %v",
+		calmSeeds, slowestStart, slowestStop, slowestRestart)
+	g := NewWithT(t)
+	g.Expect(slowestStart).To(BeNumerically("<", 4800*time.Millisecond))
+	g.Expect(slowestStop).To(BeNumerically("<", goneWithin))
+	g.Expect(slowestRestart).To(BeNumerically("<", 4800*time.Millisecond))
+}
+
+// TestBadWorker guards against a worker that destroys one run after another,
+// through leader changes, and against good jobs that end as failed.
+func TestBadWorker(t *testing.T) {
+	g := NewWithT(t)
+	worst := 0
+	for seed := range uint64(badSeeds) {
+		s := newCalm(seed, 1, t.Fatalf)
+		for i := range 150 {
+			s.submit(structs.JobSpec{Name: fmt.Sprint(i), Customer: "b", Accelerators: 1, DeclaredRuntime: 4 * time.Second}, false)
+			if i%50 == 49 {
+				s.depose()
+				s.advance(20 * time.Second)
+			}
+		}
+		s.advance(10 * time.Minute)
+		failed := 0
+		for _, j := range s.follower.Jobs("") {
+			g.Expect(j.Status).To(Equal(structs.JobSucceeded), j.Reason)
+			failed += j.Attempts
+		}
+		worst = max(worst, failed)
+	}
+	t.Logf("worst of %d: %d failed runs among 150 jobs", badSeeds, worst)
+	g.Expect(worst).To(BeNumerically("<=", 5+4+6), "threshold less one, accelerators, probes")
+}
--- a/scheduler/jobs/controller.go
+++ b/scheduler/jobs/controller.go
@@ -146,7 +146,7 @@
 		queued: map[string]struct{}{}, waiting: map[string]string{}, estimates: newEstimator(),
 	}
 	s.changes.track()
-	c.restoreStandings()
+	c.restoreEvidence()
 	c.Applied(now)
 	return c
 }
--- a/scheduler/jobs/evidence.go
+++ b/scheduler/jobs/evidence.go
@@ -14,8 +14,54 @@
 	// lasted this much longer than where the job failed.
 	wellFactor  = 2
 	wellMinimum = 5 * time.Second
+	// evidenceAge bounds how old an ended job may be whose failures a new
+	// leader counts.
+	evidenceAge = 10 * time.Minute
 )
 
+// restoreEvidence collects what the state tells about recent failures, so that
+// a bad worker cannot start over with each leader, and then resumes the
+// quarantines that an earlier leader decided.
+func (c *Controller) restoreEvidence() {
+	c.keeper.SetFleet(len(c.state.workers))
+	for _, j := range c.state.terminal {
+		if c.state.clock-j.finished <= evidenceAge {
+			c.restoreFailures(j)
+			c.jobOutcome(c.state.clock, j)
+		}
+	}
+	for _, j := range c.state.sortedJobs() {
+		if !j.Status.Terminal() {
+			c.restoreFailures(j)
+		}
+	}
+	c.restoreStandings()
+}
+
+// restoreFailures repeats the failed runs of a job. They precede a run that may
+// still fail, and their lengths are unknown.
+func (c *Controller) restoreFailures(j *job) {
+	clock := c.state.clock
+	last := j.Run
+	if j.Status == structs.JobReserved || j.Status == structs.JobRunning {
+		last--
+	}
+	first := last - min(last, uint64(len(j.failedOn)))
+	for i, worker := range j.failedOn {
+		c.keeper.Failed(clock, worker, j.ID, first+uint64(i)+1, clock)
+	}
+}
+
+// jobOutcome passes the end of a job on as evidence.
+func (c *Controller) jobOutcome(clock time.Duration, j *job) {
+	if j.Status == structs.JobSucceeded {
+		for _, m := range j.Members {
+			c.keeper.Succeeded(clock, m.Worker, j.ID, j.started)
+		}
+	}
+	c.keeper.Ended(clock, j.ID, j.Status == structs.JobFailed)
+}
+
 // restoreStandings resumes the quarantines that an earlier leader decided.
 func (c *Controller) restoreStandings() {
 	for _, w := range c.state.sortedWorkers() {
--- a/scheduler/jobs/job.go
+++ b/scheduler/jobs/job.go
@@ -159,6 +159,10 @@
 	j.phases, j.avoid = nil, nil
 	j.cause, j.halt, j.deadline = 0, false, 0
 	s.terminal = append(s.terminal, j)
+	s.open[j.Spec.Customer]--
+	if s.open[j.Spec.Customer] == 0 {
+		delete(s.open, j.Spec.Customer)
+	}
 }
 
 // reserve hands the planned accelerators to a job.
--- a/scheduler/jobs/round.go
+++ b/scheduler/jobs/round.go
@@ -53,6 +53,11 @@
 		c.workerChanged(now, w.ID)
 	}
 	for _, j := range c.state.sortedJobs() {
+		if j.Status.Terminal() {
+			c.dropJob(j.ID)
+			c.learn(j)
+			continue
+		}
 		c.jobChanged(now, j.ID)
 	}
 	c.dirty = true
@@ -103,12 +108,19 @@
 		c.planner.SetQueued(c.queuedView(j))
 		return
 	}
+	c.dropJob(id)
+	if j != nil && j.Status.Terminal() {
+		c.jobOutcome(c.Clock(now), j)
+		c.learn(j)
+	}
+}
+
+// dropJob forgets a job that is neither to be planned nor active.
+func (c *Controller) dropJob(id string) {
+	delete(c.gangs, id)
 	delete(c.queued, id)
 	delete(c.waiting, id)
 	c.planner.Remove(id)
-	if j != nil && j.Status.Terminal() {
-		c.jobEnded(now, j)
-	}
 }
 
 // queuedView returns what the planner needs about a queued job.
@@ -128,16 +140,12 @@
 	}
 }
 
-// jobEnded learns from a terminal job.
-func (c *Controller) jobEnded(now time.Duration, j *job) {
-	c.keeper.Ended(c.Clock(now), j.ID, j.Status == structs.JobFailed)
-	if j.Status != structs.JobSucceeded {
+// learn takes the run time of a job that succeeded in one piece.
+func (c *Controller) learn(j *job) {
+	if j.Status != structs.JobSucceeded || j.resumed {
 		return
 	}
-	for _, m := range j.Members {
-		c.keeper.Succeeded(c.Clock(now), m.Worker, j.ID, j.started)
-	}
-	if !j.resumed && c.estimates.add(j.Spec, j.finished-j.started) {
+	if c.estimates.add(j.Spec, j.finished-j.started) {
 		c.refreshEstimates(j.Spec.Customer)
 	}
 }
--- /dev/null
+++ b/scheduler/jobs/sim_worker_test.go
@@ -0,0 +1,250 @@
+package jobs_test
+
+import (
+	"slices"
+	"time"
+
+	"cranberrydrum.dev/scheduler/agent"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+type simWorker struct {
+	*sim
+	worker structs.Worker
+	agent  *agent.Agent
+	inc    uint64
+	seq    uint64
+	alive  bool
+	cut    bool
+	bad    bool
+	frozen bool
+	// slow delays all messages of the worker.
+	slow time.Duration
+	// loyal is when the worker last talks to a deposed leader.
+	loyal time.Duration
+	// thawing makes kills immediate: the platform continues the tasks of a frozen
+	// worker only after its process, so a task stopped first does not run again.
+	thawing bool
+	offset  time.Duration
+	rate    float64
+	tasks   map[runKey]*simTask
+	inbox   []func()
+}
+
+type simTask struct {
+	accelerators []int
+	stopping     bool
+}
+
+// local is the worker's clock, up to 3 % fast or slow.
+func (w *simWorker) local() time.Duration { return w.offset + time.Duration(float64(w.now)*w.rate) }
+
+func (w *simWorker) restart() {
+	w.inc++
+	w.alive, w.frozen = true, false
+	w.agent = agent.New(w.worker, w.inc)
+	w.tasks = map[runKey]*simTask{}
+	w.inbox = nil
+	w.renew(w.inc)
+}
+
+// crash ends the process and with it all of its tasks.
+func (w *simWorker) crash() {
+	w.alive = false
+	for key := range w.tasks {
+		w.noteLost(key)
+	}
+	w.tasks = map[runKey]*simTask{}
+}
+
+// thaw continues a frozen process; its own timer comes first.
+func (w *simWorker) thaw() {
+	if !w.alive || !w.frozen {
+		return
+	}
+	w.frozen, w.thawing = false, true
+	w.step(agent.Timer{})
+	w.thawing = false
+	inbox := w.inbox
+	w.inbox = nil
+	for _, run := range inbox {
+		run()
+	}
+}
+
+// here runs f in the process of an incarnation, once it is not frozen.
+func (w *simWorker) here(inc uint64, f func()) {
+	switch {
+	case !w.alive || w.inc != inc:
+	case w.frozen:
+		w.inbox = append(w.inbox, f)
+	default:
+		f()
+	}
+}
+
+func (w *simWorker) renew(inc uint64) {
+	if !w.alive || w.inc != inc {
+		return
+	}
+	w.after(time.Second, func() { w.renew(inc) })
+	if !w.frozen {
+		w.renewNow(inc)
+	}
+}
+
+// renewNow sends one renewal; the platform may send them at any time.
+func (w *simWorker) renewNow(inc uint64) {
+	w.seq++
+	seq := w.seq
+	w.step(agent.RenewalSent{Seq: seq})
+	report := w.agent.Report()
+	if w.cut {
+		return
+	}
+	w.send(func() {
+		l := w.leader
+		if len(w.stale) > 0 && (l == nil || w.now < w.loyal) {
+			l = w.stale[0]
+		}
+		if l == nil || w.now < w.pausedUntil {
+			return
+		}
+		orders, refusal := l.ctl.Renew(l.local(), report, l.holdsLease())
+		if refusal != nil || w.cut {
+			return
+		}
+		w.send(func() { w.here(inc, func() { w.obey(inc, agent.OrdersReceived{Seq: seq, Orders: orders}) }) })
+	})
+}
+
+func (w *simWorker) obey(inc uint64, ev agent.OrdersReceived) {
+	w.step(ev)
+	if w.chance(0.1) {
+		w.renewNow(inc)
+	}
+}
+
+func (w *simWorker) step(ev agent.Event) {
+	for _, e := range w.agent.Step(w.local(), ev) {
+		switch e := e.(type) {
+		case agent.StartTask:
+			w.start(e)
+		case agent.StopTask:
+			w.kill(runKey{e.Job, e.Run}, e.Force)
+		case agent.CheckpointTask:
+			w.after(w.upTo(4*time.Second), func() {
+				w.here(w.inc, func() { w.step(agent.CheckpointDone(e)) })
+			})
+		}
+	}
+	for _, t := range w.agent.Report().Tasks {
+		key := runKey{t.Job, t.Run}
+		if t.Phase == structs.TaskPrepared {
+			if w.sim.prepared[key] == nil {
+				w.sim.prepared[key] = map[string]bool{}
+			}
+			w.sim.prepared[key][w.worker.ID] = true
+		}
+	}
+	inc := w.inc
+	if at, ok := w.agent.Deadline(); ok {
+		wait := time.Duration(float64(max(0, at-w.local()))/w.rate) + 1
+		w.after(wait, func() { w.here(inc, func() { w.timer() }) })
+	}
+}
+
+// timer delivers a timer event if the deadline has come.
+func (w *simWorker) timer() {
+	if at, ok := w.agent.Deadline(); ok && at <= w.local() {
+		w.step(agent.Timer{})
+	}
+}
+
+func (w *simWorker) start(e agent.StartTask) {
+	key := runKey{e.Job, e.Run}
+	w.checkStart(key, e.Accelerators)
+	w.tasks[key] = &simTask{accelerators: e.Accelerators}
+	inc := w.inc
+	length := 2*time.Second + w.upTo(6*time.Second)
+	if w.longTasks || w.rng.IntN(4) == 0 {
+		length *= 8
+	}
+	failed := w.bad || w.badJobs[e.Job]
+	w.after(length, func() {
+		w.here(inc, func() {
+			if t := w.tasks[key]; t != nil && !t.stopping {
+				delete(w.tasks, key)
+				if !failed {
+					w.done[key]++
+				} else {
+					w.noteLost(key)
+					w.noteFailure(key)
+				}
+				w.step(agent.TaskExited{Job: e.Job, Run: e.Run, Failed: failed, Error: "exit status 1"})
+			}
+		})
+	})
+}
+
+func (w *simWorker) kill(key runKey, force bool) {
+	t := w.tasks[key]
+	if t == nil {
+		return
+	}
+	t.stopping = true
+	inc := w.inc
+	w.noteLost(key)
+	if w.thawing {
+		delete(w.tasks, key)
+	}
+	after := w.upTo(w.shutdown)
+	if force {
+		after = w.upTo(killTime)
+	}
+	w.after(after, func() {
+		w.here(inc, func() {
+			delete(w.tasks, key)
+			w.step(agent.TaskExited{Job: key.job, Run: key.run})
+		})
+	})
+}
+
+func (s *sim) noteLost(key runKey) {
+	if _, ok := s.lostAt[key]; !ok {
+		s.lostAt[key] = s.now
+	}
+}
+
+func (s *sim) noteFailure(key runKey) {
+	if s.failures[key.job] == nil {
+		s.failures[key.job] = map[uint64]bool{}
+	}
+	s.failures[key.job][key.run] = true
+}
+
+// checkStart compares a starting task with all tasks that truly run.
+func (w *simWorker) checkStart(key runKey, accelerators []int) {
+	for other, t := range w.tasks {
+		for _, a := range accelerators {
+			if slices.Contains(t.accelerators, a) {
+				w.fail("accelerator %d of %s is used by %v and %v", a, w.worker.ID, other, key)
+			}
+		}
+	}
+	for _, o := range w.workers {
+		for other := range o.tasks {
+			if other.job == key.job && other.run != key.run && o.alive && !o.frozen {
+				w.fail("job %s starts in run %d on %s while run %d is on %s", key.job, key.run, w.worker.ID, other.run, o.worker.ID)
+			}
+		}
+	}
+	for _, m := range w.members[key] {
+		if !w.sim.prepared[key][m] {
+			w.fail("%v starts before %s has prepared", key, m)
+		}
+	}
+	if !slices.Contains(w.members[key], w.worker.ID) {
+		w.fail("%v starts on %s, which is no member", key, w.worker.ID)
+	}
+}
--- a/scheduler/jobs/snapshot.go
+++ b/scheduler/jobs/snapshot.go
@@ -105,6 +105,9 @@
 		j := r.job()
 		s.jobs[j.ID] = j
 		s.names[nameKey{j.Spec.Customer, j.Spec.Name}] = j
+		if !j.Status.Terminal() {
+			s.open[j.Spec.Customer]++
+		}
 		if !j.active() {
 			continue
 		}
--- a/scheduler/jobs/state.go
+++ b/scheduler/jobs/state.go
@@ -11,8 +11,12 @@
 // replicas must use the same values.
 const (
 	// MaxOpenJobs bounds the jobs that are not terminal. The target load is
-	// 810 jobs a day; the bound admits bursts of many small jobs.
-	MaxOpenJobs = 20_000
+	// 810 jobs a day and 16,000 running tasks; the bound admits bursts of many
+	// small jobs.
+	MaxOpenJobs = 50_000
+	// MaxOpenPerCustomer keeps the burst of one customer from filling the
+	// queue for all.
+	MaxOpenPerCustomer = 20_000
 	// MaxAttempts ends a job after this number of failed runs.
 	MaxAttempts = 8
 	// MaxFailedWorkers ends a job that has failed on this number of different
@@ -43,6 +47,8 @@
 	terminal []*job
 	// held counts the accelerators that each customer holds.
 	held map[string]int
+	// open counts the jobs of each customer that are not terminal.
+	open map[string]int
 
 	changes changeList
 }
@@ -76,6 +82,7 @@
 		names:   map[nameKey]*job{},
 		workers: map[string]*worker{},
 		held:    map[string]int{},
+		open:    map[string]int{},
 	}
 }
 
--- a/scheduler/jobs/submit.go
+++ b/scheduler/jobs/submit.go
@@ -28,6 +28,9 @@
 	if len(s.jobs)-len(s.terminal) >= MaxOpenJobs {
 		return refused(structs.CodeQueueFull, "the failure domain has too many open jobs")
 	}
+	if s.open[spec.Customer] >= MaxOpenPerCustomer {
+		return refused(structs.CodeQueueFull, "the customer has too many open jobs")
+	}
 	j := s.newJob(spec)
 	public := j.copy()
 	return Result{Job: &public}
@@ -42,6 +45,7 @@
 	j.Spec.Command = slices.Clone(spec.Command)
 	j.Status = structs.JobQueued
 	s.jobs[j.ID] = j
+	s.open[spec.Customer]++
 	s.names[nameKey{spec.Customer, spec.Name}] = j
 	s.changes.add(change{job: j.ID})
 	return j
--- a/scheduler/quarantine/keeper.go
+++ b/scheduler/quarantine/keeper.go
@@ -94,11 +94,13 @@
 // SetFleet sets the number of workers that MaxShare refers to.
 func (k *Keeper) SetFleet(workers int) { k.fleet = workers }
 
-// Restore resumes a standing that an earlier keeper decided.
+// Restore resumes a standing that an earlier keeper decided, and drops the
+// evidence that it was based on.
 func (k *Keeper) Restore(s Standing) {
 	r := k.worker(s.Worker)
 	k.setQuarantined(r, s.Quarantined)
 	r.Standing = s
+	r.outcomes = nil
 	r.restored = s.Quarantined
 	r.known = true
 }
