--- a/scheduler/jobs/controller.go
+++ b/scheduler/jobs/controller.go
@@ -149,7 +149,7 @@
 		touched: map[string]struct{}{},
 	}
 	s.changes.track()
-	c.restoreStandings()
+	c.restoreEvidence()
 	c.Applied(now)
 	return c
 }
