--- a/scheduler/experiment/serving/hosts.go
+++ b/scheduler/experiment/serving/hosts.go
@@ -55,6 +55,7 @@
 	return serving.NewDispatcher(serving.Config{
 		Self: name, Hosts: names, Domain: domainName, Service: serviceRules(), Classes: classRules(),
 		Customers: customers, Policy: s.variant.Policy, Seed: s.options.Seed*100 + index,
+		SlotsFromLedger:       s.variant.Sharing == ShareLending,
 		Hedging:               !s.variant.NoHedging,
 		DisableSizeSeparation: s.variant.NoSizeSeparation,
 		DisableAdaptiveLimits: s.variant.NoAdaptiveLimits,
--- a/scheduler/experiment/serving/options.go
+++ b/scheduler/experiment/serving/options.go
@@ -59,7 +59,10 @@
 
 // Options select what Run measures.
 type Options struct {
-	Seed      uint64
+	Seed uint64
+	// Repeat is the number of seeds, counted from Seed, over which each row is
+	// averaged; 0 means 1. Breaches and refusals are added up.
+	Repeat    int
 	Executors int
 	Hosts     int
 	// Crest is the load at the crest as a multiple of the capacity.
--- a/scheduler/routing/routing_test.go
+++ b/scheduler/routing/routing_test.go
@@ -96,6 +96,20 @@
 	}
 }
 
+// A change of the hash would move keys of stored requests to other homes.
+var _ = ginkgo.DescribeTable("HomeDomain never changes",
+	func(key, home string) {
+		domains := []string{"zrh-oerlikon", "zrh-altstetten", "lsn-renens"}
+		gomega.Expect(routing.HomeDomain(key, domains)).To(gomega.Equal(home))
+	},
+	ginkgo.Entry("empty", "", "lsn-renens"),
+	ginkgo.Entry("short", "a", "zrh-oerlikon"),
+	ginkgo.Entry("order 1", "order-1", "lsn-renens"),
+	ginkgo.Entry("order 2", "order-2", "lsn-renens"),
+	ginkgo.Entry("path", "remada/fee/77", "zrh-altstetten"),
+	ginkgo.Entry("not ASCII", "ключ", "zrh-altstetten"),
+)
+
 var _ = ginkgo.Describe("ReplicaHosts", func() {
 	ginkgo.It("spreads the remote replicas of the current deployment", func() {
 		var hosts []routing.Host
--- a/scheduler/serving/admit.go
+++ b/scheduler/serving/admit.go
@@ -42,7 +42,7 @@
 	r.deadline = now + remaining
 	r.cost = d.meanTime(f).Seconds()
 	// The rest of a straggler counts as longer work, so the demand leaves it out.
-	d.sizes.arrived[f.tier] += d.expected(f).Seconds()
+	d.sizes.arrived[c][f.tier] += d.expected(f).Seconds()
 	r.wake = r.deadline
 	return r
 }
--- a/scheduler/serving/config.go
+++ b/scheduler/serving/config.go
@@ -12,6 +12,10 @@
 	// failure domain, which divide the slots of the domain's executors.
 	Self  string
 	Hosts []string
+	// SlotsFromLedger makes SlotsUpdated the only source of slots. Otherwise the
+	// static share of this host applies to an executor until the first
+	// SlotsUpdated for it.
+	SlotsFromLedger bool
 	// Domain is the failure domain of this host. Executors of other domains
 	// are used only through Forward.
 	Domain    string
--- a/scheduler/serving/dispatch.go
+++ b/scheduler/serving/dispatch.go
@@ -15,7 +15,7 @@
 		return
 	}
 	d.round++
-	var blocked [tierCount]bool
+	var blocked sizeBlocks
 	for d.queued > 0 && d.free() > 0 {
 		r, aged := d.candidate(now, &blocked)
 		if r == nil {
@@ -37,19 +37,25 @@
 
 // block keeps the rest of the round from trying again what has no slot. A
 // request with constraints of its own blocks only its flow.
-func (d *Dispatcher) block(r *request, blocked *[tierCount]bool) {
+func (d *Dispatcher) block(r *request, blocked *sizeBlocks) {
 	r.flow.skipRound = d.round
 	if r.nonIdempotent || len(r.avoid) > 0 {
 		return
 	}
-	for t := r.flow.tier; t < tierCount; t++ {
-		blocked[t] = true
+	for c := r.class; c < classCount; c++ {
+		for t := r.flow.tier; t < tierCount; t++ {
+			blocked[c][t] = true
+		}
 	}
 }
 
+// sizeBlocks marks the classes and sizes for which no executor has room. Less
+// important and longer work has no room either.
+type sizeBlocks [classCount][tierCount]bool
+
 // candidate returns the request that is next, and whether it is taken out of
 // turn because of its age.
-func (d *Dispatcher) candidate(now time.Duration, blocked *[tierCount]bool) (*request, bool) {
+func (d *Dispatcher) candidate(now time.Duration, blocked *sizeBlocks) (*request, bool) {
 	if r := d.oldest(now, blocked); r != nil {
 		return r, true
 	}
@@ -67,7 +73,7 @@
 
 // oldest returns the request furthest beyond the age at which its class is
 // taken out of turn, if fewer than their share of the slots run such requests.
-func (d *Dispatcher) oldest(now time.Duration, blocked *[tierCount]bool) *request {
+func (d *Dispatcher) oldest(now time.Duration, blocked *sizeBlocks) *request {
 	if d.aged >= max(1, int(d.tuning.agedShare*float64(d.capacity))) {
 		return nil
 	}
@@ -78,7 +84,7 @@
 			continue
 		}
 		for _, f := range d.queues[c].active {
-			if f.skipRound == d.round || blocked[f.tier] {
+			if f.skipRound == d.round || blocked[c][f.tier] {
 				continue
 			}
 			r := f.first()
@@ -186,7 +192,7 @@
 	if r.nonIdempotent && e.breaker != breakerClosed && d.up > 1 {
 		return nil, -1
 	}
-	if !d.roomFor(r.flow.tier, e) {
+	if !d.roomFor(r.class, r.flow.tier, e) {
 		return nil, -1
 	}
 	if e.ownRunning < e.own {
@@ -202,16 +208,16 @@
 	return nil, -1
 }
 
-// roomFor reports whether an executor may take one more attempt of a size.
-// Long attempts are bounded by the allowance of medium ones, too.
-func (d *Dispatcher) roomFor(size tier, e *executor) bool {
-	if size == long && e.byTier[long] >= d.sizes.longAllowance(e.limit) {
+// roomFor reports whether an executor may take one more attempt of a class and
+// size. Long attempts are bounded by the pool of medium ones, too.
+func (d *Dispatcher) roomFor(c classIndex, size tier, e *executor) bool {
+	if size == long && e.byTier[long] >= d.sizes.longAllowance(e.limit, c) {
 		return false
 	}
 	running := 0
 	for t := long; t >= medium; t-- {
 		running += d.byTier[t]
-		if t <= size && running >= d.pools[t] {
+		if t <= size && d.sizes.keep[c][t] > 0 && running >= d.pools[c][t] {
 			return false
 		}
 	}
--- a/scheduler/serving/dispatcher.go
+++ b/scheduler/serving/dispatcher.go
@@ -30,11 +30,13 @@
 	forwards int
 	aged     int
 	// byTier counts the attempts of each size on all executors, and pools are
-	// the slots for attempts of a size and longer ones.
+	// the slots for attempts of a size and longer ones, by class.
 	byTier [tierCount]int
-	pools  [tierCount]int
+	pools  [classCount][tierCount]int
 
 	executors map[string]*executor
+	// granted are the slots from SlotsUpdated.
+	granted map[string]SlotsUpdated
 	// order is sorted by id; next is where the search for the least loaded
 	// executor starts, so that equal ones take turns.
 	order []*executor
@@ -64,6 +66,7 @@
 		rng:       rand.New(rand.NewPCG(cfg.Seed, 0)),
 		requests:  map[string]*request{},
 		executors: map[string]*executor{},
+		granted:   map[string]SlotsUpdated{},
 		stale:     true,
 	}
 	for c := range d.queues {
@@ -106,9 +109,7 @@
 
 func (d *Dispatcher) updateShares() {
 	for _, e := range d.order {
-		if !e.updated {
-			e.own = d.staticShare(e.backend)
-		}
+		d.applySlots(e)
 	}
 	d.stale = true
 }
@@ -180,7 +181,7 @@
 	case BackendUpdated:
 		d.backendUpdated(now, ev.Backend)
 	case SlotsUpdated:
-		d.slotsUpdated(now, ev)
+		d.slotsUpdated(ev)
 	case Tick:
 	}
 }
@@ -271,9 +272,7 @@
 		e.failures, e.breaker, e.openFor, e.slowness, e.factor = 0, breakerClosed, 0, 0, 1
 	}
 	e.backend = b
-	if !e.updated {
-		e.own = d.staticShare(b)
-	}
+	d.applySlots(e)
 	d.stale = true
 	d.dropIfGone(e)
 }
@@ -299,15 +298,33 @@
 	return Share(connections, d.cfg.Hosts, d.cfg.Self)
 }
 
-func (d *Dispatcher) slotsUpdated(now time.Duration, ev SlotsUpdated) {
-	e := d.executors[ev.Executor]
-	if e == nil {
-		return
+// slotsUpdated takes over slots from the ledger. They are kept for executors
+// that are not known, too: the static share of an executor that comes back
+// could contain slots that are lent.
+func (d *Dispatcher) slotsUpdated(ev SlotsUpdated) {
+	d.granted[ev.Executor] = ev
+	if d.cfg.SlotsFromLedger && ev.Own == 0 && len(ev.Leases) == 0 {
+		delete(d.granted, ev.Executor)
+	}
+	if e := d.executors[ev.Executor]; e != nil {
+		e.own = ev.Own
+		e.setLeases(ev.Leases)
+		d.stale = true
+	}
+}
+
+// applySlots sets the slots of an executor that was announced.
+func (d *Dispatcher) applySlots(e *executor) {
+	granted, known := d.granted[e.backend.ID]
+	switch {
+	case known:
+		e.own = granted.Own
+		e.setLeases(granted.Leases)
+	case d.cfg.SlotsFromLedger:
+		e.own = 0
+	default:
+		e.own = d.staticShare(e.backend)
 	}
-	e.updated = true
-	e.own = ev.Own
-	e.setLeases(ev.Leases)
-	d.stale = true
 }
 
 func (d *Dispatcher) addExecutor(id string, e *executor) {
--- a/scheduler/serving/events.go
+++ b/scheduler/serving/events.go
@@ -79,8 +79,8 @@
 	Until time.Duration
 }
 
-// SlotsUpdated replaces the slots of one executor that this host may use.
-// Without it the static share of the host applies.
+// SlotsUpdated replaces the slots of one executor that this host may use. It
+// stays in force when the executor leaves and comes back.
 type SlotsUpdated struct {
 	Executor string
 	Own      int
--- a/scheduler/serving/executor.go
+++ b/scheduler/serving/executor.go
@@ -46,10 +46,8 @@
 
 // executor is a backend server as seen by this host.
 type executor struct {
-	backend structs.Backend
-	own     int
-	// updated marks slots that came from SlotsUpdated.
-	updated    bool
+	backend    structs.Backend
+	own        int
 	leases     []lease
 	running    int
 	ownRunning int
--- a/scheduler/serving/queue.go
+++ b/scheduler/serving/queue.go
@@ -151,10 +151,10 @@
 
 // next returns the backlogged flow that has received the least, among those
 // that were not skipped in this round and whose size is not blocked.
-func (q *classQueue) next(round uint64, blocked *[tierCount]bool) *flow {
+func (q *classQueue) next(round uint64, blocked *sizeBlocks) *flow {
 	var best *flow
 	for _, f := range q.active {
-		if f.skipRound == round || blocked[f.tier] {
+		if f.skipRound == round || blocked[f.class][f.tier] {
 			continue
 		}
 		if best == nil || f.before(best) {
--- a/scheduler/serving/refresh.go
+++ b/scheduler/serving/refresh.go
@@ -26,8 +26,10 @@
 	}
 	d.computeSizes(now)
 	d.sizes.updateKeep(d.tuning, d.capacity)
-	for t := medium; t < tierCount; t++ {
-		d.pools[t] = d.sizes.pool(d.capacity, t)
+	for c := range classCount {
+		for t := medium; t < tierCount; t++ {
+			d.pools[c][t] = d.overhang + d.sizes.pool(d.capacity, c, t)
+		}
 	}
 }
 
@@ -126,11 +128,11 @@
 		d.sizes.bounds = [tierCount]time.Duration{mediumFactor * shortest, longFactor * shortest, never}
 	}
 	d.sizes.shortest = shortest
-	d.sizes.current = [tierCount]bool{}
+	d.sizes.current = [classCount][tierCount]bool{}
 	d.sizes.mean = [tierCount]time.Duration{}
 	d.eachCurrent(now, func(f *flow) {
 		f.tier = d.sizes.tierOf(d.expected(f))
-		d.sizes.current[f.tier] = true
+		d.sizes.current[f.class][f.tier] = true
 		d.sizes.mean[f.tier] = max(d.sizes.mean[f.tier], d.meanTime(f))
 	})
 }
@@ -236,5 +238,5 @@
 			slots -= d.reserve(other)
 		}
 	}
-	return max(1, float64(slots)*(1-d.sizes.usualKeep[f.tier]))
+	return max(1, float64(slots)*(1-d.sizes.usualKeep[f.class][f.tier]))
 }
--- a/scheduler/serving/size.go
+++ b/scheduler/serving/size.go
@@ -29,11 +29,15 @@
 	sizeInterval = 250 * time.Millisecond
 )
 
-// sizes holds the boundaries between the tiers.
+// byClass holds a value per class and size.
+type byClass [classCount][tierCount]float64
+
+// sizes holds the boundaries between the tiers, and what work of a class and
+// size leaves free for shorter work of its own and more important classes.
 type sizes struct {
 	bounds [tierCount]time.Duration
-	// current[t] reports that work of the tier has arrived recently.
-	current [tierCount]bool
+	// current[c][t] reports that such work has arrived recently.
+	current [classCount][tierCount]bool
 	valid   bool
 	// shortest is the lowest median of current work, and mean the highest mean
 	// of the current work of a tier.
@@ -41,13 +45,13 @@
 	mean     [tierCount]time.Duration
 	// arrived is the expected service time, in seconds, of the requests that
 	// arrived since the demand was last computed.
-	arrived [tierCount]float64
-	// demand is the number of slots that the arriving work of a tier needs.
-	// usual is the same over a longer time.
-	demand, usual [tierCount]float64
-	// keep is the share of the slots that a tier may not use, usualKeep what
-	// it is expected to be over a longer time.
-	keep, usualKeep [tierCount]float64
+	arrived byClass
+	// demand is the number of slots that arriving work needs. usual is the same
+	// over a longer time.
+	demand, usual byClass
+	// keep is the share of the slots that is left free, usualKeep what it is
+	// expected to be over a longer time.
+	keep, usualKeep byClass
 }
 
 // demandMemory is the time constant of the demand. The load may rise several
@@ -65,11 +69,13 @@
 	}
 	weight := 1 - math.Exp(-elapsed.Seconds()/demandMemory.Seconds())
 	usualWeight := 1 - math.Exp(-elapsed.Seconds()/usualMemory.Seconds())
-	for t := range s.demand {
-		rate := s.arrived[t] / elapsed.Seconds()
-		s.demand[t] += weight * (rate - s.demand[t])
-		s.usual[t] += usualWeight * (rate - s.usual[t])
-		s.arrived[t] = 0
+	for c := range s.demand {
+		for t := range s.demand[c] {
+			rate := s.arrived[c][t] / elapsed.Seconds()
+			s.demand[c][t] += weight * (rate - s.demand[c][t])
+			s.usual[c][t] += usualWeight * (rate - s.usual[c][t])
+			s.arrived[c][t] = 0
+		}
 	}
 }
 
@@ -78,25 +84,32 @@
 // waits for one.
 func (s *sizes) updateKeep(t tuning, capacity int) {
 	slots := max(1, float64(capacity))
+	s.keep, s.usualKeep = byClass{}, byClass{}
 	for size := medium; size <= long; size++ {
 		if s.mean[size].Seconds()/slots < t.tolerated*s.shortest.Seconds() {
-			s.keep[size], s.usualKeep[size] = 0, 0
 			continue
 		}
-		s.keep[size] = s.keepFor(size, &s.demand, t, slots)
-		s.usualKeep[size] = min(s.keep[size], s.keepFor(size, &s.usual, t, slots))
+		for c := range classCount {
+			s.keep[c][size] = s.keepFor(c, size, &s.demand, t, slots)
+			s.usualKeep[c][size] = min(s.keep[c][size], s.keepFor(c, size, &s.usual, t, slots))
+		}
 	}
 }
 
-// keepFor returns the share of the slots that a size leaves free: the demand
-// of shorter work, plus a multiple of its standard deviation, taken as that of
-// independent arrivals. At least a small share is kept for each shorter size
-// with current work, and not more than a bound in all.
-func (s *sizes) keepFor(size tier, demands *[tierCount]float64, t tuning, slots float64) float64 {
+// keepFor returns the share of the slots that a class and size leaves free:
+// the demand of shorter work that is not less important, plus a multiple of
+// its standard deviation, taken as that of independent arrivals. At least a
+// small share is kept for each shorter size with current work, and not more
+// than a bound in all.
+func (s *sizes) keepFor(class classIndex, size tier, demands *byClass, t tuning, slots float64) float64 {
 	demand, floor := 0.0, 0.0
 	for shorter := short; shorter < size; shorter++ {
-		demand += demands[shorter]
-		if s.current[shorter] {
+		current := false
+		for c := urgent; c <= class; c++ {
+			demand += demands[c][shorter]
+			current = current || s.current[c][shorter]
+		}
+		if current {
 			floor += t.minKeep * slots
 		}
 	}
@@ -154,16 +167,16 @@
 	}
 }
 
-// pool returns how many slots of all executors may be used by attempts of tier
-// t and longer ones together.
-func (s *sizes) pool(capacity int, t tier) int {
-	return max(1, capacity-int(math.Ceil(s.keep[t]*float64(capacity))))
+// pool returns up to how many slots of all executors may be used by attempts of
+// tier t and longer ones together, for one more attempt of the class.
+func (s *sizes) pool(capacity int, c classIndex, t tier) int {
+	return max(1, capacity-int(math.Ceil(s.keep[c][t]*float64(capacity))))
 }
 
 // longAllowance returns how many slots of one executor long attempts may use:
 // as long as shorter work arrives, one slot of each executor is not for them.
-func (s *sizes) longAllowance(limit int) int {
-	if s.keep[long] == 0 {
+func (s *sizes) longAllowance(limit int, c classIndex) int {
+	if s.keep[c][long] == 0 {
 		return limit
 	}
 	return max(1, limit-1)
