Take executors for silent only beside others that answer

At a cold start two bulk attempts of more than 200 ms closed an executor, as no service time was known, and a slowdown of all executors would have closed all of them. The rule now needs measured service times and applies to at most a third of the executors at one time.

--- a/scheduler/serving/dispatcher_test.go
+++ b/scheduler/serving/dispatcher_test.go
@@ -265,6 +265,38 @@
 		expect(only[serving.Send](b.finish(probes[0], serving.ResultOK, time.Millisecond))).To(gomega.HaveLen(1))
 	})
 
+	ginkgo.DescribeTable("takes an executor for silent only beside others that answer",
+		func(measured bool, silent, opened int) {
+			b := newBench(4, 2, nil)
+			if measured {
+				b.learn(normalA, 20*time.Millisecond, 20)
+			}
+			var sends []serving.Send
+			for range 8 {
+				_, effects := b.arrive(normalA)
+				sends = append(sends, only[serving.Send](effects)...)
+			}
+			b.now += 20 * time.Millisecond
+			for _, send := range sends {
+				if send.Backend >= fmt.Sprintf("executor-%d", silent) {
+					b.finish(send, serving.ResultOK, 0)
+				}
+			}
+			b.now += time.Second
+			b.d.Step(b.now, serving.Tick{})
+			open := 0
+			for _, e := range b.d.Snapshot().Executors {
+				if e.Breaker == "open" {
+					open++
+				}
+			}
+			expect(open).To(gomega.Equal(opened))
+		},
+		ginkgo.Entry("one of four", true, 1, 1),
+		ginkgo.Entry("all", true, 4, 0),
+		ginkgo.Entry("nothing known of the service times", false, 4, 0),
+	)
+
 	ginkgo.It("gives fewer slots to an executor that has become slow", func() {
 		b := newBench(3, 4, nil)
 		running := map[time.Duration][]serving.Send{}
--- a/scheduler/serving/executor.go
+++ b/scheduler/serving/executor.go
@@ -35,7 +35,10 @@
 	// answer since the first of them was sent, mark an executor as silent.
 	silentAttempts = 2
 	silentFactor   = 6
-	silentFloor    = 200 * time.Millisecond
+	// silentShare is the inverse of the share of executors that may be taken
+	// for silent at one time.
+	silentShare = 3
+	silentFloor = 200 * time.Millisecond
 )
 
 // lease is a borrowed amount of slots and how many are in use.
--- a/scheduler/serving/refresh.go
+++ b/scheduler/serving/refresh.go
@@ -92,6 +92,9 @@
 		e.overdue = 0
 	}
 	for _, r := range d.wakes {
+		if r.flow.estimate.samples < minSamples {
+			continue
+		}
 		limit := max(silentFloor, silentFactor*r.flow.estimate.p95)
 		for i := range r.attempts {
 			a := &r.attempts[i]
@@ -103,15 +106,30 @@
 }
 
 // checkSilent opens the breaker of an executor that seems to be silent, which
-// would otherwise keep its slots until the timeouts.
+// would otherwise keep its slots until the timeouts. If many executors look
+// silent, they have all become slow, and closing them would stop the service.
 func (d *Dispatcher) checkSilent(now time.Duration, e *executor) {
 	if e.breaker != breakerClosed || e.overdue < silentAttempts {
 		return
 	}
+	if d.suspects() > max(1, len(d.order)/silentShare) {
+		return
+	}
 	e.open(now)
 	d.counters.BreakersOpened++
 }
 
+// suspects counts the executors that look silent now or have an open breaker.
+func (d *Dispatcher) suspects() int {
+	count := 0
+	for _, e := range d.order {
+		if e.breaker != breakerClosed || e.overdue >= silentAttempts {
+			count++
+		}
+	}
+	return count
+}
+
 // computeSizes sets the boundaries from the shortest median of current flows.
 func (d *Dispatcher) computeSizes(now time.Duration) {
 	shortest := never
