--- a/scheduler/serving/refresh.go
+++ b/scheduler/serving/refresh.go
@@ -26,8 +26,10 @@
 	}
 	d.computeSizes(now)
 	d.sizes.updateKeep(d.tuning, d.capacity)
-	for t := medium; t < tierCount; t++ {
-		d.pools[t] = d.sizes.pool(d.capacity, t)
+	for c := range classCount {
+		for t := medium; t < tierCount; t++ {
+			d.pools[c][t] = d.overhang + d.sizes.pool(d.capacity, c, t)
+		}
 	}
 }
 
@@ -90,6 +92,9 @@
 		e.overdue = 0
 	}
 	for _, r := range d.wakes {
+		if r.flow.estimate.samples < minSamples {
+			continue
+		}
 		limit := max(silentFloor, silentFactor*r.flow.estimate.p95)
 		for i := range r.attempts {
 			a := &r.attempts[i]
@@ -101,15 +106,30 @@
 }
 
 // checkSilent opens the breaker of an executor that seems to be silent, which
-// would otherwise keep its slots until the timeouts.
+// would otherwise keep its slots until the timeouts. If many executors look
+// silent, they have all become slow, and closing them would stop the service.
 func (d *Dispatcher) checkSilent(now time.Duration, e *executor) {
 	if e.breaker != breakerClosed || e.overdue < silentAttempts {
 		return
 	}
+	if d.suspects() > max(1, len(d.order)/silentShare) {
+		return
+	}
 	e.open(now)
 	d.counters.BreakersOpened++
 }
 
+// suspects counts the executors that look silent now or have an open breaker.
+func (d *Dispatcher) suspects() int {
+	count := 0
+	for _, e := range d.order {
+		if e.breaker != breakerClosed || e.overdue >= silentAttempts {
+			count++
+		}
+	}
+	return count
+}
+
 // computeSizes sets the boundaries from the shortest median of current flows.
 func (d *Dispatcher) computeSizes(now time.Duration) {
 	shortest := never
@@ -126,11 +146,11 @@
 		d.sizes.bounds = [tierCount]time.Duration{mediumFactor * shortest, longFactor * shortest, never}
 	}
 	d.sizes.shortest = shortest
-	d.sizes.current = [tierCount]bool{}
+	d.sizes.current = [classCount][tierCount]bool{}
 	d.sizes.mean = [tierCount]time.Duration{}
 	d.eachCurrent(now, func(f *flow) {
 		f.tier = d.sizes.tierOf(d.expected(f))
-		d.sizes.current[f.tier] = true
+		d.sizes.current[f.class][f.tier] = true
 		d.sizes.mean[f.tier] = max(d.sizes.mean[f.tier], d.meanTime(f))
 	})
 }
@@ -236,5 +256,5 @@
 			slots -= d.reserve(other)
 		}
 	}
-	return max(1, float64(slots)*(1-d.sizes.usualKeep[f.tier]))
+	return max(1, float64(slots)*(1-d.sizes.usualKeep[f.class][f.tier]))
 }
