cmd/e2e: add specs of planned restarts (P7), failing for three causes

Seen at this commit: a restarted host is ready before it knows a backend server (183 of the requests through it refused with no_backend); the owner of request keys does not stop before the stop timeout while requests keep coming; requests that waited longer than 2.5 s in its queue are refused as not_leader.

--- a/cmd/e2e/cluster_test.go
+++ b/cmd/e2e/cluster_test.go
@@ -47,14 +47,19 @@
 	kills map[*standin.Executor]func()
 }
 
-// newCluster starts a deployment. Further flags go to each daemon.
-func newCluster(places []place, flags ...string) *cluster {
+// shortWait is the balancer wait of specs that stop no host under load.
+const shortWait = 200 * time.Millisecond
+
+func newCluster(places []place) *cluster { return newClusterWith(places, shortWait) }
+
+// newClusterWith starts a deployment with a balancer wait of its own.
+func newClusterWith(places []place, wait time.Duration) *cluster {
 	c := &cluster{
 		links:  map[string]*standin.Link{},
 		relays: map[string]*standin.Relay{},
 		client: &fasthttp.Client{ReadTimeout: clientTimeout, MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 2048},
 		kills:  map[*standin.Executor]func(){},
-		flags:  append([]string{"--balancer-wait=200ms", "--stop-timeout=20s"}, flags...),
+		flags:  []string{"--balancer-wait=" + wait.String(), "--stop-timeout=20s"},
 	}
 	for _, p := range places {
 		c.add(p)
--- /dev/null
+++ b/cmd/e2e/restart_test.go
@@ -0,0 +1,197 @@
+package e2e_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cranberrydrum.dev/daemon/api"
+	"cranberrydrum.dev/daemon/standin"
+)
+
+const (
+	// balancerPoll is how often the balancer asks each host whether it is ready.
+	balancerPoll = 50 * time.Millisecond
+	// balancerWait is the daemon's --balancer-wait in these specs. It leaves the
+	// balancer several polls on a busy machine.
+	balancerWait = time.Second
+)
+
+// balancer hands requests to hosts whose last /readyz answer was 200.
+type balancer struct {
+	c     *cluster
+	ready []atomic.Bool
+	stop  chan struct{}
+	wg    sync.WaitGroup
+}
+
+func newBalancer(c *cluster) *balancer {
+	b := &balancer{c: c, ready: make([]atomic.Bool, len(c.hosts)), stop: make(chan struct{})}
+	for i, p := range c.hosts {
+		b.wg.Add(1)
+		go func() {
+			defer b.wg.Done()
+			for {
+				b.ready[i].Store(c.ready(p))
+				select {
+				case <-b.stop:
+					return
+				case <-time.After(balancerPoll):
+				}
+			}
+		}()
+	}
+	return b
+}
+
+func (b *balancer) close() {
+	close(b.stop)
+	b.wg.Wait()
+}
+
+// pick returns a ready host, or nil.
+func (b *balancer) pick(rng *rand.Rand) *process {
+	first := rng.IntN(len(b.c.hosts))
+	for i := range b.c.hosts {
+		host := (first + i) % len(b.c.hosts)
+		if b.ready[host].Load() {
+			return b.c.hosts[host]
+		}
+	}
+	return nil
+}
+
+// steadyLoad sends requests through a balancer and notes all that fail.
+type steadyLoad struct {
+	balancer *balancer
+	// headers returns the headers of a request.
+	headers func(n int) map[string]string
+	stop    chan struct{}
+	wg      sync.WaitGroup
+
+	mu     sync.Mutex
+	sent   int
+	faults []string
+}
+
+func startSteadyLoad(b *balancer, callers int, headers func(n int) map[string]string) *steadyLoad {
+	l := &steadyLoad{balancer: b, headers: headers, stop: make(chan struct{})}
+	for i := range callers {
+		l.wg.Add(1)
+		go func() {
+			defer GinkgoRecover()
+			defer l.wg.Done()
+			l.run(rand.New(rand.NewPCG(uint64(i), 11)))
+		}()
+	}
+	return l
+}
+
+func (l *steadyLoad) run(rng *rand.Rand) {
+	for {
+		select {
+		case <-l.stop:
+			return
+		case <-time.After(time.Duration(rng.IntN(20)) * time.Millisecond):
+		}
+		p := l.balancer.pick(rng)
+		if p == nil {
+			l.note("no host is ready")
+			continue
+		}
+		n := l.next()
+		body := "request " + strconv.Itoa(n)
+		a, err := l.balancer.c.request(p, body, l.headers(n))
+		switch {
+		case err != nil:
+			l.note(fmt.Sprintf("%s through %s: %v", body, p.id, err))
+		case a.status != 200 || string(a.body) != body:
+			l.note(fmt.Sprintf("%s through %s: %v", body, p.id, a))
+		}
+	}
+}
+
+func (l *steadyLoad) next() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent++
+	return l.sent
+}
+
+func (l *steadyLoad) note(fault string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = append(l.faults, time.Now().Format("05.000 ")+fault)
+}
+
+// check ends the load and requires that no request failed or was cut.
+func (l *steadyLoad) check(name string) {
+	close(l.stop)
+	l.wg.Wait()
+	AddReportEntry(name, fmt.Sprintf("%d requests, %d failed", l.sent, len(l.faults)), ReportEntryVisibilityAlways)
+	Expect(l.sent).To(BeNumerically(">", 100))
+	Expect(l.faults).To(BeEmpty())
+}
+
+// restartInTurn restarts hosts by SIGTERM, one after the other.
+func (c *cluster) restartInTurn(list ...*process) {
+	for _, p := range list {
+		p.stop()
+		p.start()
+		c.awaitReady(p)
+		c.awaitServing(p)
+	}
+}
+
+var _ = Describe("Planned restarts (P7)", func() {
+	// Guards against a stop that cuts requests in progress, refuses requests
+	// that the balancer still sends, or leaves a log without a leader.
+	It("of all six hosts in turn fail or cut no request", func() {
+		c := newClusterWith(sixHosts, balancerWait)
+		c.begin(baseRules())
+		c.executors(2, oerlikon, altstetten, renens)
+		c.awaitServing(c.hosts...)
+		b := newBalancer(c)
+		defer b.close()
+		time.Sleep(4 * balancerPoll)
+		load := startSteadyLoad(b, 12, func(int) map[string]string {
+			return map[string]string{standin.HeaderWorkMS: "20"}
+		})
+		c.restartInTurn(c.hosts...)
+		load.check("idempotent")
+	})
+
+	// Guards against a key owner that stops while non-idempotent requests keep
+	// coming: they must be answered, by it or by the next owner, and the stop
+	// must end although requests never pause.
+	It("of the owners of request keys fail or cut no non-idempotent request", func() {
+		c := newClusterWith(threeHosts, balancerWait)
+		c.begin(baseRules())
+		executors := c.executors(2, oerlikon)
+		c.awaitServing(c.inDomain(oerlikon)...)
+		c.owner(oerlikon)
+		b := newBalancer(c)
+		defer b.close()
+		time.Sleep(4 * balancerPoll)
+		keys := &keyedLoad{c: c, home: oerlikon}
+		load := startSteadyLoad(b, 12, func(int) map[string]string {
+			return map[string]string{api.HeaderNonIdempotent: "true", api.HeaderKey: keys.newKey().key, standin.HeaderWorkMS: "60"}
+		})
+		for range 3 {
+			time.Sleep(500 * time.Millisecond)
+			c.restartInTurn(c.owner(oerlikon))
+		}
+		load.check("non-idempotent")
+		for _, e := range executors {
+			for key, runs := range e.Stats().RunsByKey {
+				Expect(runs).To(Equal(1), key)
+			}
+		}
+	})
+})
