--- a/daemon/group/group.go
+++ b/daemon/group/group.go
@@ -65,10 +65,11 @@
 	stop      chan struct{}
 	done      chan struct{}
 	started   bool
+	stopOnce  sync.Once
 
-	// waiting maps the index of a proposal to its proposer. Only the
-	// goroutine of the group uses it.
-	waiting  map[uint64]*proposal
+	// waiting maps an index to the proposals that were given it, in order of
+	// their terms. Only the goroutine of the group uses it.
+	waiting  map[uint64][]*proposal
 	restored bool
 	failure  error
 
@@ -98,7 +99,7 @@
 		jobs:      make(chan func(time.Duration), proposalBuffer),
 		stop:      make(chan struct{}),
 		done:      make(chan struct{}),
-		waiting:   map[uint64]*proposal{},
+		waiting:   map[uint64][]*proposal{},
 		status:    cfg.Replica.Status(),
 	}
 }
@@ -114,11 +115,13 @@
 
 // Stop ends the group and closes its storage.
 func (g *Group) Stop() {
-	close(g.stop)
-	if !g.started {
-		g.closeStorage()
-		return
-	}
+	g.stopOnce.Do(func() {
+		close(g.stop)
+		if !g.started {
+			g.closeStorage()
+			close(g.done)
+		}
+	})
 	<-g.done
 }
 
@@ -157,6 +160,11 @@
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
+	case <-g.done:
+		return nil, structs.NotRun(structs.CodeStopping, "this host is stopping")
+	default:
+	}
+	select {
 	case g.proposals <- p:
 	case <-timer.C:
 		return nil, structs.NotRun(structs.CodeQuorumUnavailable, "too many commands wait in "+g.cfg.Name)
@@ -169,7 +177,19 @@
 	case <-timer.C:
 		return nil, structs.Unknown(structs.CodeQuorumUnavailable, "no quorum of "+g.cfg.Name+" confirmed the command in time")
 	case <-g.done:
-		return nil, structs.Unknown(structs.CodeStopping, "this host stopped before the command was confirmed")
+		o := lastOutcome(p, "this host stopped before the command was confirmed")
+		return o.result, o.err
+	}
+}
+
+// lastOutcome returns the outcome of a proposal when the group is done. A
+// result that was delivered before counts.
+func lastOutcome(p *proposal, unknown string) outcome {
+	select {
+	case o := <-p.done:
+		return o
+	default:
+		return outcome{err: structs.Unknown(structs.CodeStopping, unknown)}
 	}
 }
 
@@ -190,6 +210,12 @@
 	case <-ran:
 		return true
 	case <-g.done:
+	}
+	// Both may have happened: the function runs before the group is done.
+	select {
+	case <-ran:
+		return true
+	default:
 		return false
 	}
 }
@@ -220,12 +246,15 @@
 	p := &proposal{done: make(chan outcome, 1)}
 	ran := g.Do(func(now time.Duration) {
 		ticket, out, err := g.cfg.Replica.Change(now, c)
-		if err != nil {
+		switch {
+		case err == nil:
+			g.wait(ticket, p)
+		case isRefusal(err):
 			p.done <- outcome{err: refusalOf(err)}
-			return
+		default:
+			p.done <- outcome{err: structs.Unknown(structs.CodeQuorumUnavailable, err.Error())}
 		}
-		g.wait(ticket, p)
-		g.process(out)
+		g.handleProposed(out, err)
 	})
 	if !ran {
 		return structs.NotRun(structs.CodeStopping, "this host is stopping")
@@ -237,6 +266,8 @@
 		return o.err
 	case <-timer.C:
 		return structs.Unknown(structs.CodeQuorumUnavailable, "the membership change was not confirmed in time")
+	case <-g.done:
+		return lastOutcome(p, "this host stopped before the change was confirmed").err
 	}
 }
 
@@ -246,9 +277,7 @@
 	g.Do(func(now time.Duration) {
 		var out replica.Output
 		out, err = g.cfg.Replica.Transfer(now, to)
-		if err == nil {
-			g.process(out)
-		}
+		g.handleProposed(out, err)
 	})
 	return err
 }
@@ -320,20 +349,24 @@
 		}
 		p.done <- outcome{err: refusalOf(err)}
 	}
+	g.handleProposed(out, err)
+}
+
+// handleProposed processes the output of a proposal, which a refusal does not
+// make void.
+func (g *Group) handleProposed(out replica.Output, err error) {
 	if isRefusal(err) {
 		err = nil
 	}
 	g.handle(out, err)
 }
 
-// wait registers the proposer at an index. An earlier proposer there lost its
-// entry: had it been committed, a later leader would not reuse the index.
+// wait registers the proposer at an index. An earlier proposer there stays: its
+// entry is gone from this log, but another host can still hold it and commit
+// it after an election, until the index is applied here.
 func (g *Group) wait(ticket replica.Ticket, p *proposal) {
 	p.term = ticket.Term
-	if old := g.waiting[ticket.Index]; old != nil {
-		old.done <- outcome{err: structs.NotRun(structs.CodeNotLeader, "another leader replaced the command")}
-	}
-	g.waiting[ticket.Index] = p
+	g.waiting[ticket.Index] = append(g.waiting[ticket.Index], p)
 }
 
 // handle processes the output of the replica. An error of the replica is
@@ -359,29 +392,49 @@
 		g.restored = true
 		g.abandonUpTo(out.Restored)
 	}
+	g.replaceUpTo(g.cfg.Replica.Status().Applied)
 }
 
-// resolve answers the proposer at an applied index. Another term at that index
+// resolve answers the proposers at an applied index. Another term at that index
 // means that the proposal was replaced and can never take effect.
 func (g *Group) resolve(a replica.Applied) {
-	p := g.waiting[a.Index]
-	if p == nil {
-		return
+	for _, p := range g.waiting[a.Index] {
+		if a.Term == p.term {
+			p.done <- outcome{result: a.Result}
+			continue
+		}
+		p.done <- replacedOutcome()
 	}
 	delete(g.waiting, a.Index)
-	if a.Term != p.term {
-		p.done <- outcome{err: structs.NotRun(structs.CodeNotLeader, "another leader replaced the command")}
-		return
+}
+
+func replacedOutcome() outcome {
+	return outcome{err: structs.NotRun(structs.CodeNotLeader, "another leader replaced the command")}
+}
+
+// replaceUpTo answers proposals whose index was applied without a result: the
+// empty entry of a new leader took their place.
+func (g *Group) replaceUpTo(applied uint64) {
+	for i, waiting := range g.waiting {
+		if i > applied {
+			continue
+		}
+		delete(g.waiting, i)
+		for _, p := range waiting {
+			p.done <- replacedOutcome()
+		}
 	}
-	p.done <- outcome{result: a.Result}
 }
 
 // abandonUpTo answers proposals that a snapshot has passed: whether they are
 // part of it cannot be told.
 func (g *Group) abandonUpTo(index uint64) {
-	for i, p := range g.waiting {
-		if i <= index {
-			delete(g.waiting, i)
+	for i, waiting := range g.waiting {
+		if i > index {
+			continue
+		}
+		delete(g.waiting, i)
+		for _, p := range waiting {
 			p.done <- outcome{err: structs.Unknown(structs.CodeNotLeader, "a snapshot replaced the state")}
 		}
 	}
@@ -406,10 +459,7 @@
 		return
 	}
 	_, out, err := g.cfg.Replica.ProposeBatch(g.cfg.Now(), commands)
-	if isRefusal(err) {
-		err = nil
-	}
-	g.handle(out, err)
+	g.handleProposed(out, err)
 }
 
 func (g *Group) publish(view View) {
