upstream: tell cut-off answers, keep the connection bound exactly

A share of connections was split in fixed halves and read once: a share of 1 opened 2 connections, half of a larger one was not usable, a changed share had no effect, and Forget started a second set beside the attempts still running. A dial could take 1 s of an attempt with less time. Change: the body is read as a stream with its stated length known; kept and fresh connections share one counted bound, which follows the share of each attempt; a fresh one takes the place of an idle one; connections of a forgotten executor are closed after their last attempt; a dial is bounded by the time of its attempt. Cut-off answers are of kind incomplete.

--- a/daemon/upstream/pool.go
+++ b/daemon/upstream/pool.go
@@ -4,6 +4,8 @@
 
 import (
 	"errors"
+	"io"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -37,6 +39,11 @@
 func (e *dialError) Error() string { return "dial: " + e.cause.Error() }
 func (e *dialError) Unwrap() error { return e.cause }
 
+// noConnectionError reports that the share of connections is in use.
+type noConnectionError struct{ address string }
+
+func (e *noConnectionError) Error() string { return "all connections to " + e.address + " are in use" }
+
 // Attempt is one request to an executor.
 type Attempt struct {
 	Address string
@@ -71,31 +78,46 @@
 type Pool struct {
 	mu      sync.Mutex
 	clients map[string]*executorClients
-}
-
-// executorClients are the connections to one executor. Half of the connections
-// are kept for reuse and half are opened for one attempt each, so that together
-// they stay within the share of this host.
-type executorClients struct {
-	kept  *fasthttp.HostClient
-	fresh *fasthttp.HostClient
+	limits  map[string]*connLimit
 }
 
 // NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{clients: map[string]*executorClients{}} }
+func NewPool() *Pool {
+	return &Pool{clients: map[string]*executorClients{}, limits: map[string]*connLimit{}}
+}
 
 // Do sends one attempt and returns the whole answer, or an AttemptError.
 func (p *Pool) Do(a Attempt) (*Response, error) {
-	client := p.client(a)
+	clients := p.clientsFor(a)
+	client := clients.kept
+	if a.Fresh {
+		client = clients.fresh
+	}
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	fillRequest(req, a)
-	if err := client.DoTimeout(req, resp, a.Timeout); err != nil {
+	// The body is read here, because the library takes the end of the
+	// connection for the end of a body without a stated length.
+	resp.StreamBody = true
+	response, err := exchange(client, req, resp, a.Timeout)
+	if clients.gone.Load() {
+		clients.closeIdle()
+	}
+	if err != nil {
 		return nil, classify(err)
 	}
-	return copyResponse(resp)
+	return response, nil
+}
+
+func exchange(client *fasthttp.HostClient, req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration) (*Response, error) {
+	if err := client.DoTimeout(req, resp, timeout); err != nil {
+		return nil, err
+	}
+	// Closing a stream that was not read to its end closes the connection.
+	defer func() { _ = resp.CloseBodyStream() }()
+	return readResponse(resp)
 }
 
 // Forget closes the connections to an executor that is gone.
@@ -105,46 +127,64 @@
 	delete(p.clients, address)
 	p.mu.Unlock()
 	if clients != nil {
-		clients.kept.CloseIdleConnections()
-		clients.fresh.CloseIdleConnections()
+		clients.gone.Store(true)
+		clients.closeIdle()
 	}
+	p.dropLimits()
 }
 
-// Close closes all idle connections.
+// Close closes all idle connections, and the others after their attempt.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, clients := range p.clients {
-		clients.kept.CloseIdleConnections()
-		clients.fresh.CloseIdleConnections()
+		clients.gone.Store(true)
+		clients.closeIdle()
 	}
 }
 
-func (p *Pool) client(a Attempt) *fasthttp.HostClient {
+// dropLimits forgets the limits of executors without clients and connections.
+func (p *Pool) dropLimits() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for address, limit := range p.limits {
+		if p.clients[address] == nil && !limit.inUse() {
+			delete(p.limits, address)
+		}
+	}
+}
+
+// clientsFor returns the clients of an executor, within the share of
+// connections that this host has now.
+func (p *Pool) clientsFor(a Attempt) *executorClients {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	limit := p.limits[a.Address]
+	if limit == nil {
+		limit = &connLimit{}
+		p.limits[a.Address] = limit
+	}
 	clients := p.clients[a.Address]
 	if clients == nil {
-		share := max(1, a.Connections/2)
-		clients = &executorClients{kept: newClient(a.Address, share), fresh: newClient(a.Address, share)}
+		clients = newExecutorClients(a.Address, limit)
 		p.clients[a.Address] = clients
 	}
-	if a.Fresh {
-		return clients.fresh
+	if limit.resize(max(1, a.Connections)) {
+		clients.closeIdle()
 	}
-	return clients.kept
+	return clients
 }
 
-func newClient(address string, connections int) *fasthttp.HostClient {
+func newClient(address string, dial fasthttp.DialFuncWithTimeout) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
-		Addr:                          address,
-		MaxConns:                      connections,
+		Addr: address,
+		// The dial function keeps the bound.
+		MaxConns:                      math.MaxInt32,
 		MaxConnDuration:               maxConnectionAge,
 		MaxIdleConnDuration:           maxConnectionIdle,
-		MaxResponseBodySize:           maxResponseBytes,
 		NoDefaultUserAgentHeader:      true,
 		DisableHeaderNamesNormalizing: false,
-		Dial:                          dial,
+		DialTimeout:                   dial,
 		// The dispatcher alone decides about retries.
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr: func(*fasthttp.Request, int, error) (resetTimeout, retry bool) {
@@ -153,14 +193,6 @@
 	}
 }
 
-func dial(address string) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
-	if err != nil {
-		return nil, &dialError{cause: err}
-	}
-	return conn, nil
-}
-
 func fillRequest(req *fasthttp.Request, a Attempt) {
 	req.SetRequestURI("http://" + a.Address + "/run")
 	req.Header.SetMethod(fasthttp.MethodPost)
@@ -176,24 +208,41 @@
 	req.SetBody(a.Body)
 }
 
-// copyResponse copies what outlives the pooled response. A body without a
-// stated end cannot be told from one that was cut off, so it is a failure.
-func copyResponse(resp *fasthttp.Response) (*Response, error) {
+// readResponse reads the whole answer. A body without a stated end cannot be
+// told from one that was cut off, so it is a failure.
+func readResponse(resp *fasthttp.Response) (*Response, error) {
 	const identityBody = -2
-	if resp.Header.ContentLength() == identityBody {
+	response := &Response{Status: resp.StatusCode(), ContentType: string(resp.Header.ContentType())}
+	stream := resp.BodyStream()
+	if stream == nil {
+		return response, nil
+	}
+	switch length := resp.Header.ContentLength(); {
+	case length == identityBody:
 		return nil, &AttemptError{Kind: KindIncomplete, Detail: "answer without Content-Length"}
+	case length > maxResponseBytes:
+		return nil, &AttemptError{Kind: KindBroken, Detail: "answer too large"}
+	}
+	body, err := io.ReadAll(io.LimitReader(stream, maxResponseBytes+1))
+	if err != nil {
+		return nil, err
 	}
-	return &Response{
-		Status:      resp.StatusCode(),
-		ContentType: string(resp.Header.ContentType()),
-		Body:        append([]byte(nil), resp.Body()...),
-	}, nil
+	if len(body) > maxResponseBytes {
+		return nil, &AttemptError{Kind: KindBroken, Detail: "answer too large"}
+	}
+	response.Body = body
+	return response, nil
 }
 
 // classify tells how far a failed attempt got.
 func classify(err error) *AttemptError {
+	var known *AttemptError
+	if errors.As(err, &known) {
+		return known
+	}
 	var dialErr *dialError
-	if errors.As(err, &dialErr) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+	var noConnection *noConnectionError
+	if errors.As(err, &dialErr) || errors.As(err, &noConnection) {
 		return &AttemptError{Kind: KindNotSent, Detail: err.Error()}
 	}
 	if errors.Is(err, fasthttp.ErrTimeout) {
@@ -203,5 +252,8 @@
 	if errors.As(err, &netErr) && netErr.Timeout() {
 		return &AttemptError{Kind: KindTimeout, Detail: err.Error()}
 	}
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		return &AttemptError{Kind: KindIncomplete, Detail: err.Error()}
+	}
 	return &AttemptError{Kind: KindBroken, Detail: err.Error()}
 }
