storage: refuse a log that was created under another identity

Cause: Open passed the store's identity only for new logs, so a log folder copied from another data folder was opened, and its votes and entries were taken for those of this host. Change: Open returns wal.IdentityError if the identities differ.

Before: TestDiskOfAnotherStore opened the log.

--- a/daemon/storage/disk.go
+++ b/daemon/storage/disk.go
@@ -37,12 +37,18 @@
 // Unwrap returns the cause.
 func (e *MembershipError) Unwrap() error { return e.Cause }
 
-// Open opens or creates the log in a folder.
+// Open opens or creates the log in a folder. It refuses a log that was created
+// under another identity.
 func Open(folder string, opts Options) (*Disk, error) {
 	store, err := wal.Open(folder, wal.Options{StoreID: opts.StoreID})
 	if err != nil {
 		return nil, err
 	}
+	// A log of another data folder holds votes that this host has not given.
+	if found := store.StoreID(); found != opts.StoreID {
+		_ = store.Close()
+		return nil, &wal.IdentityError{Dir: folder, Found: found, Expected: opts.StoreID}
+	}
 	return &Disk{store: store, opts: opts}, nil
 }
 
--- /dev/null
+++ b/daemon/storage/disk_test.go
@@ -0,0 +1,218 @@
+package storage_test
+
+import (
+	"errors"
+	"flag"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cranberrydrum.dev/coord/raft"
+	"cranberrydrum.dev/coord/replica"
+	"cranberrydrum.dev/coord/wal"
+	"cranberrydrum.dev/daemon/storage"
+)
+
+// TestMain fixes the seed and the number of runs unless they are given on the
+// command line.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "4711", "rapid.checks": "25"} {
+		if !given[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// machine compares a Disk with a MemoryStorage, which defines the contract.
+type machine struct {
+	folder string
+	opts   storage.Options
+	disk   *storage.Disk
+	memory *replica.MemoryStorage
+
+	hard   raft.HardState
+	snap   raft.SnapshotMeta
+	last   uint64
+	terms  map[uint64]uint64
+	commit uint64
+}
+
+func (m *machine) open(t *rapid.T) {
+	disk, err := storage.Open(m.folder, m.opts)
+	if err != nil {
+		t.Fatalf("open: %v", err)
+	}
+	m.disk = disk
+}
+
+// save appends entries, possibly in place of stored ones, with a hard state
+// that grows as raft makes it grow.
+func (m *machine) save(t *rapid.T) {
+	next := m.hard
+	if rapid.Bool().Draw(t, "newTerm") {
+		next.Term += rapid.Uint64Range(1, 3).Draw(t, "terms")
+		next.Vote = ""
+	}
+	if next.Vote == "" && rapid.Bool().Draw(t, "votes") {
+		next.Vote = rapid.SampledFrom([]string{"a", "b"}).Draw(t, "vote")
+	}
+	next.Commit += rapid.Uint64Range(0, 2).Draw(t, "committed")
+	var entries []raft.Entry
+	count := rapid.IntRange(0, 4).Draw(t, "count")
+	first := rapid.Uint64Range(m.snap.Index+1, m.last+1).Draw(t, "first")
+	for i := range uint64(count) {
+		entries = append(entries, raft.Entry{Index: first + i, Term: next.Term + 1, Kind: raft.EntryCommand,
+			Data: rapid.SliceOfN(rapid.Byte(), 1, 20).Draw(t, "data")})
+	}
+	if err := m.disk.Save(next, entries); err != nil {
+		t.Fatalf("disk: %v", err)
+	}
+	if err := m.memory.Save(next, entries); err != nil {
+		t.Fatalf("memory: %v", err)
+	}
+	if !m.opts.LazyCommit || count > 0 || next.Term != m.hard.Term || next.Vote != m.hard.Vote {
+		m.commit = next.Commit
+	}
+	m.hard = next
+	for _, e := range entries {
+		m.terms[e.Index] = e.Term
+		m.last = e.Index
+	}
+}
+
+// snapshot stores one whose entry is present, missing or of another term.
+func (m *machine) snapshot(t *rapid.T) {
+	meta := raft.SnapshotMeta{
+		Index:      rapid.Uint64Range(m.snap.Index+1, m.last+5).Draw(t, "index"),
+		Membership: raft.Membership{Voters: []string{"a", "b"}, Learners: rapid.SampledFrom([][]string{nil, {"c"}}).Draw(t, "learners")},
+	}
+	term, present := m.terms[meta.Index]
+	present = present && meta.Index <= m.last
+	meta.Term = term
+	if !present || rapid.Bool().Draw(t, "otherTerm") {
+		present = false
+		meta.Term = term + 1
+	}
+	data := rapid.SliceOfN(rapid.Byte(), 1, 200).Draw(t, "state")
+	if err := m.disk.SaveSnapshot(meta, data); err != nil {
+		t.Fatalf("disk: %v", err)
+	}
+	if err := m.memory.SaveSnapshot(meta, data); err != nil {
+		t.Fatalf("memory: %v", err)
+	}
+	m.snap = meta
+	if !present {
+		m.last = meta.Index
+	}
+}
+
+func (m *machine) restart(t *rapid.T) {
+	if err := m.disk.Close(); err != nil {
+		t.Fatalf("close: %v", err)
+	}
+	m.open(t)
+	if recovery := m.disk.Recovery(); recovery.TornTail {
+		t.Fatalf("a tail was torn: %+v", recovery)
+	}
+}
+
+// check compares what both storages return.
+func (m *machine) check(t *rapid.T) {
+	got, gotData, err := m.disk.Load()
+	if err != nil {
+		t.Fatalf("load: %v", err)
+	}
+	want, wantData, _ := m.memory.Load()
+	want.HardState.Commit = m.commit
+	if len(got.Entries) == 0 && len(want.Entries) == 0 {
+		got.Entries, want.Entries = nil, nil
+	}
+	if !reflect.DeepEqual(normal(got), normal(want)) || string(gotData) != string(wantData) {
+		t.Fatalf("disk has\n%+v %x\nwant\n%+v %x", got, gotData, want, wantData)
+	}
+}
+
+// normal removes the difference between absent and empty lists.
+func normal(r raft.Restored) raft.Restored {
+	if len(r.Snapshot.Membership.Learners) == 0 {
+		r.Snapshot.Membership.Learners = nil
+	}
+	return r
+}
+
+func TestDiskKeepsTheContract(t *testing.T) {
+	for name, lazy := range map[string]bool{"every commit": false, "lazy commit": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			base := t.TempDir()
+			rapid.Check(t, func(t *rapid.T) {
+				folder, err := os.MkdirTemp(base, "")
+				if err != nil {
+					t.Fatal(err)
+				}
+				m := &machine{folder: filepath.Join(folder, "log"), opts: storage.Options{StoreID: "store", LazyCommit: lazy},
+					memory: replica.NewMemoryStorage(), terms: map[uint64]uint64{}}
+				m.open(t)
+				defer func() { _ = m.disk.Close() }()
+				t.Repeat(map[string]func(*rapid.T){"save": m.save, "snapshot": m.snapshot, "restart": m.restart, "": m.check})
+			})
+		})
+	}
+}
+
+// TestLazyCommitSyncsLess guards the reason for the option: a commit index
+// that moves alone costs a sync for each round of a busy group without it.
+func TestLazyCommitSyncsLess(t *testing.T) {
+	for _, lazy := range []bool{false, true} {
+		disk, err := storage.Open(t.TempDir(), storage.Options{StoreID: "store", LazyCommit: lazy})
+		if err != nil {
+			t.Fatal(err)
+		}
+		before := disk.Stats().FileSyncs
+		for commit := range uint64(10) {
+			if err := disk.Save(raft.HardState{Term: 1, Commit: commit}, nil); err != nil {
+				t.Fatal(err)
+			}
+		}
+		syncs := disk.Stats().FileSyncs - before
+		if lazy && syncs != 1 || !lazy && syncs != 10 {
+			t.Errorf("lazy %v: %d syncs", lazy, syncs)
+		}
+		if err := disk.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestDiskOfAnotherStore guards against a folder that is opened under the
+// identity of another one, after a data folder was copied or mixed up.
+func TestDiskOfAnotherStore(t *testing.T) {
+	folder := t.TempDir()
+	disk, err := storage.Open(folder, storage.Options{StoreID: "one"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var locked *wal.LockedError
+	if _, err := storage.Open(folder, storage.Options{StoreID: "one"}); !errors.As(err, &locked) {
+		t.Errorf("opened twice: %v", err)
+	}
+	if err := disk.Close(); err != nil {
+		t.Fatal(err)
+	}
+	var other *wal.IdentityError
+	if _, err := storage.Open(folder, storage.Options{StoreID: "two"}); !errors.As(err, &other) {
+		t.Errorf("opened under another identity: %v", err)
+	}
+	disk, err = storage.Open(folder, storage.Options{StoreID: "one"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = disk.Close()
+}
