httpapi: open an endpoint of two roles if one of them is open

Cause: on a loopback address a role without a token is open, but an endpoint for callers and operators closed as soon as one of the two had a token. With an operator token only, jobs could be submitted but not read or cancelled. Change: the first role of the endpoint without a token is taken. Before: GET /v1/jobs/{id} of one's own job returned 401. After: 200; the spec comes with the tests of this package.

--- a/daemon/httpapi/auth.go
+++ b/daemon/httpapi/auth.go
@@ -56,8 +56,8 @@
 	if known {
 		return principal{}, structs.NotRun(structs.CodeForbidden, "a token of role "+string(token.Role)+" may not do this")
 	}
-	if digest == "" && a.loopback && !hasTokens(cfg, roles) {
-		return principal{role: roles[0]}, nil
+	if open := openRole(cfg, roles); digest == "" && a.loopback && open != "" {
+		return principal{role: open}, nil
 	}
 	return principal{}, structs.NotRun(structs.CodeUnauthorized, "a bearer token of role "+joinRoles(roles)+" is required")
 }
@@ -100,8 +100,14 @@
 	return a != "" && subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
 }
 
-func hasTokens(cfg *structs.Config, roles []structs.Role) bool {
-	return slices.ContainsFunc(cfg.Tokens, func(t structs.Token) bool { return slices.Contains(roles, t.Role) })
+// openRole returns the first role without a token, or nothing.
+func openRole(cfg *structs.Config, roles []structs.Role) structs.Role {
+	for _, role := range roles {
+		if !slices.ContainsFunc(cfg.Tokens, func(t structs.Token) bool { return t.Role == role }) {
+			return role
+		}
+	}
+	return ""
 }
 
 func joinRoles(roles []structs.Role) string {
