httpapi: refuse headers that are given more than once

Cause: only the first of repeated headers counted. Change: repeated headers that decide about a request are refused as invalid.

--- a/daemon/httpapi/requests.go
+++ b/daemon/httpapi/requests.go
@@ -45,6 +45,9 @@
 	if err != nil {
 		return node.Call{}, err
 	}
+	if err := checkRepeated(ctx); err != nil {
+		return node.Call{}, err
+	}
 	customer, err := who.customerOf(string(ctx.Request.Header.Peek(api.HeaderCustomer)))
 	if err != nil {
 		return node.Call{}, err
@@ -79,6 +82,17 @@
 	}, nil
 }
 
+// checkRepeated refuses headers that are given more than once. Only the first
+// would count, and "false" before "true" could run a charge twice.
+func checkRepeated(ctx *fasthttp.RequestCtx) error {
+	for _, name := range []string{api.HeaderCustomer, api.HeaderClass, api.HeaderDeadline, api.HeaderNonIdempotent, api.HeaderKey} {
+		if len(ctx.Request.Header.PeekAll(name)) > 1 {
+			return structs.NotRun(structs.CodeInvalid, name+" is given more than once")
+		}
+	}
+	return nil
+}
+
 func readClass(ctx *fasthttp.RequestCtx) (structs.Class, error) {
 	class := structs.Class(ctx.Request.Header.Peek(api.HeaderClass))
 	switch class {
