httpapi: pass forms unchanged, bound writes, refuse trailing data

A client that did not read its answer held its connection and body for ever. Whatever followed the JSON value of a body was ignored, so two jobs in one body submitted one. A connection opened and not used was answered with 400 and counted as a refused request; a request that stopped half-way was called invalid. Change: no body is parsed by the library; writing an answer is bounded by the idle timeout; data after the value is refused; incomplete requests get status 408, and unused connections are not counted. The specs start a single-host node and use every endpoint with missing, unknown, wrong and right tokens and with bad bodies.

--- /dev/null
+++ b/daemon/httpapi/httpapi_test.go
@@ -0,0 +1,338 @@
+package httpapi_test
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cranberrydrum.dev/daemon/api"
+	"cranberrydrum.dev/daemon/standin"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// endpoint is an endpoint with the role that may use it and a body that is valid.
+type endpoint struct {
+	method, path, token, body string
+}
+
+var endpoints = []endpoint{
+	{"POST", api.RequestsPath("svc"), callerToken, "x"},
+	{"POST", api.PathJobs, callerToken, `{"name":"j","accelerators":1,"declared_runtime_ms":1000}`},
+	{"GET", api.PathJobs, callerToken, ""},
+	{"GET", api.JobPath("one-1"), callerToken, ""},
+	{"DELETE", api.JobPath("one-1"), callerToken, ""},
+	{"POST", api.PathBackendAnnounce, backendToken, `{"id":"b","service":"svc","failure_domain":"one","address":"127.0.0.1:1","slots":4,"connections":8,"incarnation":1,"sequence":1}`},
+	{"POST", api.PathBackendDrain, backendToken, `{"id":"b","service":"svc"}`},
+	{"POST", api.PathBackendLeave, backendToken, `{"id":"b","service":"svc"}`},
+	{"POST", api.PathWorkerRenew, workerToken, `{"worker":{"id":"w","domain":"one","rack":"r1","accelerators":4},"incarnation":1,"tasks":[]}`},
+	{"POST", api.PathWorkerLeave, workerToken, `{"worker":"w","incarnation":1}`},
+	{"GET", api.PathRules, operatorToken, ""},
+	{"GET", api.PathRulesHistory, operatorToken, ""},
+	{"POST", api.PathRules, operatorToken, `{"base_version":1,"text":"","author":"a","request_id":"r"}`},
+	{"GET", api.PathStatus, operatorToken, ""},
+	{"GET", api.PathMembers, operatorToken, ""},
+	{"POST", api.PathMembers, operatorToken, `{"group":"config","host":"zz"}`},
+	{"DELETE", api.PathMembers + "?group=config&host=zz", operatorToken, ""},
+}
+
+var _ = Describe("a host without a configuration", func() {
+	It("admits only the bootstrap token, to the operator's endpoints", func() {
+		h := startHost("--bootstrap-token-sha256=" + digest(bootstrapToken))
+		Expect(h.send("GET", api.PathHealth, "", "").body).To(Equal("ok\n"))
+		Expect(h.send("GET", api.PathReady, "", "").status).To(Equal(http.StatusServiceUnavailable))
+		for _, token := range []string{"", operatorToken, digest(bootstrapToken)} {
+			refuses(h.send("GET", api.PathStatus, token, ""), http.StatusUnauthorized, structs.CodeUnauthorized)
+		}
+		refuses(h.send("GET", api.PathJobs, "", ""), http.StatusUnauthorized, structs.CodeUnauthorized)
+		refuses(h.send("POST", api.PathJobs, bootstrapToken, ""), http.StatusServiceUnavailable, structs.CodeNoConfig)
+		h.apply(bootstrapToken, 0, rulesText(allTokens()...))
+		refuses(h.send("GET", api.PathStatus, bootstrapToken, ""), http.StatusUnauthorized, structs.CodeUnauthorized)
+		Expect(h.send("GET", api.PathStatus, operatorToken, "").status).To(Equal(http.StatusOK))
+		Expect(h.send("GET", api.PathReady, "", "").body).To(Equal("ready\n"))
+	})
+})
+
+var _ = Describe("the loopback rule", func() {
+	It("opens each role without a token, and only those", func() {
+		// Guards against an endpoint of two roles that closes for the open one
+		// because the other has a token.
+		h := startHost()
+		Expect(h.send("GET", api.PathStatus, "", "").status).To(Equal(http.StatusOK))
+		h.apply("", 0, rulesText(tokenRule(operatorToken, "role=operator")))
+		refuses(h.send("GET", api.PathStatus, "", ""), http.StatusUnauthorized, structs.CodeUnauthorized)
+		body := `{"name":"j","customer":"alpha","accelerators":1,"declared_runtime_ms":1000,"failure_domain":"one"}`
+		var job api.Job
+		Eventually(func() error {
+			return json.Unmarshal([]byte(h.send("POST", api.PathJobs, "", body).body), &job)
+		}, 3*time.Second).Should(Succeed())
+		Expect(job.Customer).To(Equal("alpha"))
+		Expect(h.send("GET", api.JobPath(job.ID), "", "").status).To(Equal(http.StatusOK))
+		Expect(h.send("GET", api.PathJobs, "", "").status).To(Equal(http.StatusOK))
+		refuses(h.send("GET", api.PathJobs, "wrong", ""), http.StatusUnauthorized, structs.CodeUnauthorized)
+	})
+})
+
+var _ = Describe("a configured host", Ordered, ContinueOnFailure, func() {
+	var h *host
+	var executor *standin.Executor
+
+	BeforeAll(func() {
+		h = configured()
+		executor = serveWith(h)
+	})
+
+	It("refuses missing, unknown and wrong tokens on every endpoint", func() {
+		for _, e := range endpoints {
+			refuses(h.send(e.method, e.path, "", e.body), http.StatusUnauthorized, structs.CodeUnauthorized)
+			refuses(h.send(e.method, e.path, "unknown", e.body), http.StatusUnauthorized, structs.CodeUnauthorized)
+			wrong := workerToken
+			if e.token == workerToken {
+				wrong = callerToken
+			}
+			refuses(h.send(e.method, e.path, wrong, e.body), http.StatusForbidden, structs.CodeForbidden)
+		}
+	})
+
+	It("refuses bodies that are no JSON, have unknown fields or something after the value", func() {
+		for _, e := range endpoints {
+			if !strings.HasPrefix(e.body, "{") {
+				continue
+			}
+			for _, body := range []string{"", "{", `{"surprise":1}`, "[]", e.body + e.body, e.body + "x"} {
+				refuses(h.send(e.method, e.path, e.token, body), http.StatusBadRequest, structs.CodeInvalid)
+			}
+		}
+	})
+
+	It("answers unknown paths and methods", func() {
+		for _, path := range []string{"/", "/v1", "/v2/jobs", api.PathServices, api.PathServices + "svc", api.PathJobs + "/"} {
+			refuses(h.send("PUT", path, operatorToken, ""), http.StatusNotFound, structs.CodeNotFound)
+		}
+		refuses(h.send("GET", api.RequestsPath("svc"), callerToken, ""), http.StatusNotFound, structs.CodeNotFound)
+		refuses(h.send("POST", api.RequestsPath("other"), callerToken, ""), http.StatusNotFound, structs.CodeNotFound)
+		refuses(h.send("GET", api.JobPath("one-999"), callerToken, ""), http.StatusNotFound, structs.CodeNotFound)
+		refuses(h.send("DELETE", api.PathMembers+"?group=config", operatorToken, ""), http.StatusBadRequest, structs.CodeInvalid)
+	})
+
+	It("keeps customers apart", func() {
+		submit := func(token, name string) api.Job {
+			var job api.Job
+			a := h.send("POST", api.PathJobs, token, `{"name":"`+name+`","accelerators":1,"declared_runtime_ms":1000,"failure_domain":"one"}`)
+			Expect(json.Unmarshal([]byte(a.body), &job)).To(Succeed())
+			Expect(a.status).To(Equal(http.StatusOK), a.body)
+			return job
+		}
+		mine, theirs := submit(callerToken, "mine"), submit(otherCaller, "theirs")
+		Expect(submit(callerToken, "mine").ID).To(Equal(mine.ID))
+		Expect(mine.Customer).To(Equal("alpha"))
+		Expect(h.send("GET", api.JobPath(theirs.ID), callerToken, "").status).NotTo(Equal(http.StatusOK))
+		Expect(h.send("DELETE", api.JobPath(theirs.ID), callerToken, "").status).NotTo(Equal(http.StatusOK))
+		var list api.JobListResponse
+		Expect(json.Unmarshal([]byte(h.send("GET", api.PathJobs, callerToken, "").body), &list)).To(Succeed())
+		Expect(list.Jobs).To(HaveLen(1))
+		refuses(h.send("GET", api.PathJobs+"?customer=beta", callerToken, ""), http.StatusForbidden, structs.CodeForbidden)
+		refuses(h.send("POST", api.PathJobs, callerToken, `{"name":"x","customer":"beta","accelerators":1}`), http.StatusForbidden, structs.CodeForbidden)
+		refuses(h.send("POST", api.RequestsPath("svc"), callerToken, "x", api.HeaderCustomer, "beta"), http.StatusForbidden, structs.CodeForbidden)
+		refuses(h.send("POST", api.RequestsPath("svc"), otherCaller, "x"), http.StatusForbidden, structs.CodeForbidden)
+		Expect(json.Unmarshal([]byte(h.send("GET", api.PathJobs, operatorToken, "").body), &list)).To(Succeed())
+		Expect(list.Jobs).To(HaveLen(2))
+	})
+
+	DescribeTable("refuses a header that is unclear", func(code structs.Code, headers ...string) {
+		before := executor.Stats().Requests
+		refuses(h.send("POST", api.RequestsPath("svc"), callerToken, "x", headers...), http.StatusBadRequest, code)
+		Expect(executor.Stats().Requests).To(Equal(before))
+	},
+		Entry("class", structs.CodeInvalid, api.HeaderClass, "fast"),
+		Entry("deadline of zero", structs.CodeInvalid, api.HeaderDeadline, "0"),
+		Entry("deadline that is no number", structs.CodeInvalid, api.HeaderDeadline, "1s"),
+		Entry("deadline beyond a day", structs.CodeInvalid, api.HeaderDeadline, "99999999999"),
+		Entry("deadline that overflows", structs.CodeInvalid, api.HeaderDeadline, "99999999999999999999"),
+		Entry("non-idempotent", structs.CodeInvalid, api.HeaderNonIdempotent, "yes"),
+		Entry("non-idempotent without a key", structs.CodeKeyMissing, api.HeaderNonIdempotent, "true"),
+		Entry("key that is too long", structs.CodeInvalid, api.HeaderKey, strings.Repeat("k", 200)),
+		// Guards against "false" that hides "true": the charge could run twice.
+		Entry("non-idempotent twice", structs.CodeInvalid, api.HeaderNonIdempotent, "false", api.HeaderNonIdempotent, "true", api.HeaderKey, "k"),
+		Entry("key twice", structs.CodeInvalid, api.HeaderKey, "k1", api.HeaderKey, "k2", api.HeaderNonIdempotent, "true"),
+		Entry("deadline twice", structs.CodeInvalid, api.HeaderDeadline, "100", api.HeaderDeadline, "200"),
+	)
+
+	It("passes opaque bodies and marked headers on and returns the whole answer", func() {
+		for _, body := range []string{"", "x", strings.Repeat("body", 100_000)} {
+			a := h.send("POST", api.RequestsPath("svc"), callerToken, body, "X-Work-Ms", "1", api.HeaderClass, "urgent", api.HeaderDeadline, "900")
+			Expect(a.status).To(Equal(http.StatusOK), a.body)
+			Expect(a.body == body).To(BeTrue())
+		}
+		// Guards against a library that parses forms and writes them anew.
+		form := "--B\r\nContent-Disposition: form-data; name=\"z\"\r\n\r\n1\r\n--B\r\nContent-Disposition: form-data; name=\"a\"\r\n\r\n2\r\n--B--\r\nepilogue"
+		for _, body := range []string{form, "no form at all"} {
+			a := h.send("POST", api.RequestsPath("svc"), callerToken, body, "Content-Type", "multipart/form-data; boundary=B")
+			Expect(a.status).To(Equal(http.StatusOK), a.body)
+			Expect(a.body).To(Equal(body))
+		}
+	})
+
+	It("keeps the bodies of concurrent requests apart", func() {
+		// Guards against buffers of the library that are used after the handler
+		// returned.
+		done := make(chan string, 64)
+		for i := range 64 {
+			go func() {
+				defer GinkgoRecover()
+				body := strings.Repeat(string(rune('A'+i%26)), 1000+i*10)
+				if a := h.send("POST", api.RequestsPath("svc"), callerToken, body, "X-Work-Ms", "2"); a.body == body {
+					done <- ""
+				} else {
+					done <- "status " + a.refusal
+				}
+			}()
+		}
+		wrong := []string{}
+		for range 64 {
+			if got := <-done; got != "" && got != "status "+string(structs.CodeQueueFull) {
+				wrong = append(wrong, got)
+			}
+		}
+		Expect(wrong).To(BeEmpty())
+	})
+
+	It("runs a non-idempotent request once and repeats its answer", func() {
+		headers := []string{api.HeaderNonIdempotent, "true", api.HeaderKey, "charge-1"}
+		for range 2 {
+			a := h.send("POST", api.RequestsPath("svc"), callerToken, "charge", headers...)
+			Expect(a.status).To(Equal(http.StatusOK), a.body)
+			Expect(a.body).To(Equal("charge"))
+		}
+		a := h.send("POST", api.RequestsPath("svc"), callerToken, "other", headers...)
+		refuses(a, http.StatusConflict, structs.CodeKeyConflict)
+		runs := 0
+		for key, count := range executor.Stats().RunsByKey {
+			if strings.Contains(key, "charge-1") {
+				runs += count
+			}
+		}
+		Expect(runs).To(Equal(1))
+	})
+
+	It("refuses bodies and headers over the limit", func() {
+		a := h.sendRaw("POST " + api.RequestsPath("svc") + " HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n")
+		Expect(a).To(And(HavePrefix("HTTP/1.1 413"), ContainSubstring(`"code":"too_large"`)))
+		a = h.sendRaw("GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 10_000) + "\r\n\r\n")
+		Expect(a).To(And(HavePrefix("HTTP/1.1 413"), ContainSubstring(`"code":"too_large"`)))
+		a = h.sendRaw("nonsense\r\n\r\n")
+		Expect(a).To(And(HavePrefix("HTTP/1.1 400"), ContainSubstring(`"code":"invalid_request"`)))
+	})
+
+	It("ends connections that stop half-way through a request", func() {
+		started := time.Now()
+		refused := h.metric(`cranberrydrum_refusals_total{code="invalid_request",outcome="not_run"}`)
+		unused, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		defer unused.Close()
+		a := h.sendRaw("POST " + api.RequestsPath("svc") + " HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc")
+		Expect(time.Since(started)).To(BeNumerically("<", 3*time.Second))
+		Expect(a).To(And(HavePrefix("HTTP/1.1 408"), ContainSubstring(`"outcome":"not_run"`)))
+		// A connection that is opened and not used is no refused request.
+		Expect(io.ReadAll(unused)).To(HavePrefix("HTTP/1.1 408"))
+		Expect(h.metric(`cranberrydrum_refusals_total{code="invalid_request",outcome="not_run"}`)).To(Equal(refused + 1))
+	})
+
+	It("applies rules and reports the winner of a conflict and the faults of a text", func() {
+		apply := func(base uint64, text string) answer {
+			body, _ := json.Marshal(api.RulesApplyRequest{BaseVersion: base, Text: text, Author: "Ann", RequestID: digest(text)[:16]})
+			return h.send("POST", api.PathRules, operatorToken, string(body))
+		}
+		a := apply(0, rulesText(append(allTokens(), "# another\n")...))
+		refuses(a, http.StatusConflict, structs.CodeVersionConflict)
+		Expect(a.refusalBody().Winner).NotTo(BeNil())
+		a = apply(1, rulesText(append(allTokens(), "nonsense # Ann: x\n")...))
+		refuses(a, http.StatusUnprocessableEntity, structs.CodeRulesInvalid)
+		Expect(a.refusalBody().Errors).NotTo(BeEmpty())
+		var history api.RulesHistoryResponse
+		Expect(json.Unmarshal([]byte(h.send("GET", api.PathRulesHistory, operatorToken, "").body), &history)).To(Succeed())
+		Expect(history.Entries).To(HaveLen(1))
+	})
+
+	It("counts each refusal on the metrics endpoint", func() {
+		before := h.metric(`cranberrydrum_refusals_total{code="key_missing",outcome="not_run"}`)
+		h.send("POST", api.RequestsPath("svc"), callerToken, "x", api.HeaderNonIdempotent, "true")
+		Expect(h.metric(`cranberrydrum_refusals_total{code="key_missing",outcome="not_run"}`)).To(Equal(before + 1))
+	})
+
+	It("shows no secret in logs, metrics or status", func() {
+		everything := h.logs.String() + h.send("GET", api.PathMetrics, "", "").body + h.send("GET", api.PathStatus, operatorToken, "").body
+		for _, secret := range []string{operatorToken, callerToken, otherCaller, backendToken, workerToken, bootstrapToken, peerKey, "charge-1"} {
+			Expect(strings.Contains(everything, secret)).To(BeFalse(), secret)
+		}
+	})
+
+	It("ends connections of clients that do not read the answer", func() {
+		h := configured("--http-idle-timeout=1s")
+		serveWith(h)
+		body := strings.Repeat("x", 700<<10)
+		conn, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		Expect(conn.(*net.TCPConn).SetReadBuffer(4096)).To(Succeed())
+		request := "POST " + api.RequestsPath("svc") + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + callerToken + "\r\nContent-Length: 716800\r\n\r\n" + body
+		for range 40 {
+			_ = conn.SetWriteDeadline(time.Now().Add(4 * time.Second))
+			if _, err = conn.Write([]byte(request)); err != nil {
+				break
+			}
+		}
+		netErr, isNet := err.(net.Error)
+		Expect(err).To(HaveOccurred())
+		Expect(isNet && netErr.Timeout()).To(BeFalse(), "the server left the connection open")
+	})
+})
+
+// serveWith starts an executor and waits until the host uses it.
+func serveWith(h *host) *standin.Executor {
+	GinkgoHelper()
+	executor, err := standin.NewExecutor(standin.ExecutorConfig{ID: "e1", Service: "svc", Domain: "one", Hosts: []string{h.url},
+		Token: backendToken, Slots: 4, Connections: 8, ServiceTime: time.Millisecond, AnnounceInterval: 200 * time.Millisecond})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(executor.Close)
+	Eventually(func() int { return h.run("ready").status }, 5*time.Second, 50*time.Millisecond).Should(Equal(200))
+	return executor
+}
+
+// run sends one request to the service.
+func (h *host) run(body string) answer {
+	GinkgoHelper()
+	return h.send("POST", api.RequestsPath("svc"), callerToken, body)
+}
+
+// sendRaw writes bytes on a connection and returns what comes back until it closes.
+func (h *host) sendRaw(request string) string {
+	GinkgoHelper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
+	Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	_, err = conn.Write([]byte(request))
+	Expect(err).NotTo(HaveOccurred())
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	buffer := make([]byte, 16<<10)
+	n, _ := conn.Read(buffer)
+	return string(buffer[:n])
+}
+
+// metric returns the value of a series, or -1 if there is none.
+func (h *host) metric(series string) float64 {
+	GinkgoHelper()
+	for line := range strings.Lines(h.send("GET", api.PathMetrics, "", "").body) {
+		if rest, found := strings.CutPrefix(line, series+" "); found {
+			var value float64
+			Expect(json.Unmarshal([]byte(strings.TrimSpace(rest)), &value)).To(Succeed())
+			return value
+		}
+	}
+	return -1
+}
--- a/daemon/httpapi/server.go
+++ b/daemon/httpapi/server.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"strings"
 	"time"
@@ -65,15 +66,20 @@
 		metrics:  fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(n.Metrics().Registry, promhttp.HandlerOpts{})),
 	}
 	s.server = &fasthttp.Server{
-		Handler:               s.handle,
-		ReadTimeout:           cfg.Timeouts.HTTPRead,
-		IdleTimeout:           cfg.Timeouts.HTTPIdle,
+		Handler:     s.handle,
+		ReadTimeout: cfg.Timeouts.HTTPRead,
+		IdleTimeout: cfg.Timeouts.HTTPIdle,
+		// A client that does not read its answer would hold its connection
+		// and the body for ever.
+		WriteTimeout:          cfg.Timeouts.HTTPIdle,
 		MaxRequestBodySize:    MaxBodyBytes,
 		Concurrency:           maxConnections,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
-		ErrorHandler:          s.handleProtocolError,
-		Logger:                &quietLogger{log: log},
+		// Bodies are opaque: a parsed form would be written anew for executors.
+		DisablePreParseMultipartForm: true,
+		ErrorHandler:                 s.handleProtocolError,
+		Logger:                       &quietLogger{log: log},
 	}
 	return s, nil
 }
@@ -82,7 +88,7 @@
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
 // Serve answers requests until Shutdown.
-func (s *Server) Serve() error { return s.server.Serve(s.listener) }
+func (s *Server) Serve() error { return s.server.Serve(usageListener{s.listener}) }
 
 // Shutdown stops accepting connections and waits for the requests in progress.
 func (s *Server) Shutdown(ctx context.Context) {
@@ -224,9 +230,24 @@
 		s.refuse(ctx, structs.NotRun(structs.CodeTooLarge, "the request is larger than allowed"))
 		return
 	}
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() {
+		s.refuseTimeout(ctx)
+		return
+	}
 	s.refuse(ctx, structs.NotRun(structs.CodeInvalid, "the request is not valid HTTP"))
 }
 
+// refuseTimeout answers a request that did not arrive completely. A connection
+// on which nothing arrived carries no request to refuse; clients ignore status
+// 408 on it.
+func (s *Server) refuseTimeout(ctx *fasthttp.RequestCtx) {
+	if conn, ok := ctx.Conn().(*usageConn); !ok || conn.used.Load() {
+		s.refuse(ctx, structs.NotRun(structs.CodeInvalid, "the request did not arrive completely in time"))
+	}
+	ctx.SetStatusCode(fasthttp.StatusRequestTimeout)
+}
+
 // decode reads a JSON body and refuses unknown fields.
 func decode(ctx *fasthttp.RequestCtx, value any) error {
 	decoder := json.NewDecoder(strings.NewReader(string(ctx.PostBody())))
@@ -234,6 +255,9 @@
 	if err := decoder.Decode(value); err != nil {
 		return structs.NotRun(structs.CodeInvalid, "the body is not valid: "+err.Error())
 	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return structs.NotRun(structs.CodeInvalid, "the body goes on after its value")
+	}
 	return nil
 }
 
--- a/daemon/standin/executor.go
+++ b/daemon/standin/executor.go
@@ -97,7 +97,7 @@
 		rng:      rand.New(rand.NewPCG(cfg.Seed, 1)),
 	}
 	e.stats.RunsByKey = map[string]int{}
-	e.server = &fasthttp.Server{Handler: e.handle, NoDefaultServerHeader: true, MaxRequestBodySize: 4 << 20}
+	e.server = &fasthttp.Server{Handler: e.handle, NoDefaultServerHeader: true, DisablePreParseMultipartForm: true, MaxRequestBodySize: 4 << 20}
 	e.wg.Add(2)
 	go func() { defer e.wg.Done(); _ = e.server.Serve(&trackedListener{listener, e.conns}) }()
 	go e.announceLoop()
