--- a/daemon/node/domainowner.go
+++ b/daemon/node/domainowner.go
@@ -10,12 +10,12 @@
 	"cranberrydrum.dev/scheduler/domain"
 	"cranberrydrum.dev/scheduler/jobs"
 	"cranberrydrum.dev/scheduler/placement"
-	"cranberrydrum.dev/scheduler/structs"
 )
 
 const (
-	keyExpireInterval  = 30 * time.Second
-	takeOverRetry      = 500 * time.Millisecond
+	keyExpireInterval = 30 * time.Second
+	// commandRetry is when a command without effect is proposed again.
+	commandRetry       = 500 * time.Millisecond
 	workerLeaseMargin  = time.Second
 	workerLeaveGrace   = 30 * time.Second
 	domainGroupPrefix  = "domain/"
@@ -42,6 +42,9 @@
 	term         uint64
 	nextTakeOver time.Duration
 	nextExpire   time.Duration
+	nextPolicy   time.Duration
+	// watchers are closed when the orders of a worker may have changed.
+	watchers map[string]chan struct{}
 }
 
 // Step implements group.Owner.
@@ -63,9 +66,30 @@
 		}
 		commands = append(commands, data)
 	}
+	o.notify()
 	return append(commands, o.keyCommands(now)...)
 }
 
+// watch returns a channel that is closed when the orders of a worker may have changed.
+func (o *domainOwner) watch(worker string) <-chan struct{} {
+	changed := o.watchers[worker]
+	if changed == nil {
+		changed = make(chan struct{})
+		o.watchers[worker] = changed
+	}
+	return changed
+}
+
+// notify wakes the held renewals of the workers whose orders may have changed.
+func (o *domainOwner) notify() {
+	for _, worker := range o.controller.Touched() {
+		if changed := o.watchers[worker]; changed != nil {
+			delete(o.watchers, worker)
+			close(changed)
+		}
+	}
+}
+
 // lead starts a controller for a new term.
 func (o *domainOwner) lead(now time.Duration, term uint64) {
 	o.scheduler = &timedPlanner{Scheduler: placement.New(placement.Config{}), metrics: o.metrics, domain: o.domain}
@@ -74,8 +98,12 @@
 	cfg.Margin = workerLeaseMargin
 	o.controller = jobs.NewController(cfg, o.state.Jobs(), now, term)
 	o.term = term
+	if o.watchers == nil {
+		o.watchers = map[string]chan struct{}{}
+	}
 	o.nextTakeOver = now
 	o.nextExpire = now + keyExpireInterval
+	o.nextPolicy = now
 	o.log.Info("this host owns the failure domain", "domain", o.domain, "term", term)
 }
 
@@ -85,6 +113,10 @@
 	}
 	o.controller = nil
 	o.scheduler = nil
+	for worker, changed := range o.watchers {
+		delete(o.watchers, worker)
+		close(changed)
+	}
 	o.log.Info("this host no longer owns the failure domain", "domain", o.domain, "term", o.term)
 }
 
@@ -97,13 +129,32 @@
 	o.controller.Configure(jobs.ConfigFor(o.domain, current.Version, current.Config))
 }
 
+// keyPolicy returns the command that puts the key policy of the configuration
+// in force, if an earlier one is.
+func (o *domainOwner) keyPolicy(now, clock time.Duration) []byte {
+	version := o.keeper.version()
+	if version <= o.state.KeyPolicyVersion() || now < o.nextPolicy {
+		return nil
+	}
+	o.nextPolicy = now + commandRetry
+	data, err := domain.EncodeKeyPolicy(clock, version, o.keeper.current().Config.Keys)
+	if err != nil {
+		o.log.Error(err, "a command cannot be encoded", "domain", o.domain)
+		return nil
+	}
+	return data
+}
+
 // keyCommands ends the keys of earlier leaders and drops expired keys.
 func (o *domainOwner) keyCommands(now time.Duration) [][]byte {
 	var commands [][]byte
 	clock := o.controller.Clock(now)
 	if o.state.TakenOver() < o.term && now >= o.nextTakeOver {
-		o.nextTakeOver = now + takeOverRetry
-		commands = o.appendCommand(commands)(domain.EncodeTakeOver(clock, o.term))
+		o.nextTakeOver = now + commandRetry
+		commands = o.appendCommand(commands)(domain.EncodeTakeOver(clock))
+	}
+	if policy := o.keyPolicy(now, clock); policy != nil {
+		commands = append(commands, policy)
 	}
 	if now >= o.nextExpire {
 		o.nextExpire = now + keyExpireInterval
@@ -130,14 +181,6 @@
 	o.metrics.SetKeys(metricsKeysCompact, usage.Compact)
 }
 
-// clock returns the domain clock for a command of a caller.
-func (o *domainOwner) clock(now time.Duration) (time.Duration, *structs.Refusal) {
-	if o.controller == nil {
-		return 0, structs.NotRun(structs.CodeNotLeader, "this host does not own failure domain "+o.domain)
-	}
-	return o.controller.Clock(now), nil
-}
-
 // timedPlanner measures the rounds of a placement scheduler.
 type timedPlanner struct {
 	*placement.Scheduler
--- a/daemon/node/sync.go
+++ b/daemon/node/sync.go
@@ -1,12 +1,10 @@
 package node
 
 import (
-	"strings"
 	"time"
 
 	"cranberrydrum.dev/coord/registry"
 	"cranberrydrum.dev/daemon/transport"
-	"cranberrydrum.dev/scheduler/serving"
 	"cranberrydrum.dev/scheduler/structs"
 )
 
@@ -25,8 +23,8 @@
 		n.log.Error(err, "the host status cannot be encoded")
 		return
 	}
-	for _, p := range n.cfg.Peers {
-		_ = n.transport.Send(p.ID, transport.KindHostStatus, body)
+	for _, h := range n.hosts.all() {
+		_ = n.transport.Send(h.ID, transport.KindHostStatus, body)
 	}
 }
 
@@ -43,22 +41,6 @@
 	return status
 }
 
-// loadOf summarises a dispatcher for the hosts of other failure domains.
-func loadOf(s serving.Snapshot) serviceStatus {
-	load := serviceStatus{Service: s.Service}
-	for _, e := range s.Executors {
-		if e.State != structs.BackendUp {
-			continue
-		}
-		load.Executors++
-		load.FreeSlots += max(0, e.Limit+e.Borrowed-e.Running)
-	}
-	for _, queued := range s.Queued {
-		load.Queued += queued
-	}
-	return load
-}
-
 func (n *Node) receiveStatus(from string, body []byte) {
 	var status hostStatus
 	if err := decodeMessage("host status", body, &status); err != nil {
@@ -168,43 +150,8 @@
 func (o *observer) ConnectionClosed(_, reason string) { o.node.metrics.ConnectionClosed(reason) }
 
 func (n *Node) otherRegion(peer string) bool {
-	for _, p := range n.cfg.Peers {
-		if p.ID == peer {
-			return p.Region != n.cfg.Region
-		}
-	}
-	return false
-}
-
-// forwardTarget returns the host of another failure domain that should serve a
-// request, or nothing.
-func (n *Node) forwardTarget(service string, e serving.Forward) string {
-	best, most := "", 0
-	for _, h := range n.hosts.all() {
-		if !n.mayForward(h) {
-			continue
-		}
-		for _, s := range h.status.Services {
-			if s.Service == service && s.FreeSlots > most {
-				best, most = h.ID, s.FreeSlots
-			}
-		}
-	}
-	return best
-}
-
-// mayForward keeps requests within the region.
-func (n *Node) mayForward(h host) bool {
-	return h.Region == n.cfg.Region && h.Domain != n.cfg.Domain && h.fresh(n.now()) && !h.status.Stopping
-}
-
-// groupName returns the failure domain of a log, or nothing.
-func groupDomain(name string) string {
-	domainName, found := strings.CutPrefix(name, domainGroupPrefix)
-	if !found {
-		return ""
-	}
-	return domainName
+	h, known := n.hosts.get(peer)
+	return known && h.Region != n.cfg.Region
 }
 
 // age returns how long ago a host was heard of, or -1.
--- a/daemon/standin/client.go
+++ b/daemon/standin/client.go
@@ -27,12 +27,12 @@
 
 // post posts a body to the first host that answers 200 and decodes the answer
 // into result unless that is nil.
-func (h *hostList) post(client *fasthttp.Client, path, token string, body []byte, result any) error {
+func (h *hostList) post(client *fasthttp.Client, path, token string, headers [][2]string, body []byte, result any) error {
 	reason := "no hosts"
 	first := int(h.first.Load())
 	for i := range h.urls {
 		at := (first + i) % len(h.urls)
-		answer, status, err := post(client, h.urls[at]+path, token, body)
+		answer, status, err := post(client, h.urls[at]+path, token, headers, body)
 		if err != nil {
 			reason = err.Error()
 			continue
@@ -53,7 +53,7 @@
 	return &PostError{Path: path, Reason: reason}
 }
 
-func post(client *fasthttp.Client, url, token string, body []byte) ([]byte, int, error) {
+func post(client *fasthttp.Client, url, token string, headers [][2]string, body []byte) ([]byte, int, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
@@ -64,6 +64,9 @@
 	if token != "" {
 		req.Header.Set("Authorization", "Bearer "+token)
 	}
+	for _, header := range headers {
+		req.Header.Set(header[0], header[1])
+	}
 	req.SetBody(body)
 	if err := client.DoTimeout(req, resp, announceTimeout); err != nil {
 		return nil, 0, err
--- a/daemon/standin/executor.go
+++ b/daemon/standin/executor.go
@@ -329,7 +329,7 @@
 	if err != nil {
 		return &SetupError{What: "announcement", Cause: err}
 	}
-	return e.hosts.post(e.client, "/v1/backends/announce", e.cfg.Token, body, nil)
+	return e.hosts.post(e.client, "/v1/backends/announce", e.cfg.Token, nil, body, nil)
 }
 
 // depart posts a drain or leave call to the first host that takes it.
@@ -338,5 +338,5 @@
 	if err != nil {
 		return &SetupError{What: "departure", Cause: err}
 	}
-	return e.hosts.post(e.client, path, e.cfg.Token, body, nil)
+	return e.hosts.post(e.client, path, e.cfg.Token, nil, body, nil)
 }
