Measure scheduling rounds that start jobs and preempt

Cause: rounds with waiting gangs of one size ended after the first gang. Change: waiting gangs have six sizes, and further rounds start 16 jobs, preempt for an urgent gang of 64 or follow a changed worker.

--- a/daemon/experiment/control/round.go
+++ b/daemon/experiment/control/round.go
@@ -15,65 +15,73 @@
 	roundRepeats  = 40
 	roundWaiting  = 200
 	roundHeld     = 7 // accelerators in use of each worker
-	waitingGang   = 64
 	roundCustomer = 4
+	roundStarts   = 16
 )
 
-// roundCost is what the rounds of one size cost, in microseconds.
-type roundCost struct{ cpu, time, rebuildCPU, rebuildTime float64 }
+// waitingSizes are the gangs that wait in each round. Few of them fit the one
+// free accelerator of each worker.
+var waitingSizes = []int{8, 16, 24, 32, 48, 64}
+
+// roundLoad is what a round has to decide beside the gangs that wait.
+type roundLoad struct {
+	name string
+	// starts are jobs of one accelerator, and urgent the size of an urgent
+	// gang that needs the accelerators of other jobs.
+	starts, urgent int
+	// changed replaces a worker before each round.
+	changed bool
+}
+
+var roundLoads = []roundLoad{
+	{name: "of 200 waiting gangs"},
+	{name: "that also starts 16 jobs", starts: roundStarts},
+	{name: "that also preempts for an urgent gang of 64", urgent: 64},
+	{name: "after a worker changed", changed: true},
+}
 
 func measureRounds(o Options) ([]Row, error) {
-	var costs []roundCost
-	for _, workers := range roundWorkers {
-		cost, err := rounds(o, workers)
-		if err != nil {
-			return nil, err
-		}
-		costs = append(costs, cost)
-	}
-	row := func(quantity string, value func(roundCost) float64) Row {
-		r := Row{Quantity: quantity, Unit: "us", Against: "workers"}
-		for i, c := range costs {
-			r.Points = append(r.Points, Point{float64(roundWorkers[i]), value(c)})
+	var rows []Row
+	for _, load := range roundLoads {
+		cpu := Row{Quantity: "CPU of a round " + load.name, Unit: "us", Against: "workers"}
+		elapsed := Row{Quantity: "time of a round " + load.name, Unit: "us", Against: "workers"}
+		for _, workers := range roundWorkers {
+			c, t, err := rounds(o, workers, load)
+			if err != nil {
+				return nil, err
+			}
+			cpu.Points = append(cpu.Points, Point{float64(workers), c})
+			elapsed.Points = append(elapsed.Points, Point{float64(workers), t})
 		}
-		return r
+		rows = append(rows, cpu, elapsed)
 	}
-	return []Row{
-		row("CPU of a round, 200 waiting gangs of 64", func(c roundCost) float64 { return c.cpu }),
-		row("time of a round, 200 waiting gangs of 64", func(c roundCost) float64 { return c.time }),
-		row("CPU of a round after a worker changed", func(c roundCost) float64 { return c.rebuildCPU }),
-		row("time of a round after a worker changed", func(c roundCost) float64 { return c.rebuildTime }),
-	}, nil
+	return rows, nil
 }
 
-// rounds measures a domain with few free accelerators and waiting gangs, which
-// each round examines without being able to start them.
-func rounds(o Options, workers int) (roundCost, error) {
-	s, err := busyScheduler(workers)
+// rounds measures a domain with few free accelerators. A round leaves the
+// scheduler as it was, so each round decides the same.
+func rounds(o Options, workers int, load roundLoad) (cpu, elapsed float64, err error) {
+	s, err := busyScheduler(workers, load)
 	if err != nil {
-		return roundCost{}, err
+		return 0, 0, err
 	}
-	var c roundCost
 	now := time.Minute
-	plain := func() error {
+	plan := s.Round(now)
+	if len(plan.Starts) < load.starts || (load.urgent > 0 && len(plan.Preempts) == 0) {
+		return 0, 0, StateError("the round " + load.name + " did not decide what it should")
+	}
+	flip := 0
+	return cpuAndTime(o.repeats(roundRepeats), func() error {
+		if load.changed {
+			w := worker(0, accelerators)
+			flip = 1 - flip
+			w.MemoryMB += flip
+			s.SetWorker(w)
+		}
 		now += time.Second
 		s.Round(now)
 		return nil
-	}
-	flip := 0
-	changed := func() error {
-		w := worker(0, accelerators)
-		flip = 1 - flip
-		w.MemoryMB += flip
-		s.SetWorker(w)
-		return plain()
-	}
-	_ = plain()
-	if c.cpu, c.time, err = cpuAndTime(o.repeats(roundRepeats), plain); err != nil {
-		return c, err
-	}
-	c.rebuildCPU, c.rebuildTime, err = cpuAndTime(o.repeats(roundRepeats), changed)
-	return c, err
+	})
 }
 
 // cpuAndTime returns the median CPU time and the median time of an operation.
@@ -87,7 +95,7 @@
 	return cpu, median(times), err
 }
 
-func busyScheduler(workers int) (*placement.Scheduler, error) {
+func busyScheduler(workers int, load roundLoad) (*placement.Scheduler, error) {
 	cfg, err := parsedRules([]string{measuredDomain}, (workers+workersInRack-1)/workersInRack, accelerators, roundCustomer)
 	if err != nil {
 		return nil, err
@@ -104,13 +112,25 @@
 		s.SetRunning(runningJob(i))
 	}
 	for i := range roundWaiting {
-		spec := submission(i, waitingGang)
-		spec.Customer = customerName(i % roundCustomer)
-		s.SetQueued(placement.Queued{ID: "waiting-" + decimal(i), Spec: spec})
+		queue(s, "waiting", i, waitingSizes[i%len(waitingSizes)], structs.PriorityNormal)
+	}
+	for i := range load.starts {
+		queue(s, "starting", i, 1, structs.PriorityNormal)
+	}
+	if load.urgent > 0 {
+		queue(s, "urgent", 1, load.urgent, structs.PriorityUrgent)
 	}
 	return s, nil
 }
 
+func queue(s *placement.Scheduler, name string, i, size int, priority structs.Priority) {
+	spec := submission(i, size)
+	spec.Name = name + "-" + decimal(i)
+	spec.Customer = customerName(i % roundCustomer)
+	spec.Priority = priority
+	s.SetQueued(placement.Queued{ID: spec.Name, Spec: spec})
+}
+
 // runningJob returns a job that holds most of one worker.
 func runningJob(i int) placement.Running {
 	spec := submission(i, roundHeld)
