--- a/daemon/experiment/control/process.go
+++ b/daemon/experiment/control/process.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cranberrydrum.dev/daemon/api"
 	"cranberrydrum.dev/scheduler/structs"
 )
 
@@ -21,10 +22,12 @@
 	ticksPerSecond = 100
 	renewTimeout   = 2 * time.Second
 	// userTimeField and residentField count from the field after the command.
-	userTimeField  = 11
-	statmResident  = 1
-	bytesPerMB     = 1 << 20
-	renewInterval  = time.Second
+	userTimeField = 11
+	statmResident = 1
+	bytesPerMB    = 1 << 20
+	renewInterval = time.Second
+	// renewHold is how long workers let the owner hold the answer.
+	renewHold      = renewInterval * 9 / 10
 	registerPeriod = 4 * time.Second
 )
 
@@ -115,6 +118,7 @@
 	request.Header.SetMethod(fasthttp.MethodPost)
 	request.Header.SetContentType("application/json")
 	request.Header.Set("Authorization", "Bearer "+token)
+	request.Header.Set(api.HeaderWait, strconv.FormatInt(renewHold.Milliseconds(), 10))
 	request.SetBody(body)
 	err = client.DoTimeout(request, response, renewTimeout)
 	return err == nil && response.StatusCode() == fasthttp.StatusOK
