Bound the batches in flight by bytes

16 batches of 256 KiB would occupy a link of 30 Mbit/s for 1.1 s, longer than an election timeout, so that the heartbeats behind them arrive too late. Batches in flight are now bounded by 512 KiB (140 ms on that link) and 64 batches.

--- a/coord/raft/config.go
+++ b/coord/raft/config.go
@@ -4,12 +4,15 @@
 
 // Defaults and limits of Config.
 const (
-	defaultElectionTimeout     = time.Second
-	defaultHeartbeatInterval   = 100 * time.Millisecond
-	defaultClockError          = 50 * time.Millisecond
-	defaultMaxBatchBytes       = 256 << 10
-	defaultSnapshotChunkBytes  = 64 << 10
-	defaultMaxInflight         = 16
+	defaultElectionTimeout    = time.Second
+	defaultHeartbeatInterval  = 100 * time.Millisecond
+	defaultClockError         = 50 * time.Millisecond
+	defaultMaxBatchBytes      = 256 << 10
+	defaultSnapshotChunkBytes = 64 << 10
+	defaultMaxInflight        = 64
+	// Half a MiB occupies a link of 30 Mbit/s for 140 ms, so that heartbeats
+	// behind it arrive well within an election timeout.
+	defaultMaxInflightBytes    = 512 << 10
 	defaultMaxUncommittedBytes = 32 << 20
 
 	// minHeartbeatsPerElection keeps one lost heartbeat from ending a lease.
@@ -43,6 +46,9 @@
 	SnapshotChunkBytes int
 	// MaxInflight bounds the unacknowledged batches to a member.
 	MaxInflight int
+	// MaxInflightBytes is the size of the unacknowledged batches to a member
+	// from which on no further batch is sent.
+	MaxInflightBytes int
 	// MaxUncommittedBytes bounds the entries a leader holds uncommitted.
 	MaxUncommittedBytes int
 	// Seed determines the election timeouts, together with ID.
@@ -68,6 +74,7 @@
 	setInt(&c.MaxBatchBytes, defaultMaxBatchBytes)
 	setInt(&c.SnapshotChunkBytes, defaultSnapshotChunkBytes)
 	setInt(&c.MaxInflight, defaultMaxInflight)
+	setInt(&c.MaxInflightBytes, defaultMaxInflightBytes)
 	setInt(&c.MaxUncommittedBytes, defaultMaxUncommittedBytes)
 	return c
 }
@@ -110,6 +117,8 @@
 		return &ConfigError{Field: "SnapshotChunkBytes"}
 	case c.MaxInflight < 0:
 		return &ConfigError{Field: "MaxInflight"}
+	case c.MaxInflightBytes < 0:
+		return &ConfigError{Field: "MaxInflightBytes"}
 	case c.MaxUncommittedBytes < 0:
 		return &ConfigError{Field: "MaxUncommittedBytes"}
 	}
--- a/coord/raft/replication.go
+++ b/coord/raft/replication.go
@@ -33,12 +33,10 @@
 }
 
 func (n *Node) sendBatches(id string, p *peer) {
-	for p.next <= n.log.lastIndex() && len(p.inflight) < n.cfg.MaxInflight {
+	for p.next <= n.log.lastIndex() && n.mayHaveMoreInflight(p) {
 		entries := n.log.batch(p.next-1, n.cfg.MaxBatchBytes)
 		n.sendAppend(id, p, entries)
-		last := entries[len(entries)-1].Index
-		p.inflight = append(p.inflight, last)
-		p.next = last + 1
+		p.addInflight(entries)
 	}
 	if n.heartbeatDue(p) {
 		// A heartbeat names the last entry sent, so that a loss is noticed.
@@ -46,6 +44,10 @@
 	}
 }
 
+func (n *Node) mayHaveMoreInflight(p *peer) bool {
+	return len(p.inflight) < n.cfg.MaxInflight && p.inflightBytes < n.cfg.MaxInflightBytes
+}
+
 // sendAppend sends entries that begin with the next one.
 func (n *Node) sendAppend(id string, p *peer, entries []Entry) {
 	prev := p.next - 1
