Keep reservations on racks that drain already

Cause: the expected end of overrunning jobs was one minute ahead, so a reservation settled on racks with stragglers, and it moved with each changed estimate. Change: an overrunning job is expected to run half of its elapsed time further, and idle workers count for a rack.

--- a/scheduler/experiment/placement/run_test.go
+++ b/scheduler/experiment/placement/run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,9 +35,13 @@
 	if os.Getenv("PLACEMENT_SIZES") == "" {
 		t.Skip("PLACEMENT_SIZES is not set")
 	}
+	var policies []Policy
+	for _, name := range strings.Fields(os.Getenv("PLACEMENT_POLICIES")) {
+		policies = append(policies, Policy(name))
+	}
 	for _, size := range []Size{SizeKorbfrisch, SizeRemada, SizeTarget} {
 		begin := time.Now()
-		table := Run(Options{Size: size, Seed: 1})
+		table := Run(Options{Size: size, Seed: 1, Policies: policies})
 		t.Logf("%s in %v\n%s", size, time.Since(begin), table)
 	}
 }
--- a/scheduler/placement/reserve.go
+++ b/scheduler/placement/reserve.go
@@ -9,9 +9,13 @@
 	"cranberrydrum.dev/scheduler/guarantee"
 )
 
-// overrunSlack is the assumed remaining time of a job that runs longer than
-// estimated.
-const overrunSlack = time.Minute
+// A job that runs longer than estimated is expected to run for a further share
+// of its elapsed time, because run times are heavy-tailed. With a fixed short
+// rest, reservations would settle where stragglers run.
+const (
+	overrunShare = 2
+	overrunSlack = time.Minute
+)
 
 // unknownEnd is the expected end of a job without an estimate.
 const unknownEnd = time.Duration(math.MaxInt64)
@@ -23,8 +27,10 @@
 		return r.now + r.s.cfg.ReclaimGrace
 	case j.estimate <= 0:
 		return unknownEnd
+	case j.started+j.estimate > r.now:
+		return j.started + j.estimate
 	default:
-		return max(j.started+j.estimate, r.now+overrunSlack)
+		return r.now + max((r.now-j.started)/overrunShare, overrunSlack)
 	}
 }
 
@@ -146,17 +152,37 @@
 func (r *round) earliestRack(j *job, n int) ([]guarantee.Part, time.Duration) {
 	needed := (n + r.s.perWorker - 1) / r.s.perWorker
 	var best []opening
-	bestAt := unknownEnd
+	bestScore := unknownEnd
 	for i := range r.s.racks {
 		if r.s.racks[i].healthy < needed {
 			continue
 		}
 		list := r.openings(j, &r.s.racks[i])
-		if len(list) >= needed && list[needed-1].at < bestAt {
-			best, bestAt = list[:needed], list[needed-1].at
+		if len(list) < needed {
+			continue
+		}
+		if score := r.drainScore(list[:needed]); score < bestScore {
+			best, bestScore = list[:needed], score
+		}
+	}
+	if best == nil {
+		return nil, unknownEnd
+	}
+	return r.partsOf(best), best[needed-1].at
+}
+
+// drainScore rates a rack for a reservation: the expected wait times the share
+// of workers that are still busy. The share keeps a reservation on a rack that
+// is already draining; by the expected end alone, which is often wrong, it
+// would move on each time an estimate changes and lose the idle workers.
+func (r *round) drainScore(list []opening) time.Duration {
+	busy := 0
+	for _, o := range list {
+		if o.at > r.now {
+			busy++
 		}
 	}
-	return r.partsOf(best), bestAt
+	return (list[len(list)-1].at - r.now) / time.Duration(len(list)) * time.Duration(busy)
 }
 
 // earliestWide takes the workers of all racks that are free first.
