Reserve for starving gangs before guaranteed and urgent jobs

Cause: reservations were made last in a round, so guaranteed and urgent jobs took each worker of a draining rack as soon as it was free. Change: the oldest starving gangs of two workers and more reserve first; the others use reserved accelerators only if no others are free, and still before they preempt.

--- a/scheduler/placement/phases.go
+++ b/scheduler/placement/phases.go
@@ -178,7 +178,7 @@
 	if len(candidates) == 0 {
 		return false
 	}
-	r.makeRoom(j, candidates[0].place(), r.s.cfg.UrgentGrace)
+	r.use(j, &candidates[0], r.s.cfg.UrgentGrace)
 	return true
 }
 
@@ -236,6 +236,7 @@
 		return
 	}
 	if r.starving(j) && b.tried == 0 && r.reserve(j) {
+		r.waitReserved(&r.reservations[len(r.reservations)-1])
 		return
 	}
 	if parts := r.backfill(j); parts != nil {
--- a/scheduler/placement/reclaim.go
+++ b/scheduler/placement/reclaim.go
@@ -78,16 +78,21 @@
 			continue
 		}
 		j.customer.roundInside += j.spec.Accelerators
-		if c.state == startable {
-			r.start(j, c.place())
-		} else {
-			r.makeRoom(j, c.place(), grace)
-		}
+		r.use(j, c, grace)
 		return true
 	}
 	return false
 }
 
+// use starts a job on a candidate's place or makes room there.
+func (r *round) use(j *job, c *candidate, grace time.Duration) {
+	if c.state == startable {
+		r.start(j, c.place())
+		return
+	}
+	r.makeRoom(j, c.place(), grace)
+}
+
 // findClaimable looks for available accelerators, in the blocks that the
 // customer has bound already and then where an open slot could be bound.
 func (r *round) findClaimable(j *job) []guarantee.Part {
--- a/scheduler/placement/reserve.go
+++ b/scheduler/placement/reserve.go
@@ -1,12 +1,14 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"math/bits"
 	"slices"
 	"time"
 
 	"cranberrydrum.dev/scheduler/guarantee"
+	"cranberrydrum.dev/scheduler/structs"
 )
 
 // A job that runs longer than estimated is expected to run for a further share
@@ -49,7 +51,7 @@
 // starving gang.
 func (r *round) reserve(j *job) bool {
 	n := j.spec.Accelerators
-	if r.reservations >= r.s.cfg.MaxReservations || r.unreservable[n] {
+	if len(r.reservations) >= r.s.cfg.MaxReservations || r.unreservable[n] {
 		return false
 	}
 	parts, start := r.earliest(j)
@@ -57,7 +59,6 @@
 		r.unreservable[n] = len(j.avoid) == 0
 		return false
 	}
-	r.reservations++
 	for _, p := range parts {
 		w := r.touch(p.Worker)
 		if w.hold == 0 {
@@ -67,8 +68,85 @@
 		w.holdUntil = min(w.holdUntil, start)
 		r.s.recount(w, func() { w.hold |= p.Mask })
 	}
-	r.wait(j, WaitReserved)
-	r.plan.Waiting[len(r.plan.Waiting)-1].ExpectedStart = start
+	r.reservations = append(r.reservations, reservation{job: j, parts: parts, start: start})
+	return true
+}
+
+// reservation holds accelerators for a starving gang until the end of a round.
+type reservation struct {
+	job   *job
+	parts []guarantee.Part
+	start time.Duration
+}
+
+// waitReserved reports a reservation.
+func (r *round) waitReserved(v *reservation) {
+	r.wait(v.job, WaitReserved)
+	r.plan.Waiting[len(r.plan.Waiting)-1].ExpectedStart = v.start
+}
+
+// reserveGangs reserves for the oldest starving gangs of several workers before
+// guaranteed and urgent jobs are placed. Those use reserved accelerators only
+// if no others are free, so a rack can drain, and they still never preempt
+// while something is free.
+func (r *round) reserveGangs() {
+	var gangs []*job
+	for _, c := range r.s.names {
+		for _, b := range c.buckets {
+			if b.size < 2*r.s.perWorker || b.priority >= structs.PriorityUrgent {
+				continue
+			}
+			for _, j := range b.jobs[:min(len(b.jobs), r.s.cfg.MaxReservations)] {
+				if r.starving(j) && r.mayReserve(j) {
+					gangs = append(gangs, j)
+				}
+			}
+		}
+	}
+	slices.SortFunc(gangs, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(r.level(b), r.level(a)), compareQueued(a, b))
+	})
+	for _, j := range gangs {
+		if r.reserve(j) {
+			j.stamp = r.s.stamp
+		}
+	}
+}
+
+// mayReserve reports whether neither the quota nor the guarantee of its
+// customer decides on a gang.
+func (r *round) mayReserve(j *job) bool {
+	c, n := j.customer, j.spec.Accelerators
+	if neverRunnable(r.s.capacity, c.quota, n) != nil || !c.fits(n) {
+		return false
+	}
+	return c.account == noAccount || !r.entitled(c, n)
+}
+
+// settleReservations starts the gangs whose reserved accelerators are all free.
+func (r *round) settleReservations() {
+	for i := range r.reservations {
+		v := &r.reservations[i]
+		if !v.job.customer.fits(v.job.spec.Accelerators) || !r.isFree(v.parts) {
+			r.waitReserved(v)
+			continue
+		}
+		for _, p := range v.parts {
+			w := &r.s.workers[p.Worker]
+			r.s.recount(w, func() { w.hold &^= p.Mask })
+		}
+		r.start(v.job, v.parts)
+	}
+}
+
+// isFree reports whether nothing occupies some accelerators.
+func (r *round) isFree(parts []guarantee.Part) bool {
+	for _, p := range parts {
+		w := &r.s.workers[p.Worker]
+		if p.Mask&^w.free != 0 || p.Mask&w.taken != 0 {
+			return false
+		}
+	}
 	return true
 }
 
--- a/scheduler/placement/round.go
+++ b/scheduler/placement/round.go
@@ -12,14 +12,13 @@
 // round is the state of one scheduling round. Everything that it changes in
 // the scheduler is rolled back at its end.
 type round struct {
-	s       *Scheduler
-	now     time.Duration
-	plan    Plan
-	mark    int   // position of the ledger before the round
-	touched []int // workers with accelerators taken or reserved
-	held    []int // workers with reservations
-	// reservations counts the gangs with a reservation.
-	reservations int
+	s            *Scheduler
+	now          time.Duration
+	plan         Plan
+	mark         int   // position of the ledger before the round
+	touched      []int // workers with accelerators taken or reserved
+	held         []int // workers with reservations
+	reservations []reservation
 	// full lists gang sizes for which nothing is available any more.
 	full map[int]bool
 	// unreservable lists gang sizes for which nothing can be reserved.
--- a/scheduler/placement/scheduler.go
+++ b/scheduler/placement/scheduler.go
@@ -220,8 +220,10 @@
 func (s *Scheduler) Round(now time.Duration) Plan {
 	s.flush()
 	r := newRound(s, now)
+	r.reserveGangs()
 	r.guaranteed()
 	r.urgent()
+	r.settleReservations()
 	r.fair()
 	r.rollBack()
 	return r.plan
