--- a/scheduler/experiment/placement/metrics.go
+++ b/scheduler/experiment/placement/metrics.go
@@ -42,7 +42,7 @@
 		return
 	}
 	j.firstWait = now - j.arrival.at
-	if j.arrival.spec.Priority == structs.PriorityUrgent {
+	if j.arrival.spec.Priority == structs.PriorityUrgent && !j.overQuota {
 		m.urgent = append(m.urgent, j.firstWait)
 	}
 }
--- a/scheduler/experiment/placement/run.go
+++ b/scheduler/experiment/placement/run.go
@@ -47,7 +47,9 @@
 	Preemptions int
 	// Probes counts jobs inside a free guarantee, and Violations those of them
 	// that did not start within the grace.
-	Probes, Violations   int
+	Probes, Violations int
+	// UrgentP99 and UrgentMax are the times from submission to the decision to
+	// start, without jobs that waited for the quota of their customer.
 	UrgentP99, UrgentMax time.Duration
 	Refused, Unfinished  int
 	// DoubleUse counts accelerators given to two jobs and must be 0.
--- a/scheduler/experiment/placement/sim.go
+++ b/scheduler/experiment/placement/sim.go
@@ -75,6 +75,7 @@
 	saved     time.Duration // progress at the last checkpoint
 	checkEnds bool          // the current stop takes a checkpoint
 	firstWait time.Duration // submission to first start, or -1
+	overQuota bool          // waited for the quota of its customer
 }
 
 // Parameters of the event loop.
@@ -104,7 +105,8 @@
 	failures  map[string]map[string]bool
 	order     uint64
 	probes    [][]string
-	open      int // jobs that are not finished
+	urgent    map[string]*simJob // urgent jobs before their first start
+	open      int                // jobs that are not finished
 	metrics   metrics
 }
 
@@ -112,7 +114,7 @@
 func newSim(l load, length time.Duration, p policy) *sim {
 	s := &sim{
 		load: l, length: length, policy: p, estimator: sched.NewEstimator(),
-		jobs: map[string]*simJob{}, free: map[string]guarantee.Mask{},
+		jobs: map[string]*simJob{}, urgent: map[string]*simJob{}, free: map[string]guarantee.Mask{},
 		failing: map[string]bool{}, failures: map[string]map[string]bool{},
 	}
 	p.SetRules(l.rules)
@@ -152,6 +154,7 @@
 		for len(s.events) > 0 && s.events[0].at == at {
 			s.handle(heap.Pop(&s.events).(event))
 		}
+		s.markQuota()
 		s.apply(s.policy.Round(s.now))
 	}
 	s.metrics.unfinished = s.open
@@ -200,6 +203,7 @@
 	j.queued = sched.Queued{ID: id, Spec: a.spec, Since: s.now}
 	s.jobs[id] = j
 	s.open++
+	s.waitingUrgent(j)
 	s.enqueue(j)
 	if a.cancel > s.now {
 		n, _ := strconv.Atoi(id[1:])
@@ -316,6 +320,24 @@
 	s.schedule(event{at: s.now + checkpointEvery, kind: evCheckpoint, job: j.id, run: j.run})
 }
 
+// waitingUrgent remembers an urgent job until its first start.
+func (s *sim) waitingUrgent(j *simJob) {
+	if j.arrival.spec.Priority == structs.PriorityUrgent {
+		s.urgent[j.id] = j
+	}
+}
+
+// markQuota marks urgent jobs that wait for the quota of their customer.
+func (s *sim) markQuota() {
+	for id, j := range s.urgent {
+		if s.jobs[id] == nil || j.firstWait >= 0 {
+			delete(s.urgent, id)
+			continue
+		}
+		j.overQuota = j.overQuota || s.overQuota(j.arrival.spec.Customer, j.arrival.spec.Accelerators)
+	}
+}
+
 // apply carries out a plan.
 func (s *sim) apply(plan sched.Plan) {
 	for _, start := range plan.Starts {
@@ -327,6 +349,7 @@
 			continue
 		}
 		j.running.Stopping = true
+		j.running.StopBy = s.now + p.Grace
 		j.checkEnds = p.Checkpoint
 		s.policy.SetRunning(*j.running)
 		after := plainStop
--- a/scheduler/guarantee/doc.go
+++ b/scheduler/guarantee/doc.go
@@ -28,6 +28,6 @@
 // different racks, so a gang of two workers is guaranteed only by a rack slot.
 //
 // When lost or quarantined workers leave too little room, slots are reduced
-// until the rest fits: a rack becomes workers, then workers and cells are
-// dropped, each from the customer that has most of them.
+// until the rest fits: a rack becomes workers, which are dropped first, then other
+// workers and cells, each from the customer that has most of them.
 package guarantee
--- a/scheduler/guarantee/feasible.go
+++ b/scheduler/guarantee/feasible.go
@@ -70,27 +70,43 @@
 }
 
 // reduceOne takes one slot of a level from the customer that has most of them.
-// A rack is replaced by its workers, which may be dropped in turn.
+// A rack is replaced by its workers, and these are dropped before the slots of
+// any customer whose shape is still intact.
 func (l *Ledger) reduceOne(level int) {
+	if level != l.rack {
+		at := l.most(func(a *account) int { return a.substitutes })
+		if l.accounts[at].substitutes > 0 {
+			l.accounts[at].substitutes--
+			l.drop(at, l.worker)
+			return
+		}
+	}
+	at := l.most(func(a *account) int { return a.open[level] })
+	l.drop(at, level)
+	if level == l.rack {
+		l.accounts[at].open[l.worker] += l.workersPerRack
+		l.accounts[at].substitutes += l.workersPerRack
+		l.open[l.worker] += l.workersPerRack
+	}
+}
+
+// most returns the last account with the largest value.
+func (l *Ledger) most(value func(*account) int) int {
 	at := 0
 	for i := range l.accounts {
-		if l.accounts[i].open[level] >= l.accounts[at].open[level] {
+		if value(&l.accounts[i]) >= value(&l.accounts[at]) {
 			at = i
 		}
 	}
+	return at
+}
+
+// drop takes one slot from an account and notes that it is missing.
+func (l *Ledger) drop(at, level int) {
 	a := &l.accounts[at]
 	a.open[level]--
 	l.open[level]--
-	switch level {
-	case l.rack:
-		a.open[l.worker] += l.workersPerRack
-		l.open[l.worker] += l.workersPerRack
-		a.missing.Racks++
-	case l.worker:
-		a.missing.Workers++
-	default:
-		a.missing.Accelerators += 1 << level
-	}
+	a.missing = addShape(a.missing, l.shapeOf(level, 1))
 }
 
 // Fits checks that all guarantees fit the failure domain together while the
--- a/scheduler/guarantee/ledger.go
+++ b/scheduler/guarantee/ledger.go
@@ -41,6 +41,8 @@
 	customer string
 	open     [maxLevels]int
 	missing  structs.Shape
+	// substitutes counts the worker slots that replace racks.
+	substitutes int
 	// bound counts the accelerators in the customer's blocks.
 	bound int
 }
--- a/scheduler/placement/reclaim.go
+++ b/scheduler/placement/reclaim.go
@@ -121,12 +121,14 @@
 }
 
 // mayStop reports whether a job may be stopped for a requester: jobs that stop
-// already, and jobs outside their guarantee. An urgent job outside its own
+// already (for an urgent requester those that stop in time), and jobs outside
+// their guarantee. An urgent job outside its own
 // guarantee spares other urgent jobs, and a customer's job is stopped for
 // another of the same customer only if it is less important.
 func (r *round) mayStop(requester, victim *job, account int) bool {
 	if r.leaving(victim) {
-		return true
+		urgent := requester.spec.Priority >= structs.PriorityUrgent
+		return !urgent || r.stopBy(victim) <= r.now+r.s.cfg.UrgentGrace
 	}
 	if victim.inside {
 		return false
--- a/scheduler/placement/reserve.go
+++ b/scheduler/placement/reserve.go
@@ -26,7 +26,7 @@
 func (r *round) expectedEnd(j *job) time.Duration {
 	switch {
 	case r.leaving(j):
-		return r.now + r.s.cfg.ReclaimGrace
+		return max(r.stopBy(j), r.now+overrunSlack)
 	case j.estimate <= 0:
 		return unknownEnd
 	case j.started+j.estimate > r.now:
--- a/scheduler/placement/round.go
+++ b/scheduler/placement/round.go
@@ -94,6 +94,7 @@
 			}
 			o.job.victim = r.s.stamp
 			verdict := r.assess(j, o.job, grace)
+			o.job.victimBy = r.now + verdict.Grace
 			r.plan.Preempts = append(r.plan.Preempts, Preempt{
 				Job: o.job.id, For: j.id, Checkpoint: verdict.Checkpoint, Grace: verdict.Grace,
 			})
@@ -107,6 +108,14 @@
 	return j.stopping || j.victim == r.s.stamp
 }
 
+// stopBy returns when the grace of a leaving job ends.
+func (r *round) stopBy(j *job) time.Duration {
+	if j.stopping {
+		return j.stopBy
+	}
+	return j.victimBy
+}
+
 // assess weighs the preemption of a job.
 func (r *round) assess(requester, victim *job, grace time.Duration) preemption.Verdict {
 	return preemption.Assess(r.now, grace, preemption.Job{
--- a/scheduler/placement/scheduler.go
+++ b/scheduler/placement/scheduler.go
@@ -96,7 +96,7 @@
 	s.Remove(r.ID)
 	j := &job{
 		id: r.ID, spec: r.Spec, running: true, estimate: r.Estimate, members: r.Members,
-		order: r.Order, started: r.Started, checkpointed: r.Checkpointed, stopping: r.Stopping,
+		order: r.Order, started: r.Started, checkpointed: r.Checkpointed, stopping: r.Stopping, stopBy: r.StopBy,
 	}
 	for _, m := range r.Members {
 		j.held += len(m.Accelerators)
@@ -119,6 +119,7 @@
 	j.spec = r.Spec
 	j.estimate = r.Estimate
 	j.checkpointed = r.Checkpointed
+	j.stopBy = r.StopBy
 	return true
 }
 
--- a/scheduler/placement/state.go
+++ b/scheduler/placement/state.go
@@ -62,11 +62,13 @@
 	started      time.Duration
 	checkpointed time.Duration
 	stopping     bool
+	stopBy       time.Duration
 	inside       bool
 
 	// stamp is the number of the round that has decided on the job, and victim
 	// the one that has chosen it to stop.
 	stamp, victim uint64
+	victimBy      time.Duration // when the grace as a victim ends
 }
 
 // avoids reports whether the job must not run on a worker.
--- a/scheduler/placement/types.go
+++ b/scheduler/placement/types.go
@@ -51,6 +51,9 @@
 	Estimate time.Duration
 	// Stopping marks a job that was already told to make room.
 	Stopping bool
+	// StopBy is when the grace of a stopping job ends, 0 if it has none. Urgent
+	// jobs do not wait for a grace that is longer than theirs.
+	StopBy time.Duration
 }
 
 // Plan is the result of one scheduling round. It is a proposal: the applier
