--- a/scheduler/placement/reclaim.go
+++ b/scheduler/placement/reclaim.go
@@ -78,16 +78,21 @@
 			continue
 		}
 		j.customer.roundInside += j.spec.Accelerators
-		if c.state == startable {
-			r.start(j, c.place())
-		} else {
-			r.makeRoom(j, c.place(), grace)
-		}
+		r.use(j, c, grace)
 		return true
 	}
 	return false
 }
 
+// use starts a job on a candidate's place or makes room there.
+func (r *round) use(j *job, c *candidate, grace time.Duration) {
+	if c.state == startable {
+		r.start(j, c.place())
+		return
+	}
+	r.makeRoom(j, c.place(), grace)
+}
+
 // findClaimable looks for available accelerators, in the blocks that the
 // customer has bound already and then where an open slot could be bound.
 func (r *round) findClaimable(j *job) []guarantee.Part {
@@ -116,12 +121,14 @@
 }
 
 // mayStop reports whether a job may be stopped for a requester: jobs that stop
-// already, and jobs outside their guarantee. An urgent job outside its own
+// already (for an urgent requester those that stop in time), and jobs outside
+// their guarantee. An urgent job outside its own
 // guarantee spares other urgent jobs, and a customer's job is stopped for
 // another of the same customer only if it is less important.
 func (r *round) mayStop(requester, victim *job, account int) bool {
 	if r.leaving(victim) {
-		return true
+		urgent := requester.spec.Priority >= structs.PriorityUrgent
+		return !urgent || r.stopBy(victim) <= r.now+r.s.cfg.UrgentGrace
 	}
 	if victim.inside {
 		return false
--- a/scheduler/placement/round.go
+++ b/scheduler/placement/round.go
@@ -12,14 +12,13 @@
 // round is the state of one scheduling round. Everything that it changes in
 // the scheduler is rolled back at its end.
 type round struct {
-	s       *Scheduler
-	now     time.Duration
-	plan    Plan
-	mark    int   // position of the ledger before the round
-	touched []int // workers with accelerators taken or reserved
-	held    []int // workers with reservations
-	// reservations counts the gangs with a reservation.
-	reservations int
+	s            *Scheduler
+	now          time.Duration
+	plan         Plan
+	mark         int   // position of the ledger before the round
+	touched      []int // workers with accelerators taken or reserved
+	held         []int // workers with reservations
+	reservations []reservation
 	// full lists gang sizes for which nothing is available any more.
 	full map[int]bool
 	// unreservable lists gang sizes for which nothing can be reserved.
@@ -95,6 +94,7 @@
 			}
 			o.job.victim = r.s.stamp
 			verdict := r.assess(j, o.job, grace)
+			o.job.victimBy = r.now + verdict.Grace
 			r.plan.Preempts = append(r.plan.Preempts, Preempt{
 				Job: o.job.id, For: j.id, Checkpoint: verdict.Checkpoint, Grace: verdict.Grace,
 			})
@@ -108,6 +108,14 @@
 	return j.stopping || j.victim == r.s.stamp
 }
 
+// stopBy returns when the grace of a leaving job ends.
+func (r *round) stopBy(j *job) time.Duration {
+	if j.stopping {
+		return j.stopBy
+	}
+	return j.victimBy
+}
+
 // assess weighs the preemption of a job.
 func (r *round) assess(requester, victim *job, grace time.Duration) preemption.Verdict {
 	return preemption.Assess(r.now, grace, preemption.Job{
