Renew more often while a worker waits for orders

Change: Agent.RenewalInterval is 200 ms while a task waits for its next order and for 1 s after that, else 1 s.

--- a/scheduler/agent/agent.go
+++ b/scheduler/agent/agent.go
@@ -8,6 +8,17 @@
 	"cranberrydrum.dev/scheduler/structs"
 )
 
+const (
+	// renewalInterval is the time between renewals, and hurriedInterval that
+	// while the worker waits for orders. A start takes three orders and a
+	// preemption six, which at one a second exceeds the 4.8 s for urgent work.
+	renewalInterval = time.Second
+	hurriedInterval = 200 * time.Millisecond
+	// hurryTime is how long the worker hurries after the last change of a
+	// task, because the next order depends on the log and on other workers.
+	hurryTime = time.Second
+)
+
 // maxOutstanding bounds the renewals whose orders may still be used.
 const maxOutstanding = 64
 
@@ -26,6 +37,8 @@
 	outstanding []renewal
 	// answered is the highest renewal whose orders were used.
 	answered uint64
+	// hurryUntil is when renewals return to their usual interval.
+	hurryUntil time.Duration
 
 	tasks map[taskKey]*task
 }
@@ -129,9 +142,31 @@
 		a.checkpointDone(e)
 	}
 	a.prepareWaiting()
+	if a.inTransition() {
+		a.hurryUntil = now + hurryTime
+	}
 	return effects
 }
 
+// RenewalInterval returns the time from one renewal to the next.
+func (a *Agent) RenewalInterval(now time.Duration) time.Duration {
+	if now < a.hurryUntil {
+		return hurriedInterval
+	}
+	return renewalInterval
+}
+
+// inTransition reports whether a task waits for its next order, or has a
+// result that the owner may not know yet.
+func (a *Agent) inTransition() bool {
+	for _, t := range a.tasks {
+		if t.phase != phaseRunning && !t.omitted {
+			return true
+		}
+	}
+	return false
+}
+
 // checkLease stops all tasks once the lease is over.
 func (a *Agent) checkLease(now time.Duration) []Effect {
 	if now < a.leaseEnd {
--- a/scheduler/jobs/calm_test.go
+++ b/scheduler/jobs/calm_test.go
@@ -69,6 +69,23 @@
 	g.Expect(slowestRestart).To(BeNumerically("<", 4800*time.Millisecond))
 }
 
+// TestPreemption guards the deadline of a checkpoint: an urgent job starts even
+// if the checkpoint of the job that makes room never ends.
+func TestPreemption(t *testing.T) {
+	var slowest [2]time.Duration
+	for seed := range uint64(calmSeeds) {
+		s := newCalm(seed, 0, t.Fatalf)
+		s.longTasks, s.hang = true, seed%2 == 1
+		s.submit(structs.JobSpec{Name: "bulk", Customer: "b", Accelerators: 32, CheckpointTime: time.Second}, false)
+		s.until(func() bool { return s.runningTasks(s.follower.Jobs("")[0].ID, 1) == 8 })
+		s.submit(structs.JobSpec{Name: "urgent", Customer: "b", Accelerators: 4, Priority: structs.PriorityUrgent}, false)
+		took := s.until(func() bool { return s.runningTasks(s.follower.Jobs("")[1].ID, 1) == 1 })
+		slowest[seed%2] = max(slowest[seed%2], took)
+	}
+	t.Logf("slowest start by preemption with a grace of 3 s: %v, with a hanging checkpoint %v", slowest[0], slowest[1])
+	NewWithT(t).Expect(slowest[1]).To(BeNumerically("<", 10*time.Second))
+}
+
 // TestBadWorker guards against a worker that destroys one run after another,
 // through leader changes, and against good jobs that end as failed.
 func TestBadWorker(t *testing.T) {
--- a/scheduler/jobs/orders.go
+++ b/scheduler/jobs/orders.go
@@ -120,7 +120,7 @@
 // ordersFor derives the orders to a worker from the applied state. What the
 // worker has reported only decides whether the details of a task are repeated.
 func (c *Controller) ordersFor(w *worker, r structs.WorkerReport) []structs.TaskOrder {
-	var orders []structs.TaskOrder
+	orders := make([]structs.TaskOrder, 0, len(w.jobs))
 	for _, j := range w.jobs {
 		i := j.member(w.ID)
 		if ended(j.phases[i]) {
--- a/scheduler/jobs/sim_test.go
+++ b/scheduler/jobs/sim_test.go
@@ -15,6 +15,7 @@
 
 const (
 	simDomain = "zrh-oerlikon"
+	pollEvery = 100 * time.Millisecond
 	tickEvery = 20 * time.Millisecond
 	// killTime bounds a forced stop and shutdownTime one that is ordered.
 	killTime     = 600 * time.Millisecond
@@ -36,11 +37,13 @@
 	// shutdown bounds how long a task takes to end when it is ordered to.
 	shutdown  time.Duration
 	longTasks bool
-	calmAt    time.Duration
-	log       uint64
-	follower  *jobs.State
-	leader    *simLeader
-	stale     []*simLeader
+	// hang keeps checkpoints from ending.
+	hang     bool
+	calmAt   time.Duration
+	log      uint64
+	follower *jobs.State
+	leader   *simLeader
+	stale    []*simLeader
 	// pausedUntil ends a pause of the leader's process.
 	pausedUntil time.Duration
 	config      jobs.SetConfig
--- a/scheduler/jobs/sim_worker_test.go
+++ b/scheduler/jobs/sim_worker_test.go
@@ -14,10 +14,12 @@
 	agent  *agent.Agent
 	inc    uint64
 	seq    uint64
-	alive  bool
-	cut    bool
-	bad    bool
-	frozen bool
+	// renewed is when the last renewal was sent, on the worker's clock.
+	renewed time.Duration
+	alive   bool
+	cut     bool
+	bad     bool
+	frozen  bool
 	// slow delays all messages of the worker.
 	slow time.Duration
 	// loyal is when the worker last talks to a deposed leader.
@@ -83,12 +85,13 @@
 	}
 }
 
+// renew looks often whether a renewal is due, as the interval changes.
 func (w *simWorker) renew(inc uint64) {
 	if !w.alive || w.inc != inc {
 		return
 	}
-	w.after(time.Second, func() { w.renew(inc) })
-	if !w.frozen {
+	w.after(pollEvery, func() { w.renew(inc) })
+	if now := w.local(); !w.frozen && now-w.renewed >= w.agent.RenewalInterval(now) {
 		w.renewNow(inc)
 	}
 }
@@ -96,6 +99,7 @@
 // renewNow sends one renewal; the platform may send them at any time.
 func (w *simWorker) renewNow(inc uint64) {
 	w.seq++
+	w.renewed = w.local()
 	seq := w.seq
 	w.step(agent.RenewalSent{Seq: seq})
 	report := w.agent.Report()
@@ -133,7 +137,11 @@
 		case agent.StopTask:
 			w.kill(runKey{e.Job, e.Run}, e.Force)
 		case agent.CheckpointTask:
-			w.after(w.upTo(4*time.Second), func() {
+			length := w.upTo(4 * time.Second)
+			if w.hang {
+				length = time.Hour
+			}
+			w.after(length, func() {
 				w.here(w.inc, func() { w.step(agent.CheckpointDone(e)) })
 			})
 		}
