Refuse workers of other domains and bound plans and error texts

Cause: a worker configured for another domain would be proposed for registration every second, and a plan for thousands of jobs or a long error text could exceed the frame of 1 MiB.

Change: such a renewal is refused before anything is proposed, a plan carries at most 8,192 members and the rest is planned again, error texts end after 256 bytes. An example guards the estimates of run times against stragglers.

--- a/scheduler/agent/task.go
+++ b/scheduler/agent/task.go
@@ -23,9 +23,12 @@
 	return t.phase == phaseRunning || t.phase == phaseCheckpointing || t.phase == phaseCheckpointed
 }
 
+// maxErrorBytes bounds the error text in each renewal.
+const maxErrorBytes = 256
+
 // end records the result. Only an ended run frees its accelerators.
 func (t *task) end(result structs.TaskPhase, err string) {
-	t.phase, t.result, t.err = phaseEnded, result, err
+	t.phase, t.result, t.err = phaseEnded, result, err[:min(len(err), maxErrorBytes)]
 	t.command = nil
 }
 
--- a/scheduler/jobs/leases.go
+++ b/scheduler/jobs/leases.go
@@ -83,6 +83,9 @@
 	if !holdsLease || !c.leading() {
 		return structs.WorkerOrders{}, structs.NotRun(structs.CodeNotLeader, "this host does not lead the failure domain")
 	}
+	if refusal := c.state.checkWorker(r.Worker); refusal != nil {
+		return structs.WorkerOrders{}, refusal
+	}
 	w := c.state.workers[r.Worker.ID]
 	if w != nil && r.Incarnation < w.incarnation {
 		return structs.WorkerOrders{}, structs.NotRun(structs.CodeInvalid, "a later incarnation of the worker is registered")
--- a/scheduler/jobs/round.go
+++ b/scheduler/jobs/round.go
@@ -193,6 +193,10 @@
 	}
 }
 
+// maxPlanMembers bounds the members in one command, so that it fits a frame of
+// 1 MiB at about 35 bytes a member. The rest is planned again.
+const maxPlanMembers = 8192
+
 // logged turns a plan into the command that carries it.
 func (c *Controller) logged(plan placement.Plan) *ApplyPlan {
 	body := &ApplyPlan{}
@@ -203,7 +207,13 @@
 			})
 		}
 	}
+	members := 0
 	for _, st := range plan.Starts {
+		members += len(st.Members)
+		if members > maxPlanMembers && len(body.Starts) > 0 {
+			c.dirty = true
+			break
+		}
 		if j := c.state.jobs[st.Job]; j != nil {
 			body.Starts = append(body.Starts, PlannedStart{Job: st.Job, Run: j.Run, Members: st.Members})
 		}
--- a/scheduler/jobs/state_test.go
+++ b/scheduler/jobs/state_test.go
@@ -185,6 +185,12 @@
 		Expect(f.apply(&jobs.Cancel{Job: id}).Job.Status).To(Equal(structs.JobCancelled))
 	})
 
+	It("refuses workers of another domain or with impossible hardware", func() {
+		for _, w := range []structs.Worker{{}, {ID: "w", Accelerators: -1}, {ID: "w", Domain: "x"}} {
+			Expect(newFixture().apply(&jobs.RegisterWorker{Worker: w}).Refusal.Code).To(Equal(structs.CodeInvalid))
+		}
+	})
+
 	It("forgets old terminal jobs and lost workers, and keeps leaving workers until they are lost", func() {
 		f := newFixture()
 		for _, name := range []string{"a", "b", "c"} {
@@ -206,6 +212,20 @@
 		Expect(f.job(open).Status).To(Equal(structs.JobQueued))
 	})
 
+	It("estimates run times from measured ones, whatever stragglers do", func() {
+		f, p := newFixture(), newFirstFit()
+		for i, seconds := range []int{30, 31, 500, 29, 30, 900} {
+			id := f.apply(&jobs.Submit{Spec: structs.JobSpec{Name: string(rune('a' + i)), Customer: "b", Accelerators: 1, DeclaredRuntime: 10 * time.Second}}).Job.ID
+			f.run(id, on("w1", 0))
+			f.Apply(f.index, jobs.Command{Clock: time.Duration(f.index+uint64(seconds)) * time.Second, Body: &jobs.Lead{}})
+			f.index += uint64(seconds) - 1
+			f.report(id, "w1", structs.TaskSucceeded)
+		}
+		waiting := f.apply(&jobs.Submit{Spec: structs.JobSpec{Name: "x", Customer: "b", Accelerators: 1, DeclaredRuntime: time.Minute}}).Job.ID
+		jobs.NewController(jobs.DefaultControllerConfig(p), f.State, 0, 1)
+		Expect(p.queued[waiting].Estimate).To(BeNumerically("~", 3*time.Minute, 10*time.Second))
+	})
+
 	It("returns typed errors for bytes that are no command", func() {
 		good, err := jobs.EncodeCommand(jobs.Command{Term: 3, Clock: time.Hour, Body: &jobs.Submit{Spec: spec}})
 		Expect(err).NotTo(HaveOccurred())
--- a/scheduler/jobs/worker.go
+++ b/scheduler/jobs/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strconv"
 	"time"
 
 	"cranberrydrum.dev/scheduler/structs"
@@ -69,8 +70,8 @@
 // registerWorker adds a worker or takes note of its restart or return. A
 // higher incarnation proves that the tasks of the earlier process are gone.
 func (s *State) registerWorker(b *RegisterWorker) Result {
-	if b.Worker.ID == "" || b.Worker.Accelerators < 0 || b.Worker.Accelerators > MaxAccelerators {
-		return refused(structs.CodeInvalid, "the worker has no ID or an impossible number of accelerators")
+	if r := s.checkWorker(b.Worker); r != nil {
+		return Result{Refusal: r}
 	}
 	w := s.workers[b.Worker.ID]
 	if w == nil {
@@ -100,6 +101,19 @@
 	return Result{}
 }
 
+// checkWorker refuses workers that cannot belong to this failure domain.
+func (s *State) checkWorker(w structs.Worker) *structs.Refusal {
+	switch {
+	case w.ID == "":
+		return structs.NotRun(structs.CodeInvalid, "the worker has no ID")
+	case w.Accelerators < 0 || w.Accelerators > MaxAccelerators:
+		return structs.NotRun(structs.CodeInvalid, "the worker has an impossible number of accelerators")
+	case w.Domain != "" && s.Domain() != "" && w.Domain != s.Domain():
+		return structs.NotRun(structs.CodeInvalid, "the worker belongs to failure domain "+strconv.Quote(w.Domain))
+	}
+	return nil
+}
+
 // sameHardware compares what a worker announces.
 func sameHardware(a, b structs.Worker) bool {
 	a.Quarantined, b.Quarantined = false, false
