Count the attempts on an executor that hosts wait for

The experiment now checks that all hosts together never wait for more attempts of an executor than it has slots, with every way of sharing but the optimistic one.

--- a/scheduler/experiment/serving/executor.go
+++ b/scheduler/experiment/serving/executor.go
@@ -11,6 +11,7 @@
 	request *request
 	number  int
 	host    *host
+	on      *executor
 	work    time.Duration
 	sent    time.Duration
 	started time.Duration
@@ -26,9 +27,12 @@
 	fault   Fault
 	running int
 	queue   []*execution
-	// maxRunning and maxOpen are the highest numbers seen.
+	// maxOpen is the highest number of attempts at one time, which includes
+	// those that the hosts have given up.
 	maxOpen int
 	open    int
+	// live counts the attempts whose hosts still wait for the result.
+	live, maxLive int
 }
 
 // accept takes an attempt that has arrived over the network.
@@ -82,13 +86,19 @@
 	s.at(networkDelay, func() { s.report(x, serving.ResultOK) })
 }
 
+// end marks an attempt whose host no longer waits for it.
+func (x *execution) end() {
+	x.closed = true
+	x.on.live--
+	delete(x.host.live, attemptKey{x.request.id, x.number})
+}
+
 // report hands a result to the host, unless the connection has been closed.
 func (s *simulation) report(x *execution, result serving.Result) {
 	if x.closed {
 		return
 	}
-	x.closed = true
-	delete(x.host.live, attemptKey{x.request.id, x.number})
+	x.end()
 	if result == serving.ResultOK {
 		x.request.completed[x.number] = true
 	}
--- a/scheduler/experiment/serving/experiment_test.go
+++ b/scheduler/experiment/serving/experiment_test.go
@@ -42,7 +42,13 @@
 		if row.Doubled+row.FalseNotRun > 0 {
 			t.Errorf("%s: %d doubled, %d falsely refused as not run", row.Name, row.Doubled, row.FalseNotRun)
 		}
-		if variants[i].Sharing != experiment.ShareOptimistic && row.CrestInDeadline < 0.99 {
+		if variants[i].Sharing == experiment.ShareOptimistic {
+			continue
+		}
+		if row.MaxLive > 8 {
+			t.Errorf("%s: %d attempts on an executor with 8 slots", row.Name, row.MaxLive)
+		}
+		if row.CrestInDeadline < 0.99 {
 			t.Errorf("%s: only %.3f of the urgent requests of the crest in time", row.Name, row.CrestInDeadline)
 		}
 	}
--- a/scheduler/experiment/serving/measure.go
+++ b/scheduler/experiment/serving/measure.go
@@ -12,6 +12,7 @@
 	row := Row{Name: s.variant.name(), Requests: len(s.list), Refusals: map[structs.Code]int{}}
 	for _, e := range s.order {
 		row.MaxOpen = max(row.MaxOpen, e.maxOpen)
+		row.MaxLive = max(row.MaxLive, e.maxLive)
 	}
 	s.countBreaches(&row)
 	s.measureDeadlines(&row)
--- a/scheduler/experiment/serving/simulation.go
+++ b/scheduler/experiment/serving/simulation.go
@@ -305,10 +305,11 @@
 func (s *simulation) send(h *host, effect serving.Send) {
 	r := s.requests[effect.RequestID]
 	r.sends++
-	x := &execution{request: r, number: effect.Attempt, host: h, work: r.work, sent: s.now}
-	key := attemptKey{r.id, effect.Attempt}
-	h.live[key] = x
 	e := s.executors[effect.Backend]
+	x := &execution{request: r, number: effect.Attempt, host: h, on: e, work: r.work, sent: s.now}
+	h.live[attemptKey{r.id, effect.Attempt}] = x
+	e.live++
+	e.maxLive = max(e.maxLive, e.live)
 	s.at(networkDelay, func() { s.accept(e, x) })
 	s.at(effect.Timeout, func() { s.timeout(x) })
 }
@@ -319,7 +320,6 @@
 // close ends the connection of an attempt. The executor keeps working on it.
 func (s *simulation) close(h *host, key attemptKey) {
 	if x := h.live[key]; x != nil {
-		x.closed = true
-		delete(h.live, key)
+		x.end()
 	}
 }
--- a/scheduler/experiment/serving/table.go
+++ b/scheduler/experiment/serving/table.go
@@ -38,6 +38,9 @@
 	Recovery time.Duration
 	// MaxOpen is the highest number of attempts on one executor at one time.
 	MaxOpen int
+	// MaxLive leaves out attempts that the hosts have given up; it must not
+	// exceed the slots of an executor.
+	MaxLive int
 	// Wrong, Lost, Doubled and FalseNotRun count broken promises.
 	Wrong, Lost, Doubled, FalseNotRun int
 	Refusals                          map[structs.Code]int
@@ -77,6 +80,7 @@
 	for _, r := range rows {
 		mean.Requests += r.Requests
 		mean.MaxOpen = max(mean.MaxOpen, r.MaxOpen)
+		mean.MaxLive = max(mean.MaxLive, r.MaxLive)
 		mean.Wrong += r.Wrong
 		mean.Lost += r.Lost
 		mean.Doubled += r.Doubled
@@ -132,6 +136,7 @@
 		{"retries_%", percent(r.RetryRatio)},
 		{"recovery_ms", ms(r.Recovery)},
 		{"max_open", strconv.Itoa(r.MaxOpen)},
+		{"max_live", strconv.Itoa(r.MaxLive)},
 		{"wrong", strconv.Itoa(r.Wrong)},
 		{"lost", strconv.Itoa(r.Lost)},
 		{"doubled", strconv.Itoa(r.Doubled)},
--- a/scheduler/serving/dispatcher.go
+++ b/scheduler/serving/dispatcher.go
@@ -138,8 +138,11 @@
 	}
 	for c := range d.queues {
 		q := &d.queues[c]
-		for _, f := range q.flows {
-			f.weight = d.weightOf(f.customer)
+		for name, f := range q.flows {
+			f.weight = d.weightOf(name)
+			if _, known := d.weights[name]; !known && !f.active && len(customers) > 0 {
+				delete(q.flows, name)
+			}
 		}
 		q.weights = 0
 		for _, f := range q.active {
--- a/scheduler/serving/events.go
+++ b/scheduler/serving/events.go
@@ -64,7 +64,9 @@
 	Refusal   *structs.Refusal
 }
 
-// RequestCancelled reports that the caller no longer waits for the answer.
+// RequestCancelled reports that the caller no longer waits for the answer. A
+// non-idempotent request whose attempt runs is not interrupted; its final
+// effect follows with the result, which belongs to its key.
 type RequestCancelled struct{ RequestID string }
 
 // BackendUpdated reports the newest announcement of an executor. An expired
@@ -108,7 +110,9 @@
 	Attempt int
 	Backend string
 	Address string
-	// Timeout bounds the attempt and never passes the deadline of the request.
+	// Timeout bounds the attempt, counted from this step, and never passes the
+	// deadline of the request. When it is over the Dispatcher gives the attempt
+	// up by itself.
 	Timeout time.Duration
 	// Connections is this host's share of the executor's connections.
 	Connections int
