--- a/scheduler/serving/dispatcher_rapid_test.go
+++ b/scheduler/serving/dispatcher_rapid_test.go
@@ -313,7 +313,8 @@
 func (m *machine) changeRules(t *rapid.T) {
 	policy := structs.Policy{Crest: rapid.Float64Range(0, 1).Draw(t, "crest"), Completion: rapid.Float64Range(0, 1).Draw(t, "completion")}
 	service := structs.Service{Name: "basket-planner", Slots: 8, Connections: 64, RetryBudget: m.share, MaxAttempts: 3, AttemptTimeout: time.Second}
-	m.d.SetRules(service, []structs.ClassRule{{Class: structs.ClassUrgent, ReservedSlots: 0.1, MaxQueue: 5}}, nil, policy)
+	customers := rapid.SampledFrom([][]structs.Customer{nil, {{Name: "a", Weight: 1}}, {{Name: "b", Weight: 2}, {Name: "c", Weight: 1}}}).Draw(t, "customers")
+	m.d.SetRules(service, []structs.ClassRule{{Class: structs.ClassUrgent, ReservedSlots: 0.1, MaxQueue: 5}}, customers, policy)
 }
 
 // TestDispatcherKeepsPromises guards against every breach of the promises that
