daemon/node: record a request key in the log of its home

Cause: the owner of a key used the log of its own failure domain. Ruled out: lost log entries (the keys were known again once a local host led) and the resend in callLeader (keys of which no answer was lost ran twice too). Change: lookup, record, lease and outcome use the home of the key.

--- a/daemon/node/keys.go
+++ b/daemon/node/keys.go
@@ -9,6 +9,7 @@
 	"cranberrydrum.dev/coord/dedup"
 	"cranberrydrum.dev/daemon/upstream"
 	"cranberrydrum.dev/scheduler/domain"
+	"cranberrydrum.dev/scheduler/routing"
 	"cranberrydrum.dev/scheduler/serving"
 	"cranberrydrum.dev/scheduler/structs"
 )
@@ -37,6 +38,12 @@
 // storedKey separates the keys of customers.
 func storedKey(r structs.Request) string { return r.Customer + "/" + r.Key }
 
+// homeOf returns the failure domain whose log records a key. Its owner may be
+// the replica outside the domain, so it is not always the domain of this host.
+func (n *Node) homeOf(r structs.Request) string {
+	return routing.HomeDomain(storedKey(r), n.keyHomes())
+}
+
 // keyedAttempt runs one attempt of a non-idempotent request: the key is made
 // durable, the lease is checked, then the request is sent once. A request that
 // the owner of the key has forwarded was recorded there.
@@ -102,7 +109,7 @@
 		recorded, refusal := answerOfDecision(decision)
 		return sendPermit{recorded: recorded, refusal: refusal}
 	}
-	if !n.group(domainGroup(n.cfg.Domain)).HoldsLease() {
+	if !n.group(domainGroup(n.homeOf(c.Request))).HoldsLease() {
 		n.finishKey(c, token, dedup.Outcome{Kind: dedup.NotRun})
 		return sendPermit{refusal: structs.NotRun(structs.CodeNotLeader, "this host lost the ownership of the key before it sent the request")}
 	}
@@ -138,7 +145,8 @@
 // the entry may still be committed.
 func (n *Node) beginKey(c Call, token string) (dedup.Decision, *structs.Refusal) {
 	var command []byte
-	err := n.asOwner(n.cfg.Domain, func(now time.Duration, o *domainOwner) error {
+	home := n.homeOf(c.Request)
+	err := n.asOwner(home, func(now time.Duration, o *domainOwner) error {
 		var err error
 		command, err = domain.EncodeBegin(o.controller.Clock(now), dedup.Request{
 			Key:    storedKey(c.Request),
@@ -151,7 +159,7 @@
 	if err != nil {
 		return dedup.Decision{}, notRun(err)
 	}
-	data, err := n.group(domainGroup(n.cfg.Domain)).Propose(command, keyLogTimeout)
+	data, err := n.group(domainGroup(home)).Propose(command, keyLogTimeout)
 	if err != nil {
 		go n.finishKey(c, token, dedup.Outcome{Kind: dedup.NotRun})
 		return dedup.Decision{}, notRun(err)
@@ -217,8 +225,9 @@
 // has lost the ownership meanwhile. A lost record leaves the key unknown,
 // which is safe.
 func (n *Node) finishKey(c Call, token string, o dedup.Outcome) {
-	report := &keyOutcome{Domain: n.cfg.Domain, Key: storedKey(c.Request), Token: token, Outcome: o}
-	_, err := callLeader[empty](n, domainGroup(n.cfg.Domain), methodKeyFinish, report, keyFinishTimeout, true)
+	home := n.homeOf(c.Request)
+	report := &keyOutcome{Domain: home, Key: storedKey(c.Request), Token: token, Outcome: o}
+	_, err := callLeader[empty](n, domainGroup(home), methodKeyFinish, report, keyFinishTimeout, true)
 	if err != nil {
 		n.log.Info("the outcome of a request key could not be recorded", "key", report.Key, "error", err.Error())
 	}
--- a/daemon/node/requests.go
+++ b/daemon/node/requests.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"cranberrydrum.dev/daemon/upstream"
-	"cranberrydrum.dev/scheduler/routing"
 	"cranberrydrum.dev/scheduler/structs"
 )
 
@@ -95,7 +94,7 @@
 	if !c.Request.NonIdempotent {
 		return n.serveLocally(c)
 	}
-	home := routing.HomeDomain(storedKey(c.Request), n.keyHomes())
+	home := n.homeOf(c.Request)
 	if home == "" {
 		return nil, structs.NotRun(structs.CodeNoConfig, "no failure domain keeps request keys")
 	}
@@ -206,7 +205,7 @@
 // resend needs no slot and is not refused as "not run" when queues are full.
 func (n *Node) recordedAnswer(c Call) (*upstream.Response, error) {
 	var response *upstream.Response
-	err := n.asOwner(n.cfg.Domain, func(_ time.Duration, o *domainOwner) error {
+	err := n.asOwner(n.homeOf(c.Request), func(_ time.Duration, o *domainOwner) error {
 		decision, known := o.state.Keys().Lookup(storedKey(c.Request), digestOf(c))
 		if !known {
 			return nil
