--- a/cmd/e2e/keyed_load_test.go
+++ b/cmd/e2e/keyed_load_test.go
@@ -165,6 +165,22 @@
 	Expect(faults).To(BeEmpty())
 }
 
+// resendFirst sends the first answered keys again through one host, until each
+// was answered again.
+func (l *keyedLoad) resendFirst(p *process, count int) {
+	l.mu.Lock()
+	var list []*keyHistory
+	for _, h := range l.history {
+		if len(h.answers) > 0 && len(list) < count {
+			list = append(list, h)
+		}
+	}
+	l.mu.Unlock()
+	for _, h := range list {
+		Eventually(func() bool { return l.send(p, h) }, "10s", "10ms").Should(BeTrue(), h.key)
+	}
+}
+
 // resendAll sends each key through two hosts at once, when all is healed.
 func (l *keyedLoad) resendAll() {
 	var wg sync.WaitGroup
--- a/cmd/e2e/keys_test.go
+++ b/cmd/e2e/keys_test.go
@@ -108,6 +108,28 @@
 		load.check(executors)
 	})
 
+	// Guards against keys that are looked up in another log when the replica
+	// outside the failure domain leads: a resend would run them again. The local
+	// hosts stop so that only that replica can take over.
+	It("run at most once while the replica outside their home owns their keys", func() {
+		c := newCluster(threeHosts)
+		c.begin(baseRules())
+		executors := c.executors(1, oerlikon, altstetten)
+		c.awaitServing(c.hosts...)
+		owner := c.owner(oerlikon)
+		other := c.others(owner, c.host("alt-1"))[0]
+		load := startKeyedLoad(c, oerlikon, keyCallers, keyWork)
+		load.awaitAnswers(recoveredAnswers)
+		other.kill()
+		owner.stop()
+		other.start()
+		load.resendFirst(c.host("alt-1"), 20)
+		owner.start()
+		c.awaitReady(owner)
+		load.awaitAnswers(recoveredAnswers)
+		load.check(executors)
+	})
+
 	// Guards against a retry on another executor after the first one may have
 	// run the request.
 	It("run at most once while executors are killed in the middle of a run", func() {
