daemon/node: hand over leadership before waiting for requests at a stop

Cause: a stopping owner of request keys waited until no request was in progress and then handed over. While it led, new keyed requests kept coming, so the stop lasted until the stop timeout and then cut what was in progress; callers were told outcome_unknown. A call that had waited in its queue for longer than the patience of 2.5 s was refused as not_leader without another try. Change: leadership goes first, requests in progress end afterwards, and once more if it was handed back; queued replies get 100 ms; the patience counts from the first failure. Ruled out: the HTTP server (callers of other hosts were cut too).

--- a/daemon/node/calls.go
+++ b/daemon/node/calls.go
@@ -92,7 +92,9 @@
 // the repetition; a later refusal is then no proof that nothing has run.
 func callLeader[R any](n *Node, group, method string, request any, timeout time.Duration, resend bool) (*R, error) {
 	start := n.now()
-	patience := min(timeout, leaderPatience)
+	// A call may wait long in the queue of a leader that then hands over, so
+	// that patience counts from the first failure.
+	giveUp := time.Duration(0)
 	var lost error
 	for {
 		left := timeout - (n.now() - start)
@@ -105,7 +107,10 @@
 			lost = err
 		}
 		again := kind == failureNoLeader || (kind == failureUnknown && resend)
-		if !again || n.now()-start+leaderRetry >= patience {
+		if giveUp == 0 {
+			giveUp = min(start+timeout, n.now()+leaderPatience)
+		}
+		if !again || n.now()+leaderRetry >= giveUp {
 			return nil, finalError(err, lost)
 		}
 		if !n.wait(leaderRetry) {
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -388,22 +388,31 @@
 }
 
 // Stop ends the host gracefully: it reports that it is not ready, waits for
-// the load balancer to notice, finishes the requests in progress, hands over
-// leadership and closes its logs. The context bounds the wait for requests.
+// the load balancer to notice, hands over leadership, finishes the requests in
+// progress and closes its logs. Leadership goes first, because the owner of
+// request keys gets new requests for as long as it leads. It goes a second time
+// because a leader outside the failure domain may have handed it back. The
+// context bounds the wait for requests.
 func (n *Node) Stop(ctx context.Context, stopAccepting func()) {
 	n.stopping.Store(true)
 	n.broadcastStatus()
 	n.log.Info("stopping", "balancer_wait", n.cfg.BalancerWait.String())
 	n.wait(n.cfg.BalancerWait)
 	n.refusing.Store(true)
+	n.handOver()
 	stopAccepting()
 	n.waitForRequests(ctx)
 	n.handOver()
 	n.waitForRequests(ctx)
+	n.wait(replyFlush)
 	n.Close()
 	n.log.Info("stopped")
 }
 
+// replyFlush is left for replies that are queued for other hosts when the last
+// request ends.
+const replyFlush = 100 * time.Millisecond
+
 // waitForRequests waits until no request is in progress.
 func (n *Node) waitForRequests(ctx context.Context) {
 	if !n.inFlight.waitIdle(ctx.Done()) {
