metrics: create series at the start, name them by convention

Cause: counters appeared with their first event, so that a rate over them missed it and alerts on absent series could not work. Three names lacked their unit or object, label values had blanks, and nothing took over the counts of retries by cause that the dispatcher keeps. There were no process metrics. Change: the series of all refusal codes, outcomes, drop and close reasons exist from the start, those of a service when it is first seen. Retries takes the totals of a dispatcher. Process and Go runtime metrics are added.

--- a/daemon/metrics/metrics.go
+++ b/daemon/metrics/metrics.go
@@ -2,10 +2,14 @@
 package metrics
 
 import (
+	"maps"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"cranberrydrum.dev/scheduler/serving"
 	"cranberrydrum.dev/scheduler/structs"
 )
 
@@ -33,6 +37,12 @@
 	queued        *prometheus.GaugeVec
 	roundSeconds  prometheus.Histogram
 	keys          *prometheus.GaugeVec
+
+	// services holds the services whose series exist.
+	services sync.Map
+	mu       sync.Mutex
+	// retryTotals are the totals that Retries was last given.
+	retryTotals map[string]map[serving.Result]uint64
 }
 
 // secondsBuckets covers a route check (5 ms) up to a straggler (80 s).
@@ -40,16 +50,16 @@
 
 // New returns the metrics of one host in a registry of their own.
 func New() *Metrics {
-	m := &Metrics{Registry: prometheus.NewRegistry()}
+	m := &Metrics{Registry: prometheus.NewRegistry(), retryTotals: map[string]map[serving.Result]uint64{}}
 	m.requests = m.counter("requests_total", "Requests answered with the backend server's response.", "service", "class")
 	m.refusals = m.counter("refusals_total", "Requests refused, by code and outcome.", "code", "outcome")
 	m.retries = m.counter("retries_total", "Attempts after the first one, by the reason of the previous failure.", "service", "reason")
 	m.attempts = m.counter("attempts_total", "Attempts sent to backend servers, by result.", "service", "result")
-	m.duration = m.histogram("request_seconds", "Time from arrival to answer.", "service", "class")
+	m.duration = m.histogram("request_duration_seconds", "Time from arrival to answer.", "service", "class")
 	m.wait = m.histogram("queue_wait_seconds", "Time from arrival to the first attempt.", "service", "class")
 	m.frames = m.counter("peer_frames_total", "Frames exchanged with other hosts.", "peer", "kind", "direction")
 	m.frameBytes = m.counter("peer_bytes_total", "Bytes exchanged with other hosts.", "peer", "kind", "direction")
-	m.dropped = m.counter("peer_dropped_total", "Frames dropped, by reason.", "kind", "reason")
+	m.dropped = m.counter("peer_frames_dropped_total", "Frames dropped, by reason.", "kind", "reason")
 	m.closed = m.counter("peer_connections_closed_total", "Connections to other hosts that ended, by reason.", "reason")
 	m.spillBytes = m.counter("region_link_bytes_total", "Bytes sent to other regions, by purpose.", "purpose")
 	m.fragmentation = m.gauges("fragmentation_ratio", "Share of free accelerators that the largest waiting gang cannot use.", "domain")
@@ -64,11 +74,13 @@
 	})
 	m.roundSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Namespace: namespace,
-		Name:      "scheduling_round_seconds",
+		Name:      "scheduling_round_duration_seconds",
 		Help:      "Duration of scheduling rounds.",
 		Buckets:   prometheus.ExponentialBuckets(0.00005, 2, 14),
 	})
 	m.Registry.MustRegister(m.configVersion, m.roundSeconds)
+	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.presetHost()
 	return m
 }
 
@@ -97,6 +109,7 @@
 
 // Answered counts a request that was answered.
 func (m *Metrics) Answered(service string, class structs.Class, took time.Duration) {
+	m.presetService(service)
 	m.requests.WithLabelValues(service, string(class)).Inc()
 	m.duration.WithLabelValues(service, string(class)).Observe(took.Seconds())
 }
@@ -108,16 +121,38 @@
 
 // Waited records the time that a request spent in the queue.
 func (m *Metrics) Waited(service string, class structs.Class, wait time.Duration) {
+	m.presetService(service)
 	m.wait.WithLabelValues(service, string(class)).Observe(wait.Seconds())
 }
 
-// Retried counts an attempt after the first one.
+// Retries sets how often attempts were repeated, by the failure that caused
+// it, as counted by the dispatcher of a service. Totals that fall belong to a
+// new dispatcher.
+func (m *Metrics) Retries(service string, totals map[serving.Result]uint64) {
+	m.presetService(service)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	seen := m.retryTotals[service]
+	for result, total := range totals {
+		counted := seen[result]
+		if total < counted {
+			counted = 0
+		}
+		m.retries.WithLabelValues(service, string(result)).Add(float64(total - counted))
+	}
+	m.retryTotals[service] = maps.Clone(totals)
+}
+
+// Retried counts an attempt after the first one. The reason is the failure
+// that caused it, not its own result.
 func (m *Metrics) Retried(service, reason string) {
+	m.presetService(service)
 	m.retries.WithLabelValues(service, reason).Inc()
 }
 
 // Attempted counts a finished attempt.
 func (m *Metrics) Attempted(service, result string) {
+	m.presetService(service)
 	m.attempts.WithLabelValues(service, result).Inc()
 }
 
@@ -133,10 +168,14 @@
 }
 
 // FrameDropped counts a frame that was not delivered.
-func (m *Metrics) FrameDropped(kind, reason string) { m.dropped.WithLabelValues(kind, reason).Inc() }
+func (m *Metrics) FrameDropped(kind, reason string) {
+	m.dropped.WithLabelValues(kind, label(reason)).Inc()
+}
 
 // ConnectionClosed counts a connection to another host that ended.
-func (m *Metrics) ConnectionClosed(reason string) { m.closed.WithLabelValues(reason).Inc() }
+func (m *Metrics) ConnectionClosed(reason string) {
+	m.closed.WithLabelValues(label(reason)).Inc()
+}
 
 // RegionLinkBytes counts bytes sent to another region.
 func (m *Metrics) RegionLinkBytes(purpose string, bytes int) {
@@ -163,6 +202,7 @@
 
 // SetQueued sets the number of waiting requests.
 func (m *Metrics) SetQueued(service string, class structs.Class, length int) {
+	m.presetService(service)
 	m.queued.WithLabelValues(service, string(class)).Set(float64(length))
 }
 
