--- a/daemon/experiment/control/cluster.go
+++ b/daemon/experiment/control/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -58,13 +59,8 @@
 }
 
 func (c *cluster) start(count int) error {
-	for i := range count {
-		address, err := freeAddress()
-		if err != nil {
-			return err
-		}
-		d := c.domains[i%len(c.domains)]
-		c.hosts = append(c.hosts, &host{id: d + "-" + strconv.Itoa(i+1), domain: d, address: address})
+	if err := c.addHosts(count); err != nil {
+		return err
 	}
 	for _, h := range c.hosts {
 		if err := c.startHost(h); err != nil {
@@ -74,13 +70,42 @@
 	return nil
 }
 
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", &SetupError{What: "free port", Cause: err}
+// addHosts names the hosts and chooses their addresses.
+func (c *cluster) addHosts(count int) error {
+	for i := range count {
+		listener, err := reserve()
+		if err != nil {
+			return err
+		}
+		defer func() { _ = listener.Close() }()
+		d := c.domains[i%len(c.domains)]
+		c.hosts = append(c.hosts, &host{id: d + "-" + strconv.Itoa(i+1), domain: d, address: listener.Addr().String()})
+	}
+	return nil
+}
+
+// Ports of hosts lie below the range from which the system takes the ports of
+// outgoing connections, so that none of these can occupy one before its host
+// listens.
+const (
+	firstPort    = 20_000
+	ports        = 10_000
+	portAttempts = 100
+)
+
+// reserve listens on a free port until all hosts have chosen theirs, so that
+// no two hosts choose the same.
+func reserve() (net.Listener, error) {
+	var failure error
+	for range portAttempts {
+		port := firstPort + rand.IntN(ports)
+		listener, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
+		if err == nil {
+			return listener, nil
+		}
+		failure = err
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return nil, &SetupError{What: "free port", Cause: failure}
 }
 
 func (c *cluster) startHost(h *host) error {
