--- /dev/null
+++ b/daemon/experiment/control/agentcost.go
@@ -0,0 +1,100 @@
+package control
+
+import (
+	"encoding/json"
+	"time"
+
+	"cranberrydrum.dev/scheduler/agent"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// agentRows measures a worker's control agent against its tasks: the CPU time
+// of one renewal without sockets and the heap of its state.
+func agentRows(o Options) ([]Row, error) {
+	cpu := Row{Quantity: "CPU of a renewal at the worker's agent without sockets", Unit: "us", Against: "tasks per worker"}
+	held := Row{Quantity: "heap of the worker's agent", Unit: "B", Against: "tasks per worker"}
+	for _, tasks := range tasksPerWorker {
+		micros, err := agentRenewal(o, tasks)
+		if err != nil {
+			return nil, err
+		}
+		bytes, err := heap(func() (any, error) { return agentsWith(tasks) })
+		if err != nil {
+			return nil, err
+		}
+		cpu.Points = append(cpu.Points, Point{float64(tasks), micros})
+		held.Points = append(held.Points, Point{float64(tasks), bytes / heldAgents})
+	}
+	return []Row{cpu, held}, nil
+}
+
+// heldAgents is the number of agents whose heap is measured together.
+const heldAgents = 100
+
+func agentsWith(tasks int) ([]*agent.Agent, error) {
+	var agents []*agent.Agent
+	for range heldAgents {
+		a, err := runningAgent(tasks)
+		if err != nil {
+			return nil, err
+		}
+		agents = append(agents, a)
+	}
+	return agents, nil
+}
+
+// runningAgent returns the agent of a worker that runs a number of tasks.
+func runningAgent(tasks int) (*agent.Agent, error) {
+	a := agent.New(worker(0, maxTasks), 1)
+	a.Step(0, agent.RenewalSent{Seq: 1})
+	a.Step(0, agent.OrdersReceived{Seq: 1, Orders: ordersFor(tasks, structs.ActionPrepare)})
+	a.Step(0, agent.RenewalSent{Seq: 2})
+	a.Step(0, agent.OrdersReceived{Seq: 2, Orders: ordersFor(tasks, structs.ActionStart)})
+	if len(a.Report().Tasks) != tasks {
+		return nil, StateError("the agent does not run its tasks")
+	}
+	return a, nil
+}
+
+func ordersFor(tasks int, action structs.TaskAction) structs.WorkerOrders {
+	orders := structs.WorkerOrders{Term: leaderTerm, Lease: 6 * time.Second}
+	for i := range tasks {
+		o := structs.TaskOrder{Job: measuredDomain + "-" + decimal(1000+i), Run: 1, Action: action}
+		if action == structs.ActionPrepare {
+			o.Accelerators, o.Command = []int{i}, []string{"run", "6h"}
+		}
+		orders.Tasks = append(orders.Tasks, o)
+	}
+	return orders
+}
+
+// agentRenewal returns the CPU time of one renewal in microseconds.
+func agentRenewal(o Options, tasks int) (float64, error) {
+	a, err := runningAgent(tasks)
+	if err != nil {
+		return 0, err
+	}
+	reply, err := json.Marshal(ordersFor(tasks, structs.ActionStart))
+	if err != nil {
+		return 0, &SetupError{What: "orders", Cause: err}
+	}
+	seq, now := uint64(2), time.Duration(0)
+	return cpuMicros(o.repeats(renewalRepeats), func() error {
+		seq++
+		now += time.Millisecond
+		return renewAgent(a, now, seq, reply)
+	})
+}
+
+func renewAgent(a *agent.Agent, now time.Duration, seq uint64, reply []byte) error {
+	a.Step(now, agent.RenewalSent{Seq: seq})
+	if _, err := json.Marshal(a.Report()); err != nil {
+		return &SetupError{What: "report", Cause: err}
+	}
+	var orders structs.WorkerOrders
+	if err := json.Unmarshal(reply, &orders); err != nil {
+		return &SetupError{What: "orders", Cause: err}
+	}
+	a.Step(now, agent.OrdersReceived{Seq: seq, Orders: orders})
+	return nil
+}
--- a/daemon/experiment/control/renewal.go
+++ b/daemon/experiment/control/renewal.go
@@ -42,14 +42,16 @@
 		}
 		return row
 	}
-	return []Row{
+	rows := []Row{
 		pick("renewal request (JSON)", "B", func(c renewalCost) float64 { return c.request }),
 		pick("renewal reply (JSON)", "B", func(c renewalCost) float64 { return c.reply }),
 		pick("renewal call between hosts", "B", func(c renewalCost) float64 { return c.call }),
 		pick("renewal reply between hosts", "B", func(c renewalCost) float64 { return c.callReply }),
 		pick("CPU of a renewal at the entry host without sockets", "us", func(c renewalCost) float64 { return c.entryMicros }),
 		pick("CPU of a renewal at the owner without sockets", "us", func(c renewalCost) float64 { return c.ownerMicros }),
-	}, nil
+	}
+	agents, err := agentRows(o)
+	return append(rows, agents...), err
 }
 
 // renewal measures the renewals of workers that run a number of tasks.
