Let a resend wait for the run of its key that is in progress

Cause: a caller that resent a charge while its first run was still going was refused with key_in_progress or outcome_unknown, although the answer came within its deadline. Change: the owner looks for the outcome every 10 ms until the deadline of the resend and answers with it.

--- a/daemon/node/requests.go
+++ b/daemon/node/requests.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -187,20 +188,38 @@
 	c := r.call(remaining)
 	// The owner of a key may forward, because it was not chosen for its load.
 	c.Forwarded = false
-	seen, err := n.recordedAnswer(c)
-	if err != nil {
-		return nil, err
-	}
-	if seen != nil {
-		return remoteAnswerOf(seen), nil
-	}
-	response, err := n.serveLocally(c)
+	response, err := n.serveKeyed(c)
 	if err != nil {
 		return nil, err
 	}
 	return remoteAnswerOf(response), nil
 }
 
+// keyPoll is how often a resend looks for the outcome of the run in progress.
+const keyPoll = 10 * time.Millisecond
+
+// serveKeyed answers from the record of the key, or runs the request. A resend
+// that meets the run in progress waits for its outcome, so that its caller gets
+// the answer and not a refusal.
+func (n *Node) serveKeyed(c Call) (*upstream.Response, error) {
+	deadline := n.now() + c.Request.Remaining
+	for {
+		response, err := n.recordedAnswer(c)
+		if response == nil && err == nil {
+			c.Request.Remaining = max(deadline-n.now(), time.Millisecond)
+			response, err = n.serveLocally(c)
+		}
+		if !inProgress(err) || n.now()+keyPoll >= deadline || !n.wait(keyPoll) {
+			return response, err
+		}
+	}
+}
+
+func inProgress(err error) bool {
+	var refusal *structs.Refusal
+	return errors.As(err, &refusal) && refusal.Code == structs.CodeKeyInProgress
+}
+
 // recordedAnswer returns the answer of a key that was used before, so that a
 // resend needs no slot and is not refused as "not run" when queues are full.
 func (n *Node) recordedAnswer(c Call) (*upstream.Response, error) {
