Generate messages for the raft fuzz test that are mostly valid

Of 3144 generated messages, 87 % were rejected by the first checks, because rapid prefers zero. With the bound of the commit index by the received entries removed, the test panics after 1518 histories; with two fields encoded under one name it fails after 1.

--- a/coord/raft/fuzz_test.go
+++ b/coord/raft/fuzz_test.go
@@ -1,6 +1,7 @@
 package raft_test
 
 import (
+	"hash/crc32"
 	"math"
 	"reflect"
 	"strings"
@@ -13,32 +14,36 @@
 	"cranberrydrum.dev/coord/raft"
 )
 
-// genMessage generates messages that are mostly close to valid ones.
+// genMessage generates messages that are mostly close to valid ones. Rapid
+// prefers small numbers and the first items, so these are the valid ones.
 func genMessage() *rapid.Generator[raft.Message] {
-	number := rapid.OneOf(rapid.Uint64Range(0, 12), rapid.Uint64Range(3, 9), rapid.Just(uint64(math.MaxUint64)))
+	number := rapid.OneOf(rapid.Uint64Range(3, 12), rapid.Uint64Range(0, 9), rapid.Just(uint64(math.MaxUint64)))
 	id := rapid.SampledFrom([]string{"b", "c", "d", "e", "a", "", strings.Repeat("x", 200)})
+	content := rapid.SampledFrom([]string{"", "\x01e", "\x02d", "\x03a", "\x03c", "\x09z"})
 	return rapid.Custom(func(t *rapid.T) raft.Message {
 		m := raft.Message{
-			Kind: raft.Kind(rapid.IntRange(0, 12).Draw(t, "kind")), Group: "g",
-			From: id.Draw(t, "from"), To: "a", Term: number.Draw(t, "term"),
-			Index: number.Draw(t, "index"), LogTerm: rapid.Uint64Range(0, 4).Draw(t, "log term"),
+			Kind: raft.Kind(rapid.IntRange(1, 12).Draw(t, "kind")), Group: "g",
+			From: id.Draw(t, "from"), To: "a", Term: number.Draw(t, "term"), Index: number.Draw(t, "index"),
 			Commit: number.Draw(t, "commit"), Reject: rapid.Bool().Draw(t, "reject"),
 			Hint: number.Draw(t, "hint"), HintTerm: number.Draw(t, "hint term"),
 			Force: rapid.Bool().Draw(t, "force"),
 			Sent:  time.Duration(rapid.Int64Range(0, int64(4*time.Second)).Draw(t, "sent")),
 		}
-		next := m.Index
-		for range rapid.IntRange(0, 3).Draw(t, "entries") {
-			next++
-			kind := raft.EntryKind(rapid.IntRange(0, 4).Draw(t, "entry kind"))
-			data := rapid.SampledFrom([]string{"", "\x01d", "\x02d", "\x03a", "\x03c", "\x09z"}).Draw(t, "data")
-			m.Entries = append(m.Entries, raft.Entry{Index: next, Term: m.LogTerm, Kind: kind, Data: []byte(data)})
-		}
-		if m.Kind == raft.KindSnapshot {
-			m.Entries = nil
-			data := rapid.SliceOfN(rapid.Byte(), 0, 4).Draw(t, "content")
+		m.LogTerm = min(m.Term, rapid.Uint64Range(2, 5).Draw(t, "log term"))
+		switch m.Kind {
+		case raft.KindAppend:
+			for i := range rapid.Uint64Range(0, 3).Draw(t, "entries") {
+				kind := raft.EntryKind(rapid.IntRange(1, 4).Draw(t, "entry kind"))
+				e := raft.Entry{Index: m.Index + i + 1, Term: m.LogTerm, Kind: kind, Data: []byte(content.Draw(t, "data"))}
+				m.Entries = append(m.Entries, e)
+			}
+		case raft.KindSnapshot:
+			data := []byte(content.Draw(t, "data"))
+			offset := rapid.SampledFrom([]uint64{0, 2, m.Hint}).Draw(t, "offset")
+			total := offset + uint64(len(data)) + rapid.Uint64Range(0, 2).Draw(t, "rest")
 			meta := raft.SnapshotMeta{Index: m.Index, Term: m.LogTerm, Membership: members}
-			m.Chunk = &raft.SnapshotChunk{Meta: meta, Offset: m.Hint, Total: number.Draw(t, "total"), Data: data}
+			sum := crc32.Checksum(data, crc32.MakeTable(crc32.Castagnoli))
+			m.Chunk = &raft.SnapshotChunk{Meta: meta, Offset: offset, Total: total, Checksum: sum, Data: data}
 		}
 		return m
 	})
--- a/coord/raft/raft_test.go
+++ b/coord/raft/raft_test.go
@@ -18,7 +18,7 @@
 	flag.Parse()
 	given := map[string]bool{}
 	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"seed": "20261204", "checks": "300", "steps": "60", "nofailfile": "true"} {
+	for name, value := range map[string]string{"seed": "20261204", "checks": "2000", "steps": "60", "nofailfile": "true"} {
 		if !given["rapid."+name] {
 			_ = flag.Set("rapid."+name, value)
 		}
