Correct estimated waits by measured ones, and let charges fit

At six times the capacity most refusals came late: requests waited for their deadline in the queue, and charges were sent that could not end in time. The estimated wait of each customer and class is now corrected by the measured one, and a non-idempotent request needs its p95 before the deadline. A correction per class, tried first, refused short requests because of long ones of the class.

--- a/scheduler/serving/admit.go
+++ b/scheduler/serving/admit.go
@@ -63,7 +63,7 @@
 	q := &d.queues[c]
 	f := q.flows[customer]
 	if f == nil {
-		f = &flow{class: c, customer: customer, weight: d.weightOf(customer)}
+		f = d.newFlow(c, customer)
 		f.tier = d.sizes.tierOf(d.expected(f))
 		if !d.sizes.valid {
 			f.tier = short
@@ -73,6 +73,10 @@
 	return f
 }
 
+func (d *Dispatcher) newFlow(c classIndex, customer string) *flow {
+	return &flow{class: c, customer: customer, weight: d.weightOf(customer), correction: 1}
+}
+
 func (d *Dispatcher) admit(now time.Duration, r *request) {
 	if r.deadline <= now {
 		d.refuse(r, structs.CodeExpired, 0)
@@ -82,8 +86,9 @@
 		d.forwardOrRefuse(now, r, structs.CodeNoBackend, time.Second)
 		return
 	}
+	r.predicted = d.plainWait(r.flow)
 	wait := d.waitFor(r.flow)
-	if d.measured(r.flow) && now+wait+d.expected(r.flow) > r.deadline {
+	if d.measured(r.flow) && now+wait+d.needed(r) > r.deadline {
 		d.forwardOrRefuse(now, r, structs.CodeDeadline, wait)
 		return
 	}
@@ -256,6 +261,7 @@
 func (d *Dispatcher) expire(now time.Duration, r *request) {
 	switch r.phase {
 	case phaseQueued:
+		d.learnWait(now, r)
 		d.unqueue(r)
 	case phaseForwarded:
 		d.forwards--
--- a/scheduler/serving/dispatch.go
+++ b/scheduler/serving/dispatch.go
@@ -29,6 +29,7 @@
 			d.block(r, &blocked)
 			continue
 		}
+		d.learnWait(now, r)
 		d.takeFromQueue(r)
 		d.send(now, r, e, leaseIndex, sendMode{aged: aged})
 		d.settle(r)
@@ -101,9 +102,10 @@
 // dropHopeless refuses a queued request that cannot end before its deadline,
 // before it takes a slot from one that can.
 func (d *Dispatcher) dropHopeless(now time.Duration, r *request) bool {
-	if !d.measured(r.flow) || now+d.expected(r.flow) <= r.deadline {
+	if !d.measured(r.flow) || now+d.needed(r) <= r.deadline {
 		return false
 	}
+	d.learnWait(now, r)
 	d.takeFromQueue(r)
 	d.refuse(r, structs.CodeDeadline, 0)
 	d.settle(r)
--- a/scheduler/serving/queue.go
+++ b/scheduler/serving/queue.go
@@ -19,6 +19,8 @@
 	// virtual is the service time received so far, divided by the weight.
 	virtual float64
 	active  bool
+	// correction is the measured over the estimated wait.
+	correction float64
 	// skipRound is the dispatch round in which the head could not be placed.
 	skipRound uint64
 }
--- a/scheduler/serving/refresh.go
+++ b/scheduler/serving/refresh.go
@@ -179,6 +179,17 @@
 	return priorMedian[f.class]
 }
 
+// needed is the service time that must fit before the deadline. An attempt that
+// is cut off there leaves the outcome of a non-idempotent request unknown, so
+// nearly all of them must fit.
+func (d *Dispatcher) needed(r *request) time.Duration {
+	expected := d.expected(r.flow)
+	if r.nonIdempotent {
+		return max(expected, r.flow.estimate.p95)
+	}
+	return expected
+}
+
 // meanTime is the expected use of a slot by a request of the flow.
 func (d *Dispatcher) meanTime(f *flow) time.Duration {
 	if f.estimate.samples >= minSamples {
@@ -221,6 +232,37 @@
 // more important work, and the part of its own class that fair sharing lets
 // pass before it, over the slots that its class and size may use.
 func (d *Dispatcher) waitFor(f *flow) time.Duration {
+	return time.Duration(float64(d.plainWait(f)) * f.correction)
+}
+
+const (
+	// Weight of one request in the correction of estimated waits, and its bound.
+	correctionWeight = 0.02
+	correctionMin    = 0.5
+	// shortWait is a wait too short to be compared with its estimate.
+	shortWait = 20 * time.Millisecond
+)
+
+// correctionMax bounds the correction of waits that are longer than estimated.
+// The wait of less important work shrinks again when a crest ends, so that a
+// higher bound would refuse requests that could be served after it.
+var correctionMax = [classCount]float64{urgent: 4, normal: 1.5, bulk: 1.5}
+
+// learnWait compares the wait of a request with its estimate. The estimate
+// leaves out what is hard to foresee, such as more important work that arrives
+// later and slots held by stragglers.
+func (d *Dispatcher) learnWait(now time.Duration, r *request) {
+	if r.sends > 0 || r.predicted < shortWait {
+		return
+	}
+	f := r.flow
+	ratio := float64(now-r.arrived) / float64(r.predicted)
+	ratio = min(max(ratio, correctionMin), correctionMax[r.class])
+	f.correction += correctionWeight * (ratio - f.correction)
+}
+
+// plainWait is the estimate without the correction.
+func (d *Dispatcher) plainWait(f *flow) time.Duration {
 	q := &d.queues[f.class]
 	ahead := 0.0
 	for c := range f.class {
@@ -244,7 +286,7 @@
 	c := indexOf(class)
 	f := d.queues[c].flows[customer]
 	if f == nil {
-		f = &flow{class: c, customer: customer, weight: d.weightOf(customer)}
+		f = d.newFlow(c, customer)
 	}
 	return d.waitFor(f), d.expected(f), d.up
 }
--- a/scheduler/serving/request.go
+++ b/scheduler/serving/request.go
@@ -35,6 +35,8 @@
 	bytes         int
 	arrived       time.Duration
 	deadline      time.Duration
+	// predicted is the wait that was estimated at arrival, without correction.
+	predicted time.Duration
 	// cost is the expected service time in seconds, fixed at arrival.
 	cost  float64
 	phase phase
