--- a/coord/raft/election.go
+++ b/coord/raft/election.go
@@ -149,6 +149,12 @@
 		return
 	}
 	n.reply(m, Message{Kind: KindPreVoteReply, Term: m.Term})
+	if n.role == RolePreCandidate && m.From < n.cfg.ID {
+		// Two campaigns at the same time would split the votes. If the other
+		// one fails, this node tries again soon.
+		n.becomeFollower(n.term, "")
+		n.retryElectionSoon()
+	}
 }
 
 func (n *Node) handlePreVoteReply(m Message) {
--- a/coord/replica/fuzz_test.go
+++ b/coord/replica/fuzz_test.go
@@ -21,7 +21,7 @@
 	flag.Parse()
 	given := map[string]bool{}
 	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"seed": "20261204", "checks": "60", "steps": "200", "nofailfile": "true"} {
+	for name, value := range map[string]string{"seed": "20261204", "checks": "200", "steps": "200", "nofailfile": "true"} {
 		if !given["rapid."+name] {
 			_ = flag.Set("rapid."+name, value)
 		}
@@ -39,8 +39,9 @@
 
 // livenessLimit is the time within which a healed group commits a new write.
 // Restarted hosts refuse to vote for one election timeout, a host campaigns
-// after up to one and a half, and a transfer in progress may take another.
-const livenessLimit = 8 * electionTimeout
+// after up to one and a half, or two and a half with low priority, and a
+// transfer in progress may take another.
+const livenessLimit = 6 * electionTimeout
 
 type fuzzer struct{ *cluster }
 
