--- /dev/null
+++ b/scheduler/placement/examples_test.go
@@ -0,0 +1,161 @@
+package placement_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cranberrydrum.dev/scheduler/placement"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+// bench4 returns a scheduler with one rack of two workers of four accelerators.
+func bench4(guarantees ...structs.Guarantee) *placement.Scheduler {
+	s := placement.New(placement.Config{})
+	s.SetRules(placement.Rules{
+		Domain:     "d",
+		Topology:   structs.FailureDomain{Name: "d", Racks: 1, WorkersPerRack: 2, AcceleratorsPerWorker: 4},
+		Customers:  []structs.Customer{{Name: "heavy", Weight: 3}},
+		Guarantees: guarantees,
+	})
+	for _, id := range []string{"w0", "w1"} {
+		s.SetWorker(structs.Worker{ID: id, Rack: "r", Accelerators: 4})
+	}
+	return s
+}
+
+func running(id, customer, worker string, started, estimate time.Duration, accelerators ...int) placement.Running {
+	return placement.Running{
+		ID: id, Started: started, Estimate: estimate, Order: uint64(started),
+		Spec:    structs.JobSpec{Customer: customer, Priority: structs.PriorityNormal, Accelerators: len(accelerators)},
+		Members: []structs.Member{{Worker: worker, Accelerators: accelerators}},
+	}
+}
+
+func queued(id, customer string, p structs.Priority, n int, since, estimate time.Duration) placement.Queued {
+	return placement.Queued{
+		ID: id, Since: since, Estimate: estimate,
+		Spec: structs.JobSpec{Customer: customer, Priority: p, Accelerators: n},
+	}
+}
+
+func started(plan placement.Plan) []string {
+	var ids []string
+	for _, s := range plan.Starts {
+		ids = append(ids, s.Job)
+	}
+	return ids
+}
+
+var _ = Describe("Round", func() {
+	const now = 100 * time.Hour
+
+	// Guards against stopping work that has run long while younger or
+	// checkpointable work would do.
+	It("preempts the jobs that lose the least", func() {
+		s := bench4()
+		s.SetRunning(running("old", "x", "w0", now-9*time.Hour, 0, 0, 1, 2, 3))
+		s.SetRunning(running("young", "x", "w1", now-time.Hour, 0, 0, 1, 2, 3))
+		s.SetQueued(queued("u", "y", structs.PriorityUrgent, 2, now, 0))
+		Expect(s.Round(now).Preempts).To(Equal([]placement.Preempt{{Job: "young", For: "u"}}))
+		quick := running("old", "x", "w0", now-9*time.Hour, 0, 0, 1, 2, 3)
+		quick.Spec.CheckpointTime = time.Second
+		s.SetRunning(quick)
+		Expect(s.Round(now).Preempts).To(Equal([]placement.Preempt{
+			{Job: "old", For: "u", Checkpoint: true, Grace: 2 * time.Second},
+		}))
+	})
+
+	// Guards against a small job using up the worker slot of its customer.
+	It("keeps large slots for large jobs", func() {
+		s := bench4(
+			structs.Guarantee{Customer: "a", Domain: "d", Shape: structs.Shape{Workers: 1, Accelerators: 2}},
+			structs.Guarantee{Customer: "b", Domain: "d", Shape: structs.Shape{Accelerators: 2}},
+		)
+		s.SetRunning(running("b1", "b", "w0", time.Hour, 0, 2, 3))
+		s.SetRunning(running("x1", "x", "w0", time.Hour, 0, 0, 1))
+		s.SetQueued(queued("small", "a", structs.PriorityNormal, 2, now-2, 0))
+		s.SetQueued(queued("large", "a", structs.PriorityNormal, 4, now-1, 0))
+		plan := s.Round(now)
+		Expect(started(plan)).To(Equal([]string{"large"}))
+		Expect(plan.Preempts).To(Equal([]placement.Preempt{{Job: "x1", For: "small"}}))
+	})
+
+	// Guards against a large gang that starves because small jobs always fill
+	// the gaps, and against idle accelerators that a short job could use.
+	It("reserves for a starving gang and backfills only what ends in time", func() {
+		s := bench4()
+		s.SetRunning(running("r", "x", "w0", now-time.Hour, 2*time.Hour, 0, 1, 2, 3))
+		s.SetQueued(queued("gang", "a", structs.PriorityNormal, 8, now-time.Hour, time.Hour))
+		s.SetQueued(queued("long", "b", structs.PriorityNormal, 2, now-time.Minute, 2*time.Hour))
+		s.SetQueued(queued("short", "c", structs.PriorityNormal, 2, now-time.Minute, 30*time.Minute))
+		s.SetQueued(queued("unknown", "d", structs.PriorityNormal, 2, now-time.Minute, 0))
+		plan := s.Round(now)
+		Expect(started(plan)).To(Equal([]string{"short"}))
+		Expect(plan.Waiting).To(ContainElement(And(
+			HaveField("Job", "gang"),
+			HaveField("Code", placement.WaitReserved),
+			HaveField("ExpectedStart", now+time.Hour),
+		)))
+	})
+
+	// Guards against bulk work that never runs while normal work arrives, and
+	// against ageing that outranks urgent work.
+	It("ages bulk work up to normal", func() {
+		s := bench4()
+		s.SetRunning(running("r", "x", "w0", now-time.Hour, 0, 0, 1, 2, 3))
+		s.SetQueued(queued("bulk", "a", structs.PriorityBulk, 4, now-time.Hour, 0))
+		s.SetQueued(queued("normal", "a", structs.PriorityNormal, 4, now-time.Minute, 0))
+		Expect(started(s.Round(now))).To(Equal([]string{"normal"}))
+		Expect(started(s.Round(now + 2*time.Hour))).To(Equal([]string{"bulk"}))
+		s.SetQueued(queued("urgent", "a", structs.PriorityUrgent, 4, now, 0))
+		Expect(started(s.Round(now + 2*time.Hour))[0]).To(Equal("urgent"))
+	})
+
+	// Guards against customers that get accelerators out of proportion to weight.
+	It("shares by weight", func() {
+		s := bench4()
+		for i := range 8 {
+			id := string(rune('0' + i))
+			s.SetQueued(queued("h"+id, "heavy", structs.PriorityNormal, 1, now, 0))
+			s.SetQueued(queued("l"+id, "light", structs.PriorityNormal, 1, now, 0))
+		}
+		light := 0
+		for _, id := range started(s.Round(now)) {
+			if id[0] == 'l' {
+				light++
+			}
+		}
+		Expect(light).To(Equal(2))
+	})
+
+	// Guards against jobs that wait for ever without a reason.
+	It("names jobs that can never run", func() {
+		s := bench4()
+		s.SetQueued(queued("big", "a", structs.PriorityNormal, 9, now, 0))
+		plan := s.Round(now)
+		Expect(plan.Waiting).To(ConsistOf(And(HaveField("Job", "big"), HaveField("Code", placement.WaitNeverRunnable))))
+		rules := placement.Rules{Domain: "d", Quotas: []structs.Quota{{Customer: "a", Accelerators: 4}}}
+		err := placement.NeverRunnable(rules, structs.JobSpec{Customer: "a", Accelerators: 5})
+		Expect(err).To(Equal(&placement.NeverRunnableError{Reason: placement.NeverOverQuota, Wanted: 5, Limit: 4}))
+	})
+})
+
+var _ = Describe("Estimator", func() {
+	// Guards against estimates that follow the mean of heavy-tailed errors.
+	It("learns a high quantile of the customer's ratio", func() {
+		e := placement.NewEstimator()
+		for i := range 500 {
+			measured := time.Hour
+			if i%10 == 0 {
+				measured = 50 * time.Hour
+			}
+			e.Observe("a", 2*time.Hour, measured)
+		}
+		spec := structs.JobSpec{Customer: "a", DeclaredRuntime: 2 * time.Hour}
+		Expect(e.Estimate(spec)).To(BeNumerically("~", time.Hour, 20*time.Minute))
+		spec.Customer = "b"
+		Expect(e.Estimate(spec)).To(Equal(2 * time.Hour))
+	})
+})
