--- a/scheduler/experiment/serving/experiment_test.go
+++ b/scheduler/experiment/serving/experiment_test.go
@@ -1,6 +1,7 @@
 package serving_test
 
 import (
+	"fmt"
 	"os"
 	"strconv"
 	"strings"
@@ -28,32 +29,40 @@
 			variants = append(variants, v)
 		}
 	}
-	table := experiment.Run(small(variants))
-	for i, row := range table.Rows {
-		if row.Wrong+row.Lost > 0 {
-			t.Errorf("%s: %d wrong and %d lost answers", row.Name, row.Wrong, row.Lost)
-		}
-		if variants[i].Dispatching != experiment.DispatchCranberrydrum {
-			if row.CrestInDeadline > 0.7 {
-				t.Errorf("%s is not a crest for a baseline: %.3f", row.Name, row.CrestInDeadline)
-			}
-			continue
-		}
-		if row.Doubled+row.FalseNotRun > 0 {
-			t.Errorf("%s: %d doubled, %d falsely refused as not run", row.Name, row.Doubled, row.FalseNotRun)
-		}
-		if variants[i].Sharing == experiment.ShareOptimistic {
-			continue
-		}
-		if row.MaxLive > 8 {
-			t.Errorf("%s: %d attempts on an executor with 8 slots", row.Name, row.MaxLive)
+	for _, v := range variants {
+		t.Run(fmt.Sprintf("%+v", v), func(t *testing.T) {
+			t.Parallel()
+			checkRow(t, v, experiment.Run(small([]experiment.Variant{v})).Rows[0])
+		})
+	}
+}
+
+func checkRow(t *testing.T, v experiment.Variant, row experiment.Row) {
+	defer func() {
+		if t.Failed() {
+			t.Logf("%+v", row)
 		}
-		if row.CrestInDeadline < 0.99 {
-			t.Errorf("%s: only %.3f of the urgent requests of the crest in time", row.Name, row.CrestInDeadline)
+	}()
+	if row.Wrong+row.Lost > 0 {
+		t.Errorf("%d wrong and %d lost answers", row.Wrong, row.Lost)
+	}
+	if v.Dispatching != experiment.DispatchCranberrydrum {
+		if row.CrestInDeadline > 0.7 {
+			t.Errorf("not a crest for a baseline: %.3f", row.CrestInDeadline)
 		}
+		return
+	}
+	if row.Doubled+row.FalseNotRun > 0 {
+		t.Errorf("%d doubled, %d falsely refused as not run", row.Doubled, row.FalseNotRun)
+	}
+	if v.Sharing == experiment.ShareOptimistic {
+		return
+	}
+	if row.MaxLive > 8 {
+		t.Errorf("%d attempts on an executor with 8 slots", row.MaxLive)
 	}
-	if t.Failed() {
-		t.Log("\n" + table.String())
+	if row.CrestInDeadline < 0.99 {
+		t.Errorf("only %.3f of the urgent requests of the crest in time", row.CrestInDeadline)
 	}
 }
 
--- a/scheduler/serving/dispatcher.go
+++ b/scheduler/serving/dispatcher.go
@@ -159,17 +159,33 @@
 }
 
 // Step handles one event and returns what has to be done, in order. Due timers
-// are handled first, so a result that arrives after the deadline is late.
+// are handled first, so a result that arrives after the deadline is late; only
+// changes of executors come before them.
 func (d *Dispatcher) Step(now time.Duration, ev Event) []Effect {
 	d.effects = nil
 	d.now = now
+	// A due timer may send a hedge, which must respect the new state.
+	first := changesExecutors(ev)
+	if first {
+		d.handle(now, ev)
+	}
 	d.runTimers(now)
-	d.handle(now, ev)
+	if !first {
+		d.handle(now, ev)
+	}
 	d.refresh(now)
 	d.dispatch(now)
 	return d.effects
 }
 
+func changesExecutors(ev Event) bool {
+	switch ev.(type) {
+	case BackendUpdated, SlotsUpdated:
+		return true
+	}
+	return false
+}
+
 func (d *Dispatcher) handle(now time.Duration, ev Event) {
 	switch ev := ev.(type) {
 	case RequestArrived:
