daemon/node: report ready once the backend servers are known

Cause: a restarted host reported ready as soon as a configuration was in force. Its directory of backend servers was still empty, so that it refused requests with no_backend until the next announcements, up to 1 s later. Change: a host is ready when a host of its failure domain has sent its directory and the dispatchers have taken it up, or after the time to live of an announcement, within which each backend server announces itself.

--- a/cmd/e2e/restart_test.go
+++ b/cmd/e2e/restart_test.go
@@ -20,7 +20,7 @@
 	balancerPoll = 50 * time.Millisecond
 	// balancerWait is the daemon's --balancer-wait in these specs. It leaves the
 	// balancer several polls on a busy machine.
-	balancerWait = time.Second
+	balancerWait = 600 * time.Millisecond
 )
 
 // balancer hands requests to hosts whose last /readyz answer was 200.
@@ -31,9 +31,14 @@
 	wg    sync.WaitGroup
 }
 
+// newBalancer starts a balancer once all hosts are ready.
 func newBalancer(c *cluster) *balancer {
+	for _, p := range c.hosts {
+		c.awaitReady(p)
+	}
 	b := &balancer{c: c, ready: make([]atomic.Bool, len(c.hosts)), stop: make(chan struct{})}
 	for i, p := range c.hosts {
+		b.ready[i].Store(true)
 		b.wg.Add(1)
 		go func() {
 			defer b.wg.Done()
@@ -159,7 +164,6 @@
 		c.awaitServing(c.hosts...)
 		b := newBalancer(c)
 		defer b.close()
-		time.Sleep(4 * balancerPoll)
 		load := startSteadyLoad(b, 12, func(int) map[string]string {
 			return map[string]string{standin.HeaderWorkMS: "20"}
 		})
@@ -178,7 +182,6 @@
 		c.owner(oerlikon)
 		b := newBalancer(c)
 		defer b.close()
-		time.Sleep(4 * balancerPoll)
 		keys := &keyedLoad{c: c, home: oerlikon}
 		load := startSteadyLoad(b, 12, func(int) map[string]string {
 			return map[string]string{api.HeaderNonIdempotent: "true", api.HeaderKey: keys.newKey().key, standin.HeaderWorkMS: "60"}
--- a/daemon/node/backends.go
+++ b/daemon/node/backends.go
@@ -28,6 +28,8 @@
 
 	mu       sync.Mutex
 	registry *registry.Registry
+	// told is when another host first sent what it knows; 0 until then.
+	told time.Duration
 }
 
 func newBackendDirectory(domain string, ttl time.Duration) *backendDirectory {
@@ -115,6 +117,19 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.registry.Merge(now, entries)
+	if d.told == 0 && len(entries) > 0 {
+		d.told = now
+	}
+}
+
+// settled reports whether a host that started at time 0 knows the backend
+// servers: another host has told it, or each of them has announced itself since.
+func (d *backendDirectory) settled(now time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	// Dispatchers take up what the directory knows at each refresh.
+	known := d.told > 0 && now-d.told >= 2*backendRefresh
+	return known || now >= d.ttl
 }
 
 func decodeBackend(e registry.Entry) (structs.Backend, bool) {
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -220,6 +220,9 @@
 	if n.config.version() == 0 {
 		return "no configuration is in force"
 	}
+	if !n.backends.settled(n.now()) {
+		return "the backend servers are not yet known"
+	}
 	return ""
 }
 
