Route by the outlook of the dispatcher; measure fragmentation against one rack

Cause: the routing view estimated waits from medians over all classes, and the fragmentation of an idle domain with two racks read 0.53, because it compared one rack with the whole domain. Change: hosts publish the expected wait and service time of each class; the fragmentation index compares with what one rack can hold. An idle domain reads 0. The slots of a restarted host come from the ledger only.

--- a/daemon/api/status.go
+++ b/daemon/api/status.go
@@ -100,8 +100,8 @@
 	Free          int    `json:"free_accelerators"`
 	// LargestGang is the largest gang that could start at once.
 	LargestGang int `json:"largest_gang"`
-	// Index is 0 if all free accelerators can serve one gang, and approaches
-	// 1 as they are scattered.
+	// Index compares LargestGang with the gang that the free accelerators would
+	// allow if they lay together, at most one rack: 0 is none lost, 1 all.
 	Index float64 `json:"index"`
 }
 
--- a/daemon/node/forward.go
+++ b/daemon/node/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -129,56 +130,60 @@
 		BodyBytes: e.BodyBytes,
 		Forwarded: c.Forwarded,
 	}
-	decision := n.router.decide(now, request, n.viewOf(s))
+	decision := n.router.decide(now, request, s.view(c.Request))
 	if decision.Place == routing.PlaceLocal {
 		return host{}, false
 	}
 	return n.hostIn(decision.Domain, s.name)
 }
 
-// viewOf describes the load of a service in all failure domains.
-func (n *Node) viewOf(s *service) routing.View {
-	now := n.now()
-	local := loadOf(s.status())
-	view := routing.View{Local: domainViewOf(n.cfg.Domain, n.cfg.Region, local, 0)}
+// view describes the load of the service in all failure domains, as a request
+// would meet it. It runs on the goroutine of the service.
+func (s *service) view(r structs.Request) routing.View {
+	n := s.node
+	wait, service, executors := s.dispatcher.Outlook(r.Class, r.Customer)
+	view := routing.View{Local: routing.DomainView{
+		Domain:    n.cfg.Domain,
+		Region:    n.cfg.Region,
+		Executors: executors,
+		Wait:      wait,
+		Service:   service,
+	}}
 	byDomain := map[string]routing.DomainView{}
 	for _, h := range n.hosts.all() {
 		if h.Domain == n.cfg.Domain || !n.usable(h) {
 			continue
 		}
-		for _, load := range h.status.Services {
-			if load.Service != s.name {
-				continue
-			}
-			candidate := domainViewOf(h.Domain, h.Region, load, now-h.received)
-			candidate.RoundTrip = n.roundTrip(h.Region)
-			known, ok := byDomain[h.Domain]
-			if !ok || candidate.Wait < known.Wait {
-				byDomain[h.Domain] = candidate
-			}
+		candidate, ok := n.domainView(h, s.name, r.Class)
+		known, seen := byDomain[h.Domain]
+		if ok && (!seen || candidate.Wait < known.Wait) {
+			byDomain[h.Domain] = candidate
 		}
 	}
-	for _, v := range byDomain {
-		view.Others = append(view.Others, v)
+	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
+		view.Others = append(view.Others, byDomain[domain])
 	}
-	slices.SortFunc(view.Others, func(a, b routing.DomainView) int {
-		if a.Domain < b.Domain {
-			return -1
-		}
-		return 1
-	})
 	return view
 }
 
-func domainViewOf(domain, region string, load serviceStatus, age time.Duration) routing.DomainView {
-	return routing.DomainView{
-		Domain:    domain,
-		Region:    region,
-		Age:       age,
-		Executors: load.Executors,
-		Wait:      time.Duration(load.WaitMS) * time.Millisecond,
-		Service:   time.Duration(load.ServiceMS) * time.Millisecond,
+// domainView is what the status of a host says about a service.
+func (n *Node) domainView(h host, service string, class structs.Class) (routing.DomainView, bool) {
+	for _, load := range h.status.Services {
+		if load.Service != service {
+			continue
+		}
+		expected := load.outlookOf(class)
+		return routing.DomainView{
+			Domain:    h.Domain,
+			Region:    h.Region,
+			Age:       n.now() - h.received,
+			Executors: load.Executors,
+			Wait:      expected.Wait,
+			Service:   expected.Service,
+			RoundTrip: n.roundTrip(h.Region),
+		}, true
 	}
+	return routing.DomainView{}, false
 }
 
 func (n *Node) roundTrip(region string) time.Duration {
@@ -212,38 +217,41 @@
 // loadOf summarises a dispatcher for the hosts of other failure domains.
 func loadOf(s serving.Snapshot) serviceStatus {
 	load := serviceStatus{Service: s.Service}
-	limits := 0
 	for _, e := range s.Executors {
 		if e.State != structs.BackendUp {
 			continue
 		}
 		load.Executors++
-		limits += e.Limit + e.Borrowed
 		load.FreeSlots += max(0, e.Limit+e.Borrowed-e.Running)
 	}
 	for _, queued := range s.Queued {
 		load.Queued += queued
 	}
-	service := usualServiceTime(s.Flows)
-	load.ServiceMS = service.Milliseconds()
-	if load.FreeSlots == 0 && limits > 0 {
-		load.WaitMS = (service * time.Duration(load.Queued+1) / time.Duration(limits)).Milliseconds()
-	}
 	return load
 }
 
-// usualServiceTime weighs the median service times by what waits.
-func usualServiceTime(flows []serving.FlowSnapshot) time.Duration {
-	total, weight := time.Duration(0), time.Duration(0)
-	for _, f := range flows {
-		share := time.Duration(1 + f.Queued)
-		total += f.Median * share
-		weight += share
+// classes are all request classes.
+var classes = []structs.Class{structs.ClassUrgent, structs.ClassNormal, structs.ClassBulk}
+
+// load summarises the dispatcher for other hosts. It runs on the goroutine of
+// the service.
+func (s *service) load(snapshot serving.Snapshot) serviceStatus {
+	load := loadOf(snapshot)
+	for _, class := range classes {
+		wait, service, _ := s.dispatcher.Outlook(class, "")
+		load.Outlooks = append(load.Outlooks, outlook{Class: class, Wait: wait, Service: service})
 	}
-	if weight == 0 {
-		return 0
+	return load
+}
+
+// outlookOf returns what a request of a class would meet on another host.
+func (l serviceStatus) outlookOf(class structs.Class) outlook {
+	for _, o := range l.Outlooks {
+		if o.Class == class {
+			return o
+		}
 	}
-	return total / weight
+	return outlook{Class: class}
 }
 
 func (s *service) finishForward(p *pendingRequest, f finishedForward) {
--- a/daemon/node/hosts.go
+++ b/daemon/node/hosts.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cranberrydrum.dev/daemon/settings"
+	"cranberrydrum.dev/scheduler/structs"
 )
 
 const (
@@ -38,9 +39,15 @@
 	Executors int    `msgpack:"e"`
 	FreeSlots int    `msgpack:"f"`
 	Queued    int    `msgpack:"q"`
-	// WaitMS and ServiceMS are the expected times in the queue and on an executor.
-	WaitMS    int64 `msgpack:"w"`
-	ServiceMS int64 `msgpack:"m"`
+	// Outlooks tell what a new request of each class would meet.
+	Outlooks []outlook `msgpack:"o,omitempty"`
+}
+
+// outlook is the expected time in the queue and on an executor.
+type outlook struct {
+	Class   structs.Class `msgpack:"c"`
+	Wait    time.Duration `msgpack:"w"`
+	Service time.Duration `msgpack:"s"`
 }
 
 // host is a peer with the last status that it sent.
--- a/daemon/node/service.go
+++ b/daemon/node/service.go
@@ -47,8 +47,9 @@
 	backends   map[string]structs.Backend
 	nextID     uint64
 
-	mu       sync.Mutex
-	snapshot serving.Snapshot
+	mu        sync.Mutex
+	snapshot  serving.Snapshot
+	published serviceStatus
 }
 
 // pendingRequest is a request whose final effect is still to come.
@@ -173,6 +174,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.snapshot = s.dispatcher.Snapshot()
+	s.published = s.load(s.snapshot)
+}
+
+// currentLoad returns the load for other hosts as of the last publication.
+func (s *service) currentLoad() serviceStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.published
 }
 
 func (s *service) status() serving.Snapshot {
--- a/daemon/node/services.go
+++ b/daemon/node/services.go
@@ -44,6 +44,8 @@
 		Seed:       seedOf(n.cfg.HostID, rule.Name),
 		Hedging:    true,
 		Forwarding: true,
+		// A restarted host must not use slots that its earlier run has lent.
+		SlotsFromLedger: true,
 	}
 }
 
@@ -135,6 +137,7 @@
 func (s *service) setRules(rule structs.Service, cfg *structs.Config) {
 	s.post(func() {
 		s.dispatcher.SetRules(rule, classesOf(cfg, rule.Name), cfg.Customers, cfg.Policy)
+		s.dispatcher.SetHosts(s.node.slotHosts())
 		s.step(serving.Tick{})
 		s.ledgerStep(serving.HostsChanged{Hosts: s.node.slotHosts()})
 	})
--- a/daemon/node/status.go
+++ b/daemon/node/status.go
@@ -83,13 +83,15 @@
 	return list
 }
 
-// fragmentationOf compares the free accelerators with the largest gang that
-// fits one rack.
+// fragmentationOf compares the largest gang that could start in one rack with
+// the largest that the free accelerators would allow if they lay together.
 func fragmentationOf(o *domainOwner, workers []api.WorkerStatus) api.Fragmentation {
 	f := api.Fragmentation{FailureDomain: o.domain}
 	freeInRack := map[string]int{}
+	sizeOfRack := map[string]int{}
 	for _, w := range workers {
 		f.Total += w.Accelerators
+		sizeOfRack[w.Rack] += w.Accelerators
 		if w.Quarantined || w.Reason != "" {
 			continue
 		}
@@ -100,8 +102,12 @@
 	for _, free := range freeInRack {
 		f.LargestGang = max(f.LargestGang, free)
 	}
-	if f.Free > 0 {
-		f.Index = 1 - float64(f.LargestGang)/float64(f.Free)
+	largestRack := 0
+	for _, size := range sizeOfRack {
+		largestRack = max(largestRack, size)
+	}
+	if together := min(f.Free, largestRack); together > 0 {
+		f.Index = 1 - float64(f.LargestGang)/float64(together)
 	}
 	o.metrics.SetFragmentation(o.domain, f.Index)
 	return f
--- a/daemon/node/sync.go
+++ b/daemon/node/sync.go
@@ -36,7 +36,7 @@
 		status.Groups = append(status.Groups, groupView{Name: g.Name(), Term: s.Term, Leader: s.Leader})
 	}
 	for _, s := range n.allServices() {
-		status.Services = append(status.Services, loadOf(s.status()))
+		status.Services = append(status.Services, s.currentLoad())
 	}
 	return status
 }
