--- a/daemon/experiment/control/control_test.go
+++ b/daemon/experiment/control/control_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"encoding/csv"
 	"strings"
 	"testing"
 
@@ -63,6 +64,15 @@
 		}
 	})
 
+	// Guards against cells with commas that shift the columns of the CSV.
+	It("writes as many cells in each line of the CSV", func() {
+		row := control.Row{Quantity: "heap of workers, with tasks", Points: []control.Point{{Size: 1, Value: 2}, {Size: 3, Value: 4}}}
+		records, err := csv.NewReader(strings.NewReader(control.Table{Rows: []control.Row{row}}.CSV())).ReadAll()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(records).To(HaveLen(2))
+		Expect(records[1][1]).To(Equal(row.Quantity))
+	})
+
 	It("restores the state of a domain and measures held state", func() {
 		t := run(control.PartRecovery, control.PartMemory, control.PartRound)
 		for _, r := range t.Rows {
