--- a/scheduler/experiment/placement/sim.go
+++ b/scheduler/experiment/placement/sim.go
@@ -12,58 +12,6 @@
 	"cranberrydrum.dev/scheduler/structs"
 )
 
-// kind is the type of an event. Events of one instant are handled in this order.
-type kind int
-
-// Kinds of events.
-const (
-	evFault kind = iota
-	evFinish
-	evFail
-	evStop
-	evCheckpoint
-	evCancel
-	evSubmit
-	evProbe
-	evVerify
-	evTick
-)
-
-// event is something that happens at a time.
-type event struct {
-	at   time.Duration
-	kind kind
-	seq  int
-	job  string
-	run  int // run of the job for which the event was scheduled
-	n    int // index of an arrival, fault or probe
-}
-
-// events is a heap ordered by time, kind and sequence.
-type events []event
-
-func (e events) Len() int      { return len(e) }
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e events) Less(i, j int) bool {
-	if e[i].at != e[j].at {
-		return e[i].at < e[j].at
-	}
-	if e[i].kind != e[j].kind {
-		return e[i].kind < e[j].kind
-	}
-	return e[i].seq < e[j].seq
-}
-
-// Push implements heap.Interface.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop implements heap.Interface.
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // simJob is a job with its real run time and progress.
 type simJob struct {
 	id        string
@@ -75,6 +23,7 @@
 	saved     time.Duration // progress at the last checkpoint
 	checkEnds bool          // the current stop takes a checkpoint
 	firstWait time.Duration // submission to first start, or -1
+	overQuota bool          // waited for the quota of its customer
 }
 
 // Parameters of the event loop.
@@ -104,7 +53,8 @@
 	failures  map[string]map[string]bool
 	order     uint64
 	probes    [][]string
-	open      int // jobs that are not finished
+	urgent    map[string]*simJob // urgent jobs before their first start
+	open      int                // jobs that are not finished
 	metrics   metrics
 }
 
@@ -112,7 +62,7 @@
 func newSim(l load, length time.Duration, p policy) *sim {
 	s := &sim{
 		load: l, length: length, policy: p, estimator: sched.NewEstimator(),
-		jobs: map[string]*simJob{}, free: map[string]guarantee.Mask{},
+		jobs: map[string]*simJob{}, urgent: map[string]*simJob{}, free: map[string]guarantee.Mask{},
 		failing: map[string]bool{}, failures: map[string]map[string]bool{},
 	}
 	p.SetRules(l.rules)
@@ -152,6 +102,7 @@
 		for len(s.events) > 0 && s.events[0].at == at {
 			s.handle(heap.Pop(&s.events).(event))
 		}
+		s.markQuota()
 		s.apply(s.policy.Round(s.now))
 	}
 	s.metrics.unfinished = s.open
@@ -200,6 +151,7 @@
 	j.queued = sched.Queued{ID: id, Spec: a.spec, Since: s.now}
 	s.jobs[id] = j
 	s.open++
+	s.waitingUrgent(j)
 	s.enqueue(j)
 	if a.cancel > s.now {
 		n, _ := strconv.Atoi(id[1:])
@@ -316,6 +268,24 @@
 	s.schedule(event{at: s.now + checkpointEvery, kind: evCheckpoint, job: j.id, run: j.run})
 }
 
+// waitingUrgent remembers an urgent job until its first start.
+func (s *sim) waitingUrgent(j *simJob) {
+	if j.arrival.spec.Priority == structs.PriorityUrgent {
+		s.urgent[j.id] = j
+	}
+}
+
+// markQuota marks urgent jobs that wait for the quota of their customer.
+func (s *sim) markQuota() {
+	for id, j := range s.urgent {
+		if s.jobs[id] == nil || j.firstWait >= 0 {
+			delete(s.urgent, id)
+			continue
+		}
+		j.overQuota = j.overQuota || s.overQuota(j.arrival.spec.Customer, j.arrival.spec.Accelerators)
+	}
+}
+
 // apply carries out a plan.
 func (s *sim) apply(plan sched.Plan) {
 	for _, start := range plan.Starts {
@@ -327,6 +297,7 @@
 			continue
 		}
 		j.running.Stopping = true
+		j.running.StopBy = s.now + p.Grace
 		j.checkEnds = p.Checkpoint
 		s.policy.SetRunning(*j.running)
 		after := plainStop
