Run the job benchmarks under the bound per customer

Cause: the benchmark with 1,820 workers has 32,760 jobs, more than one customer may have open, so it stopped at the third size.

Change: its jobs belong to two customers.

--- a/scheduler/jobs/bench_test.go
+++ b/scheduler/jobs/bench_test.go
@@ -51,8 +51,8 @@
 	defer func() { l.decode = false }()
 	l.apply(&jobs.SetConfig{
 		Version:  1,
-		Rules:    placement.Rules{Domain: simDomain, Customers: []structs.Customer{{Name: "remada"}}},
-		Grants:   []structs.Grant{{Customer: "remada", MaxPriority: structs.PriorityUrgent}},
+		Rules:    placement.Rules{Domain: simDomain, Customers: []structs.Customer{{Name: "remada0"}, {Name: "remada1"}}},
+		Grants:   []structs.Grant{{Customer: "remada0"}, {Customer: "remada1"}},
 		Topology: structs.FailureDomain{Racks: workers, WorkersPerRack: 1, AcceleratorsPerWorker: tasksPerWorker},
 	})
 	for w := range workers {
@@ -77,7 +77,7 @@
 
 func benchSpec(i int) structs.JobSpec {
 	return structs.JobSpec{
-		Name: fmt.Sprintf("heat-seeding-%06d", i), Customer: "remada", Accelerators: 1, DeclaredRuntime: time.Hour,
+		Name: fmt.Sprintf("heat-seeding-%06d", i), Customer: fmt.Sprint("remada", i%2), Accelerators: 1, DeclaredRuntime: time.Hour,
 		CheckpointTime: time.Second, Command: []string{"seed", "--field=12"},
 	}
 }
