--- a/scheduler/experiment/placement/run_test.go
+++ b/scheduler/experiment/placement/run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -33,18 +34,24 @@
 	})
 })
 
-// TestTables prints the tables of the sizes named in PLACEMENT_SIZES.
+// TestTables prints the tables of the sizes in PLACEMENT_SIZES, optionally for
+// the policies in PLACEMENT_POLICIES, a PLACEMENT_LENGTH and a PLACEMENT_SEED.
 func TestTables(t *testing.T) {
 	if os.Getenv("PLACEMENT_SIZES") == "" {
 		t.Skip("PLACEMENT_SIZES is not set")
 	}
-	var policies []Policy
+	o := Options{Seed: 1}
 	for _, name := range strings.Fields(os.Getenv("PLACEMENT_POLICIES")) {
-		policies = append(policies, Policy(name))
+		o.Policies = append(o.Policies, Policy(name))
 	}
-	for _, size := range []Size{SizeKorbfrisch, SizeRemada, SizeTarget} {
+	o.Length, _ = time.ParseDuration(os.Getenv("PLACEMENT_LENGTH"))
+	if seed, err := strconv.ParseUint(os.Getenv("PLACEMENT_SEED"), 10, 64); err == nil {
+		o.Seed = seed
+	}
+	for _, size := range strings.Fields(os.Getenv("PLACEMENT_SIZES")) {
+		o.Size = Size(size)
 		begin := time.Now()
-		table := Run(Options{Size: size, Seed: 1, Policies: policies})
-		t.Logf("%s in %v\n%s", size, time.Since(begin), table)
+		table := Run(o)
+		t.Logf("%s seed %d in %v\n%s", size, o.Seed, time.Since(begin), table)
 	}
 }
