daemon/node: look at the announcements again after a pause

Cause: a dispatcher takes up announcements every 100 ms. Ruled out: the directory itself, whose entries had expired by then. Change: a dispatcher whose refresh is overdue refreshes before it acts, and an attempt is not sent if the backend server is no longer up.

--- a/daemon/node/backends.go
+++ b/daemon/node/backends.go
@@ -99,6 +99,14 @@
 	return backends
 }
 
+// takesWork reports whether a backend server is up.
+func (d *backendDirectory) takesWork(now time.Duration, id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.registry.Get(now, id)
+	return ok && e.State == registry.Up
+}
+
 // delta returns what a peer with the given digest lacks.
 func (d *backendDirectory) delta(now time.Duration, digest []registry.Version) []registry.Entry {
 	d.mu.Lock()
--- a/daemon/node/keys.go
+++ b/daemon/node/keys.go
@@ -59,7 +59,7 @@
 		token = permit.token
 	}
 	start := s.node.now()
-	response, err := s.node.pool.Do(a)
+	response, err := s.do(e, a)
 	event.ServiceTime = s.node.now() - start
 	event.Result = keyedResult(response, err)
 	if token != "" {
--- a/daemon/node/service.go
+++ b/daemon/node/service.go
@@ -45,6 +45,7 @@
 	ledger     *serving.SlotLedger
 	pending    map[string]*pendingRequest
 	backends   map[string]structs.Backend
+	refreshed  time.Duration
 	nextID     uint64
 
 	mu       sync.Mutex
@@ -103,12 +104,14 @@
 		case <-s.stop:
 			return
 		case event := <-s.events:
+			s.refreshIfStale()
 			event()
 		case <-refresh.C:
 			s.refreshBackends()
 			s.reportUse()
 			s.publish()
 		case <-timer.C:
+			s.refreshIfStale()
 			s.step(serving.Tick{})
 		}
 		timer.Reset(s.untilWake())
@@ -237,7 +240,7 @@
 		return s.keyedAttempt(p, e, a)
 	}
 	start := s.node.now()
-	response, err := s.node.pool.Do(a)
+	response, err := s.do(e, a)
 	result := resultOf(response, err)
 	if result != serving.ResultOK {
 		response = nil
@@ -248,6 +251,15 @@
 	}
 }
 
+// do sends one attempt unless the backend server has begun to leave since the
+// dispatcher chose it; a pause of the process may lie in between.
+func (s *service) do(e serving.Send, a upstream.Attempt) (*upstream.Response, error) {
+	if !s.node.backends.takesWork(s.node.now(), e.Backend) {
+		return nil, &upstream.AttemptError{Kind: upstream.KindNotSent, Detail: "the backend server is leaving"}
+	}
+	return s.node.pool.Do(a)
+}
+
 // resultOf sorts the end of an attempt. Status 503 means that the executor
 // refused the work; other statuses are answers.
 func resultOf(response *upstream.Response, err error) serving.Result {
@@ -317,10 +329,20 @@
 	p.done <- callResult{err: &refusal}
 }
 
+// refreshIfStale takes up announcements before the dispatcher acts, if the last
+// refresh is overdue: after a pause of the process the dispatcher would send to
+// backend servers that have left meanwhile.
+func (s *service) refreshIfStale() {
+	if s.node.now()-s.refreshed > 2*backendRefresh {
+		s.refreshBackends()
+	}
+}
+
 // refreshBackends tells the dispatcher about announcements that changed.
 func (s *service) refreshBackends() {
+	s.refreshed = s.node.now()
 	live := map[string]structs.Backend{}
-	for _, b := range s.node.backends.live(s.node.now()) {
+	for _, b := range s.node.backends.live(s.refreshed) {
 		if b.Service == s.name {
 			live[b.ID] = b
 		}
