--- a/cmd/e2e/client_test.go
+++ b/cmd/e2e/client_test.go
@@ -20,6 +20,8 @@
 
 const (
 	operatorToken = "example-operator-token"
+	backendToken  = "example-backend-token"
+	workerToken   = "example-worker-token"
 	service       = "basket-planner"
 	customer      = "migros"
 )
@@ -166,7 +168,7 @@
 func (c *cluster) executor(domain string, i int) *standin.Executor {
 	e, err := standin.NewExecutor(standin.ExecutorConfig{
 		ID: fmt.Sprintf("%s-x%d", domain, i), Service: service, Domain: domain,
-		Hosts: c.urls(domain), Slots: 8, Connections: 64, ServiceTime: 5 * time.Millisecond, Seed: uint64(i),
+		Hosts: c.urls(domain), Token: backendToken, Slots: 8, Connections: 64, ServiceTime: 5 * time.Millisecond, Seed: uint64(i),
 	})
 	Expect(err).NotTo(HaveOccurred())
 	kill := sync.OnceFunc(e.Kill)
--- a/cmd/e2e/cluster_test.go
+++ b/cmd/e2e/cluster_test.go
@@ -52,14 +52,14 @@
 
 func newCluster(places []place) *cluster { return newClusterWith(places, shortWait) }
 
-// newClusterWith starts a deployment with a balancer wait of its own.
-func newClusterWith(places []place, wait time.Duration) *cluster {
+// newClusterWith starts a deployment with a balancer wait and flags of its own.
+func newClusterWith(places []place, wait time.Duration, flags ...string) *cluster {
 	c := &cluster{
 		links:  map[string]*standin.Link{},
 		relays: map[string]*standin.Relay{},
 		client: &fasthttp.Client{ReadTimeout: clientTimeout, MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 2048},
 		kills:  map[*standin.Executor]func(){},
-		flags:  []string{"--balancer-wait=" + wait.String(), "--stop-timeout=20s"},
+		flags:  append(flags, "--balancer-wait="+wait.String(), "--stop-timeout=20s"),
 	}
 	for _, p := range places {
 		c.add(p)
--- /dev/null
+++ b/cmd/e2e/drain_test.go
@@ -0,0 +1,96 @@
+package e2e_test
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cranberrydrum.dev/daemon/api"
+	"cranberrydrum.dev/daemon/standin"
+)
+
+const (
+	// drainBound is how long a leaving backend server may still get new work (P6).
+	drainBound = 3 * time.Second
+	// drainWatch is how long it is watched after the announcement.
+	drainWatch = 5 * time.Second
+)
+
+// constantLoad sends idempotent requests through each host, whatever becomes of
+// them, until the returned function is called.
+func (c *cluster) constantLoad(callersPerHost int, hosts ...*process) (stop func()) {
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	for _, p := range hosts {
+		for range callersPerHost {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				c.sendUntil(done, p)
+			}()
+		}
+	}
+	return sync.OnceFunc(func() {
+		close(done)
+		wg.Wait()
+	})
+}
+
+func (c *cluster) sendUntil(done chan struct{}, p *process) {
+	headers := map[string]string{api.HeaderCustomer: customer, standin.HeaderWorkMS: "5"}
+	for n := 0; ; n++ {
+		select {
+		case <-done:
+			return
+		case <-time.After(5 * time.Millisecond):
+		}
+		_, _ = c.doWithin(time.Second, p, "POST", api.RequestsPath(service), "", headers, []byte(strconv.Itoa(n)))
+	}
+}
+
+// drainUnderLoad drains one of two executors under load while a fault lasts and
+// returns when the last new request reached it, after the announcement.
+func drainUnderLoad(fault func(c *cluster), during time.Duration, heal func(c *cluster)) time.Duration {
+	c := newCluster(threeHosts)
+	c.begin(baseRules())
+	executors := c.executors(2, oerlikon)
+	hosts := c.inDomain(oerlikon)
+	c.awaitServing(hosts...)
+	stop := c.constantLoad(8, hosts...)
+	defer stop()
+	time.Sleep(500 * time.Millisecond)
+	leaving := executors[0]
+	Expect(leaving.Stats().Requests).To(BeNumerically(">", 10), "the executor is in use")
+	fault(c)
+	Expect(leaving.Drain()).To(Succeed())
+	announced := time.Now()
+	time.Sleep(during)
+	heal(c)
+	time.Sleep(drainWatch - during)
+	stop()
+	c.awaitServing(hosts...)
+	return leaving.Stats().LastNew.Sub(announced)
+}
+
+var _ = Describe("A leaving backend server (P6)", func() {
+	// Guards against a host that learns of the drain late or not at all, or
+	// that acts on its old view when it wakes or comes back.
+	DescribeTable("gets no new work later than 3 s after the announcement",
+		func(fault func(c *cluster), during time.Duration, heal func(c *cluster)) {
+			last := drainUnderLoad(fault, during, heal)
+			AddReportEntry("last new request", last.String(), ReportEntryVisibilityAlways)
+			Expect(last).To(BeNumerically("<", drainBound))
+		},
+		Entry("while the other host is frozen and woken after the bound",
+			func(c *cluster) { c.host("oer-2").freeze() }, 4*time.Second, func(c *cluster) { c.host("oer-2").thaw() }),
+		Entry("while the host that it announces to is frozen",
+			func(c *cluster) { c.host("oer-1").freeze() }, 4*time.Second, func(c *cluster) { c.host("oer-1").thaw() }),
+		Entry("while the other host is killed and restarted",
+			func(c *cluster) { c.host("oer-2").kill() }, 100*time.Millisecond, func(c *cluster) { c.host("oer-2").start() }),
+		Entry("while the two hosts are cut off from each other",
+			func(c *cluster) { c.cut(true, c.host("oer-2")) }, 4*time.Second, func(c *cluster) { c.cut(false, c.host("oer-2")) }),
+	)
+})
--- /dev/null
+++ b/cmd/e2e/jobs_test.go
@@ -0,0 +1,246 @@
+package e2e_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cranberrydrum.dev/daemon/api"
+	"cranberrydrum.dev/daemon/standin"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+const (
+	// jobLease is the worker lease of these specs. The default of 6 s would make
+	// them too long; the rules between lease and margin do not depend on it.
+	jobLease = 2 * time.Second
+	// leaseMargin is how long the owner waits beyond the lease.
+	leaseMargin = time.Second
+	// partBound is how long a gang may run in part: a member that the owner
+	// cannot reach ends by its own lease, the others as soon as they hear of it.
+	partBound     = jobLease + leaseMargin + time.Second
+	workersInRack = 8
+	accelerators  = 8
+)
+
+// workforce is the workers of zrh-oerlikon: two racks of 8.
+type workforce struct {
+	c       *cluster
+	log     *standin.TaskLog
+	workers []*standin.Worker
+}
+
+func startWorkers(c *cluster, count int) *workforce {
+	w := &workforce{c: c, log: standin.NewTaskLog()}
+	for i := range count {
+		worker := standin.NewWorker(standin.WorkerConfig{
+			Worker: structs.Worker{ID: fmt.Sprintf("w-%02d", i), Domain: oerlikon, Rack: fmt.Sprintf("rack-%d", i/workersInRack),
+				Accelerators: accelerators, Cores: 64, MemoryMB: 256 << 10},
+			Hosts: c.urls(oerlikon), Token: workerToken, RenewInterval: 300 * time.Millisecond,
+			CheckpointTime: 50 * time.Millisecond, Log: w.log,
+		})
+		w.workers = append(w.workers, worker)
+		DeferCleanup(worker.Kill)
+	}
+	return w
+}
+
+// submit submits a job through any host that takes it and returns its id.
+func (c *cluster) submit(r api.JobSubmitRequest) string {
+	r.FailureDomain = oerlikon
+	body, err := json.Marshal(r)
+	Expect(err).NotTo(HaveOccurred())
+	var job api.Job
+	try := 0
+	Eventually(func() string {
+		p := c.hosts[try%len(c.hosts)]
+		try++
+		a, err := c.doWithin(6*time.Second, p, "POST", api.PathJobs, operatorToken, nil, body)
+		if err != nil {
+			return err.Error()
+		}
+		_ = json.Unmarshal(a.body, &job)
+		return a.String()
+	}, "15s", "50ms").Should(HavePrefix("200"))
+	return job.ID
+}
+
+// jobs returns the jobs of zrh-oerlikon as the first host that knows tells them.
+func (c *cluster) jobs() map[string]api.Job {
+	found := map[string]api.Job{}
+	for _, p := range c.hosts {
+		var list api.JobListResponse
+		if !c.get(p, api.PathJobs, &list) {
+			continue
+		}
+		for _, j := range list.Jobs {
+			found[j.ID] = j
+		}
+		if len(found) > 0 {
+			return found
+		}
+	}
+	return found
+}
+
+func (c *cluster) awaitSucceeded(bound string, ids ...string) {
+	Eventually(func() []string {
+		jobs := c.jobs()
+		var open []string
+		for _, id := range ids {
+			if jobs[id].Status != structs.JobSucceeded {
+				open = append(open, id+" "+string(jobs[id].Status)+" "+jobs[id].Reason)
+			}
+		}
+		return open
+	}, bound, "100ms").Should(BeEmpty())
+}
+
+// check requires that no accelerator was used twice, no job ran as two runs,
+// and no gang ran in part for longer than the bound.
+func (w *workforce) check(sizes map[string]int) {
+	Expect(w.log.Faults()).To(BeEmpty())
+	type run struct {
+		job string
+		run uint64
+	}
+	used := map[run]int{}
+	first, last := map[run]time.Time{}, map[run]time.Time{}
+	for _, s := range w.log.Starts() {
+		r := run{s.Job, s.Run}
+		used[r] += len(s.Accelerators)
+		if first[r].IsZero() {
+			first[r] = s.At
+		}
+		if s.Ended.IsZero() {
+			s.Ended = time.Now()
+		}
+		if s.Ended.After(last[r]) {
+			last[r] = s.Ended
+		}
+	}
+	whole, partial := 0, 0
+	for r, n := range used {
+		if n >= sizes[r.job] {
+			whole++
+			continue
+		}
+		partial++
+		Expect(last[r].Sub(first[r])).To(BeNumerically("<", partBound), "job %s run %d on %d of %d accelerators", r.job, r.run, n, sizes[r.job])
+	}
+	AddReportEntry("runs", fmt.Sprint(whole, " whole, ", partial, " ended before all members had started"), ReportEntryVisibilityAlways)
+}
+
+// submitGangs submits gangs of different sizes and returns their sizes by id.
+func (c *cluster) submitGangs(count int, runtime time.Duration) (map[string]int, []string) {
+	sizes := map[string]int{}
+	var ids []string
+	for i := range count {
+		size := []int{8, 16, 32, 64}[i%4]
+		id := c.submit(api.JobSubmitRequest{Name: "gang-" + strconv.Itoa(i), Customer: customer, Accelerators: size,
+			DeclaredRuntimeMS: 1000, CheckpointTimeMS: 50, Command: []string{"run", runtime.String()}})
+		sizes[id] = size
+		ids = append(ids, id)
+	}
+	return sizes, ids
+}
+
+func jobDeployment(workers int) (*cluster, *workforce) {
+	c := newClusterWith(threeHosts, shortWait, "--worker-lease="+jobLease.String())
+	c.begin(baseRules())
+	c.owner(oerlikon)
+	return c, startWorkers(c, workers)
+}
+
+var _ = Describe("Jobs (P2)", func() {
+	// Guards against a gang that is left running in part, started twice or lost
+	// when its owner fails between reserve, prepare and start.
+	It("keep gangs whole while their owner is killed and frozen", func() {
+		c, w := jobDeployment(16)
+		sizes, ids := c.submitGangs(8, 700*time.Millisecond)
+		for round := range 2 {
+			owner := c.owner(oerlikon)
+			time.Sleep(time.Duration(150+170*round) * time.Millisecond)
+			if round == 0 {
+				owner.kill()
+				owner.start()
+				c.awaitReady(owner)
+				continue
+			}
+			owner.freeze()
+			time.Sleep(frozenTime)
+			owner.thaw()
+		}
+		c.awaitSucceeded("20s", ids...)
+		w.check(sizes)
+	})
+
+	// Guards against a worker that wakes after its lease and goes on with tasks
+	// that were given to others, and against a gang that waits for it for ever.
+	It("keep gangs whole while workers are frozen beyond their lease or killed", func() {
+		c, w := jobDeployment(16)
+		sizes, ids := c.submitGangs(8, 900*time.Millisecond)
+		time.Sleep(700 * time.Millisecond)
+		resume := w.workers[0].Freeze()
+		w.workers[1].Kill()
+		time.Sleep(jobLease + leaseMargin + 500*time.Millisecond)
+		resume()
+		c.awaitSucceeded("20s", ids...)
+		w.check(sizes)
+	})
+
+	// Guards against a failure domain that stops its jobs, or takes none, while
+	// it is cut off from the others.
+	It("go on in a failure domain that is cut off", func() {
+		c, w := jobDeployment(16)
+		sizes, ids := c.submitGangs(4, 700*time.Millisecond)
+		local := c.inDomain(oerlikon)
+		c.cut(true, local...)
+		time.Sleep(frozenTime)
+		late := c.submit(api.JobSubmitRequest{Name: "late", Customer: customer, Accelerators: 64, DeclaredRuntimeMS: 500, Command: []string{"run", "300ms"}})
+		sizes[late] = 64
+		c.awaitSucceeded("12s", append(ids, late)...)
+		c.cut(false, local...)
+		w.check(sizes)
+	})
+})
+
+var _ = Describe("A guarantee (P1)", func() {
+	const (
+		// reclaimBound is the bound of the design page for the start of urgent
+		// work; a lost owner adds an election of two timeouts.
+		reclaimBound = 4800 * time.Millisecond
+		electionTime = 2 * time.Second
+	)
+
+	// Guards against bulk jobs that keep the accelerators of a guarantee, also
+	// while the owner that has to take them back is lost.
+	DescribeTable("is met while bulk jobs of others fill the failure domain", func(ownerLost bool, bound time.Duration) {
+		c, w := jobDeployment(16)
+		sizes := map[string]int{}
+		for i := range 16 {
+			id := c.submit(api.JobSubmitRequest{Name: "bulk-" + strconv.Itoa(i), Customer: "lindt", Priority: "bulk", Accelerators: accelerators,
+				DeclaredRuntimeMS: 60_000, CheckpointTimeMS: 50, Command: []string{"run", "60s"}})
+			sizes[id] = accelerators
+		}
+		Eventually(func() int { return len(w.log.Starts()) }, "8s", "50ms").Should(Equal(16))
+		submitted := time.Now()
+		id := c.submit(api.JobSubmitRequest{Name: "menu", Customer: customer, Priority: "urgent", Accelerators: 64, DeclaredRuntimeMS: 60_000, Command: []string{"run", "60s"}})
+		sizes[id] = 64
+		if ownerLost {
+			c.owner(oerlikon).kill()
+		}
+		Eventually(func() int { return w.log.Running(id) }, bound+5*time.Second, "20ms").Should(Equal(64))
+		took := time.Since(submitted)
+		AddReportEntry("reclaimed after", took.String(), ReportEntryVisibilityAlways)
+		Expect(took).To(BeNumerically("<", bound))
+		w.check(sizes)
+	},
+		Entry("with all hosts up", false, reclaimBound),
+		Entry("with the owner killed after the submission", true, reclaimBound+electionTime),
+	)
+})
