--- a/daemon/experiment/control/memory.go
+++ b/daemon/experiment/control/memory.go
@@ -49,7 +49,7 @@
 		{"heap of a configuration in force", "customers", []int{4, 40, 110}, func(size int) (any, error) {
 			return parsedRules([]string{measuredDomain}, 8, accelerators, size)
 		}},
-		{"heap of request keys with answers of 64 B", "keys", []int{10_000, 50_000, 200_000}, keyTable},
+		{"heap of request keys with answers of 64 B", "keys", snapshotKeys, func(size int) (any, error) { return keyTable(size) }},
 		{"heap of announcements", "executors", []int{50, 200, 1000}, announcements},
 	}
 }
@@ -91,7 +91,7 @@
 	return o, nil
 }
 
-func keyTable(count int) (any, error) {
+func keyTable(count int) (*dedup.Table, error) {
 	t := dedup.New(dedup.Config{
 		MaxKeys: memoryKeys, MaxRecords: 4 * memoryKeys, MaxBytes: 1 << 30,
 		MaxResponseBytes: 64 << 10, Retention: 24 * time.Hour, ExpiredRetention: 7 * 24 * time.Hour,
--- a/daemon/experiment/control/recovery.go
+++ b/daemon/experiment/control/recovery.go
@@ -43,13 +43,45 @@
 		}
 		return r
 	}
-	return []Row{
+	rows, err := keySnapshotRows(o)
+	return append(rows,
 		row("snapshot of a domain", "B", func(c recoveryCost) float64 { return c.snapshotBytes }),
 		row("time to encode a snapshot on the goroutine of the log", "ms", func(c recoveryCost) float64 { return c.encode }),
 		row("time to write and sync a snapshot", "ms", func(c recoveryCost) float64 { return c.save }),
 		row("restart: open the folder and restore the snapshot", "ms", func(c recoveryCost) float64 { return c.load }),
 		row("restart: apply 4096 entries of the log", "ms", func(c recoveryCost) float64 { return c.apply }),
-	}, nil
+	), err
+}
+
+// snapshotKeys are numbers of request keys; the example rules allow 200,000.
+var snapshotKeys = []int{10_000, 50_000, 200_000}
+
+// keySnapshotRows measures the part of a snapshot that holds request keys. It
+// is encoded on the goroutine of the log, which sends no heartbeats meanwhile.
+func keySnapshotRows(o Options) ([]Row, error) {
+	bytes := Row{Quantity: "snapshot of request keys", Unit: "B", Against: "keys"}
+	encode := Row{Quantity: "time to encode request keys on the goroutine of the log", Unit: "ms", Against: "keys"}
+	decode := Row{Quantity: "restart: restore request keys", Unit: "ms", Against: "keys"}
+	for _, keys := range o.sizes(snapshotKeys) {
+		table, err := keyTable(keys)
+		if err != nil {
+			return nil, err
+		}
+		start := time.Now()
+		data, err := table.Snapshot()
+		if err != nil {
+			return nil, err
+		}
+		size := float64(keys)
+		encode.Points = append(encode.Points, Point{size, millis(start)})
+		bytes.Points = append(bytes.Points, Point{size, float64(len(data))})
+		start = time.Now()
+		if err := table.Restore(data); err != nil {
+			return nil, err
+		}
+		decode.Points = append(decode.Points, Point{size, millis(start)})
+	}
+	return []Row{bytes, encode, decode}, nil
 }
 
 func millis(start time.Time) float64 { return float64(time.Since(start).Microseconds()) / 1000 }
