--- a/cmd/e2e/jobs_test.go
+++ b/cmd/e2e/jobs_test.go
@@ -69,31 +69,23 @@
 	return job.ID
 }
 
-// jobs returns the jobs of zrh-oerlikon as the first host that knows tells them.
-func (c *cluster) jobs() map[string]api.Job {
-	found := map[string]api.Job{}
+// job returns a job as the first host that knows it tells.
+func (c *cluster) job(id string) api.Job {
+	var job api.Job
 	for _, p := range c.hosts {
-		var list api.JobListResponse
-		if !c.get(p, api.PathJobs, &list) {
-			continue
-		}
-		for _, j := range list.Jobs {
-			found[j.ID] = j
-		}
-		if len(found) > 0 {
-			return found
+		if c.get(p, api.JobPath(id), &job) {
+			return job
 		}
 	}
-	return found
+	return job
 }
 
 func (c *cluster) awaitSucceeded(bound string, ids ...string) {
 	Eventually(func() []string {
-		jobs := c.jobs()
 		var open []string
 		for _, id := range ids {
-			if jobs[id].Status != structs.JobSucceeded {
-				open = append(open, id+" "+string(jobs[id].Status)+" "+jobs[id].Reason)
+			if job := c.job(id); job.Status != structs.JobSucceeded {
+				open = append(open, id+" "+string(job.Status)+" "+job.Reason)
 			}
 		}
 		return open
