--- a/cmd/e2e/cluster_test.go
+++ b/cmd/e2e/cluster_test.go
@@ -38,7 +38,9 @@
 // cluster is a deployment of daemons as separate processes. Each ordered pair
 // of hosts has a relay of its own, so that links can be cut one way.
 type cluster struct {
+	// hosts are in use; all also has those that a spec has given up.
 	hosts  []*process
+	all    []*process
 	links  map[string]*standin.Link
 	relays map[string]*standin.Relay
 	client *fasthttp.Client
@@ -84,6 +86,7 @@
 		p.data = GinkgoT().TempDir()
 	}
 	c.hosts = append(c.hosts, p)
+	c.all = append(c.all, p)
 	return p
 }
 
@@ -120,9 +123,9 @@
 }
 
 func (c *cluster) host(id string) *process {
-	i := slices.IndexFunc(c.hosts, func(p *process) bool { return p.id == id })
+	i := slices.IndexFunc(c.all, func(p *process) bool { return p.id == id })
 	Expect(i).To(BeNumerically(">=", 0), "no host "+id)
-	return c.hosts[i]
+	return c.all[i]
 }
 
 // others returns all hosts but the given ones.
@@ -161,7 +164,7 @@
 
 func (c *cluster) close() {
 	var faults []string
-	for _, p := range c.hosts {
+	for _, p := range c.all {
 		if p.cmd == nil {
 			continue
 		}
@@ -169,7 +172,7 @@
 			faults = append(faults, fault)
 		}
 	}
-	for _, p := range c.hosts {
+	for _, p := range c.all {
 		if CurrentSpecReport().Failed() || len(faults) > 0 {
 			AddReportEntry("log of "+p.id, p.log.String(), ReportEntryVisibilityFailureOrVerbose)
 		}
