Add bench target: measure a deployment of the target size

The promises with a bound in time were measured on small deployments and in simulations only. bench target starts one process per host, relays with the latencies of the links and light workers, and compares urgent starts, configuration changes, the cost of control, the loss of a leader and restarts of workers with their bounds.

--- /dev/null
+++ b/daemon/experiment/target/cluster.go
@@ -0,0 +1,197 @@
+package target
+
+import (
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"cranberrydrum.dev/daemon/api"
+	"cranberrydrum.dev/daemon/standin"
+)
+
+// Latencies and capacity of the links between hosts of the target size.
+const (
+	domainLatency        = 1500 * time.Microsecond
+	regionLatency        = 30 * time.Millisecond
+	regionBytesPerSecond = 30 * 1_000_000 / 8
+	startTimeout         = 20 * time.Second
+	poll                 = 10 * time.Millisecond
+)
+
+// cluster is a deployment of host processes.
+type cluster struct {
+	size    size
+	daemon  string
+	folder  string
+	hosts   []*host
+	links   map[[2]string]*standin.Link
+	relays  []*standin.Relay
+	region  *standin.Link
+	version uint64
+	edits   int
+}
+
+func newCluster(daemon string, s size) (*cluster, error) {
+	folder, err := os.MkdirTemp("", "cranberrydrum-target-")
+	if err != nil {
+		return nil, &SetupError{What: "temporary folder", Cause: err}
+	}
+	c := &cluster{size: s, daemon: daemon, folder: folder, links: map[[2]string]*standin.Link{}}
+	c.region = standin.NewLink(regionLatency, regionBytesPerSecond)
+	if err := c.start(); err != nil {
+		c.close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *cluster) start() error {
+	for i := range c.size.hosts {
+		if err := c.addHost(i); err != nil {
+			return err
+		}
+	}
+	for _, h := range c.hosts {
+		if err := c.configure(h); err != nil {
+			return err
+		}
+	}
+	for _, h := range c.hosts {
+		if err := h.start(c.daemon, c.folder); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *cluster) addHost(i int) error {
+	web, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	peer, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	d := i % c.size.domains
+	h := &host{id: domainName(d) + "-" + strconv.Itoa(i+1), domain: domainName(d), region: regionName(d, c.size.domains), http: web, peer: peer}
+	h.client, err = api.NewClient(api.ClientConfig{Servers: []string{web}, Token: operatorToken})
+	c.hosts = append(c.hosts, h)
+	return err
+}
+
+// Ports of hosts lie below the range from which the system takes the ports of
+// outgoing connections.
+const (
+	firstPort    = 12_000
+	ports        = 18_000
+	portAttempts = 100
+)
+
+func freeAddress() (string, error) {
+	var failure error
+	for range portAttempts {
+		address := "127.0.0.1:" + strconv.Itoa(firstPort+rand.IntN(ports))
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, listener.Close()
+		}
+		failure = err
+	}
+	return "", &SetupError{What: "free port", Cause: failure}
+}
+
+func (c *cluster) configure(h *host) error {
+	h.args = []string{
+		"--host-id=" + h.id, "--failure-domain=" + h.domain, "--region=" + h.region,
+		"--http-listen=" + h.http, "--peer-listen=" + h.peer,
+		"--data-dir=" + filepath.Join(c.folder, h.id), "--bootstrap", "--balancer-wait=0s",
+	}
+	for _, other := range c.hosts {
+		if other == h {
+			continue
+		}
+		relay, err := standin.NewRelay(other.peer, c.link(h, other))
+		if err != nil {
+			return err
+		}
+		c.relays = append(c.relays, relay)
+		h.args = append(h.args, "--peer="+other.id+"="+other.domain+"/"+other.region+"@"+relay.Address()+",disk")
+	}
+	return nil
+}
+
+// link returns the link from one host to another. All traffic between the
+// regions shares one link.
+func (c *cluster) link(from, to *host) *standin.Link {
+	switch {
+	case from.region == "r1" && to.region == "r2":
+		return c.region
+	case from.region == "r2" && to.region == "r1":
+		return c.region.Reversed()
+	}
+	key := [2]string{from.domain, to.domain}
+	if c.links[key] == nil {
+		latency := domainLatency
+		if from.domain == to.domain {
+			latency = 0
+		}
+		c.links[key] = standin.NewLink(latency, 0)
+	}
+	return c.links[key]
+}
+
+// within polls a condition until it holds or the time is over.
+func within(limit time.Duration, condition func() bool) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(poll) {
+		if condition() {
+			return true
+		}
+	}
+	return condition()
+}
+
+// inDomain returns the running hosts of a failure domain.
+func (c *cluster) inDomain(domain string) []*host {
+	var found []*host
+	for _, h := range c.hosts {
+		if h.domain == domain && h.cmd != nil {
+			found = append(found, h)
+		}
+	}
+	return found
+}
+
+// leader returns the host that leads the log of a failure domain.
+func (c *cluster) leader(domain string) *host {
+	for _, via := range c.inDomain(domain) {
+		status, err := via.client.Status(false)
+		if err != nil {
+			continue
+		}
+		for _, g := range status.Groups {
+			if g.Group != "domain/"+domain {
+				continue
+			}
+			for _, h := range c.hosts {
+				if h.id == g.Leader {
+					return h
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func (c *cluster) close() {
+	for _, h := range c.hosts {
+		h.kill()
+	}
+	for _, r := range c.relays {
+		r.Close()
+	}
+	_ = os.RemoveAll(c.folder)
+}
--- /dev/null
+++ b/daemon/experiment/target/options.go
@@ -0,0 +1,73 @@
+// Package target runs a deployment of the target size on one machine, with one
+// process per host, and measures the promises that have a bound in time.
+package target
+
+import "time"
+
+// Options select what Run does.
+type Options struct {
+	Seed uint64
+	// Quick runs a small deployment with few repetitions.
+	Quick bool
+	// Daemon is the path of the cranberrydrumd binary.
+	Daemon string
+	// Progress receives one line for each phase; nil drops them.
+	Progress func(line string)
+}
+
+// SetupError reports a deployment that could not be set up.
+type SetupError struct {
+	What  string
+	Cause error
+}
+
+// Error implements error.
+func (e *SetupError) Error() string { return "target run: " + e.What + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *SetupError) Unwrap() error { return e.Cause }
+
+// StateError reports a state that the run did not reach.
+type StateError string
+
+// Error implements error.
+func (e StateError) Error() string { return "target run: " + string(e) }
+
+// size is the shape of a run.
+type size struct {
+	domains, hosts, workers, customers, guaranteed int
+	// perWorker is the number of accelerators of a worker. 910 workers with 18
+	// have room for the 16,000 tasks of the target size.
+	perWorker int
+	// fill is the number of accelerators that jobs ask for in each failure domain.
+	fill  int
+	gangs []int
+	// repeats is the number of urgent gangs of each kind.
+	repeats int
+	changes int
+	idle    time.Duration
+	// restarts workers restart one after the other at this distance.
+	restarts        int
+	restartDistance time.Duration
+}
+
+func (o Options) size() size {
+	if o.Quick {
+		return size{
+			domains: 2, hosts: 4, workers: 60, customers: 20, guaranteed: 3, perWorker: 18, fill: 500,
+			gangs: []int{8, 32}, repeats: 1, changes: 4, idle: 2 * time.Second,
+			restarts: 4, restartDistance: 100 * time.Millisecond,
+		}
+	}
+	return size{
+		domains: 4, hosts: 9, workers: 910, customers: 110, guaranteed: 8, perWorker: 18, fill: 4_000,
+		gangs: []int{8, 32, 64}, repeats: 6, changes: 30, idle: 20 * time.Second,
+		restarts: 110, restartDistance: 400 * time.Millisecond,
+	}
+}
+
+func (o Options) progress(line string) {
+	if o.Progress != nil {
+		o.Progress(line)
+	}
+}
--- /dev/null
+++ b/daemon/experiment/target/process.go
@@ -0,0 +1,113 @@
+package target
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"cranberrydrum.dev/daemon/api"
+)
+
+// host is one cranberrydrumd process.
+type host struct {
+	id, domain, region string
+	http, peer         string
+	args               []string
+	cmd                *exec.Cmd
+	exited             chan struct{}
+	client             *api.Client
+}
+
+// start runs the daemon. Its log goes to a file in the folder.
+func (h *host) start(daemon, folder string) error {
+	log, err := os.OpenFile(filepath.Join(folder, h.id+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, logMode)
+	if err != nil {
+		return &SetupError{What: "log of " + h.id, Cause: err}
+	}
+	defer func() { _ = log.Close() }()
+	h.cmd = exec.Command(daemon, h.args...)
+	h.cmd.Stderr = log
+	if err := h.cmd.Start(); err != nil {
+		return &SetupError{What: "host " + h.id, Cause: err}
+	}
+	h.exited = make(chan struct{})
+	go func(cmd *exec.Cmd, exited chan struct{}) {
+		_ = cmd.Wait()
+		close(exited)
+	}(h.cmd, h.exited)
+	return nil
+}
+
+const logMode = 0o600
+
+// kill ends the process without notice.
+func (h *host) kill() {
+	if h.cmd == nil {
+		return
+	}
+	_ = h.cmd.Process.Kill()
+	<-h.exited
+	h.cmd = nil
+}
+
+// usage is what a process has used since its start.
+type usage struct {
+	at        time.Time
+	cpu       float64
+	megabytes float64
+	peerBytes float64
+	httpBytes float64
+}
+
+const (
+	// ticksPerSecond is the unit of CPU times in /proc on Linux.
+	ticksPerSecond = 100
+	// userTimeField counts from the field after the command.
+	userTimeField = 11
+	statmResident = 1
+	bytesPerMB    = 1 << 20
+)
+
+// usageOf reads the CPU time in seconds and the resident memory of a process.
+func usageOf(pid int) (usage, error) {
+	u := usage{at: time.Now()}
+	stat, err := procFields(pid, "stat")
+	if err != nil {
+		return u, err
+	}
+	statm, err := procFields(pid, "statm")
+	if err != nil {
+		return u, err
+	}
+	if len(stat) <= userTimeField+1 || len(statm) <= statmResident {
+		return u, StateError("process " + strconv.Itoa(pid) + " has no CPU times")
+	}
+	user, _ := strconv.ParseFloat(stat[userTimeField], 64)
+	system, _ := strconv.ParseFloat(stat[userTimeField+1], 64)
+	pages, _ := strconv.ParseFloat(statm[statmResident], 64)
+	u.cpu = (user + system) / ticksPerSecond
+	u.megabytes = pages * float64(os.Getpagesize()) / bytesPerMB
+	return u, nil
+}
+
+func procFields(pid int, file string) ([]string, error) {
+	data, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/" + file)
+	if err != nil {
+		return nil, &SetupError{What: "process " + strconv.Itoa(pid), Cause: err}
+	}
+	text := string(data)
+	return strings.Fields(text[strings.LastIndexByte(text, ')')+1:]), nil
+}
+
+// machineLoad returns the load averages of the machine.
+func machineLoad() string {
+	data, err := os.ReadFile("/proc/loadavg")
+	fields := strings.Fields(string(data))
+	if err != nil || len(fields) < 3 {
+		return "unknown"
+	}
+	return strings.Join(fields[:3], " ")
+}
--- /dev/null
+++ b/daemon/experiment/target/run.go
@@ -0,0 +1,102 @@
+package target
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// run is the state of one run.
+type run struct {
+	options Options
+	size    size
+	cluster *cluster
+	fleet   *fleet
+	turn    atomic.Int64
+	resent  atomic.Int64
+	mu      sync.Mutex
+	table   Table
+}
+
+// Run starts the deployment, makes all measurements and stops it.
+func Run(o Options) (Table, error) {
+	s := o.size()
+	o.progress("load of the machine: " + machineLoad())
+	c, err := newCluster(o.Daemon, s)
+	if err != nil {
+		return Table{}, err
+	}
+	defer c.close()
+	if err := c.applyFirst(); err != nil {
+		return Table{}, err
+	}
+	r := &run{options: o, size: s, cluster: c, fleet: newFleet(c)}
+	defer r.fleet.close()
+	err = r.phases()
+	return r.table, err
+}
+
+func (r *run) phases() error {
+	if err := r.awaitWorkers(); err != nil {
+		return err
+	}
+	for _, phase := range []struct {
+		name string
+		run  func() error
+	}{
+		{"fill", r.fill},
+		{"idle", r.idle},
+		{"configuration changes", func() error { return r.changes("configuration change") }},
+		{"configuration changes with a filled link", r.forwarded},
+		{"urgent gangs", r.urgent},
+		{"restarts of workers", r.restarts},
+		{"loss of a leader", r.failover},
+	} {
+		start := time.Now()
+		err := phase.run()
+		accelerators, _ := r.fleet.tracker.total()
+		r.options.progress(phase.name + ": " + time.Since(start).Round(time.Millisecond).String() + ", load " + machineLoad() + ", accelerators in use " + number(float64(accelerators)))
+		if err != nil {
+			return err
+		}
+	}
+	r.add(free("submissions and readings sent again", "1", float64(r.resent.Load()), ""),
+		free("renewals without an answer", "1", float64(r.fleet.failed.Load()), number(float64(r.fleet.renewals.Load()))+" renewals"))
+	return nil
+}
+
+// awaitWorkers waits until all workers have received orders.
+func (r *run) awaitWorkers() error {
+	start := time.Now()
+	ok := within(startTimeout, func() bool {
+		n := 0
+		for d := range r.size.domains {
+			n += r.registered(domainName(d))
+		}
+		return n == r.size.workers
+	})
+	if !ok {
+		return StateError("not all workers were registered in time")
+	}
+	r.add(free("time until all workers are registered", "s", time.Since(start).Seconds(), ""))
+	return nil
+}
+
+// registered returns the number of workers that the owner of a failure domain
+// knows and does not hold in quarantine.
+func (r *run) registered(domain string) int {
+	for _, h := range r.cluster.inDomain(domain) {
+		status, err := h.client.Status(true)
+		if err != nil {
+			continue
+		}
+		n := 0
+		for _, w := range status.Workers {
+			if w.Domain == domain && !w.Quarantined {
+				n++
+			}
+		}
+		return n
+	}
+	return 0
+}
