--- a/daemon/experiment/target/failover.go
+++ b/daemon/experiment/target/failover.go
@@ -14,15 +14,30 @@
 	ownerLimit = 30 * time.Second
 	// leaseWatch is longer than a lease, after which a new owner declares
 	// workers lost that it has not heard.
-	leaseWatch = 10 * time.Second
+	leaseWatch = 8 * time.Second
 )
 
-// failover kills the host that leads the log of a failure domain.
+// failover kills the leaders of the logs of the failure domains in turn and
+// starts each host again before the next one.
 func (r *run) failover() error {
-	domain := domainName(0)
+	var took []time.Duration
+	for i := range r.size.failovers {
+		t, err := r.loseLeader(domainName(i % r.size.domains))
+		if err != nil {
+			return err
+		}
+		took = append(took, t)
+	}
+	r.times("loss of a leader, time until the new owner gives orders", took, ownerBound)
+	return r.lostRows("loss of a leader")
+}
+
+// loseLeader kills the host that leads the log of a failure domain and starts
+// it again at the end.
+func (r *run) loseLeader(domain string) (time.Duration, error) {
 	leader := r.cluster.leader(domain)
 	if leader == nil {
-		return StateError("no leader of the log of " + domain + " is known")
+		return 0, StateError("no leader of the log of " + domain + " is known")
 	}
 	_, stopped, forced := r.fleet.tracker.counts(domain)
 	term, _ := r.fleet.tracker.term(domain)
@@ -36,35 +51,34 @@
 		}
 		return now > term
 	})
-	r.add(bounded("loss of a leader, time until the new owner gives orders", "s", ownerBound.Seconds(), took.Seconds(), "two election timeouts and one renewal"))
-	if err := r.startAfterLoss(domain, killed); err != nil {
-		return err
-	}
 	time.Sleep(leaseWatch)
 	_, stoppedAfter, forcedAfter := r.fleet.tracker.counts(domain)
-	r.add(bounded("loss of a leader, tasks stopped", "1", 0, float64(stoppedAfter-stopped), strconv.Itoa(forcedAfter-forced)+" of them at the end of a lease"))
-	return r.lostRows("loss of a leader")
+	r.add(bounded("loss of the leader of "+domain+", tasks stopped", "1", 0, float64(stoppedAfter-stopped), strconv.Itoa(forcedAfter-forced)+" of them at the end of a lease"))
+	if err := r.startAfterLoss(domain); err != nil {
+		return took, err
+	}
+	if err := leader.start(r.cluster.daemon, r.cluster.folder); err != nil {
+		return took, err
+	}
+	time.Sleep(settleTime)
+	return took, nil
 }
 
-// startAfterLoss measures when a job of one accelerator runs after the loss.
-func (r *run) startAfterLoss(domain string, killed time.Time) error {
+// startAfterLoss shows that the new owner starts jobs.
+func (r *run) startAfterLoss(domain string) error {
 	request := api.JobSubmitRequest{
-		Name: "after-loss", Customer: customerName(0), FailureDomain: domain, Priority: "urgent", Accelerators: 1,
+		Name: domain + "-after-loss", Customer: customerName(0), FailureDomain: domain, Priority: "urgent", Accelerators: 1,
 		DeclaredRuntimeMS: time.Second.Milliseconds(), Command: []string{"run", "1s", "100ms"},
 	}
 	job, err := r.submitWithin(request, ownerLimit)
 	if err != nil {
 		return err
 	}
-	took := ownerLimit
-	within(ownerLimit, func() bool {
-		at, ok := r.fleet.tracker.complete(job.ID, 1)
-		if ok {
-			took = at.Sub(killed)
-		}
+	started := within(ownerLimit, func() bool {
+		_, ok := r.fleet.tracker.complete(job.ID, 1)
 		return ok
 	})
-	r.add(free("loss of a leader, time until a new job runs", "s", took.Seconds(), ""))
+	r.add(bounded("loss of the leader of "+domain+", jobs not started by the new owner", "1", 0, truth(!started), ""))
 	return nil
 }
 
--- a/daemon/experiment/target/jobs.go
+++ b/daemon/experiment/target/jobs.go
@@ -18,6 +18,11 @@
 	// fullShare of the accelerators asked for make a domain full.
 	fullShare  = 0.97
 	submitters = 8
+	// backlog is the number of jobs of one accelerator that wait when the
+	// failure domain is full, so that none of its accelerators stays free.
+	backlog = 40
+	// fillSteps is the number of progress lines while the domains fill.
+	fillSteps = 10
 )
 
 // checkpoints are the checkpoint times of the jobs that fill each failure
@@ -53,7 +58,16 @@
 		return first.err
 	}
 	wanted := int(fullShare * float64(r.size.fill*r.size.domains))
-	full := within(fillTimeout, func() bool { n, _ := r.fleet.tracker.total(); return n >= wanted })
+	r.options.progress("all jobs submitted after " + time.Since(start).Round(time.Millisecond).String())
+	last := 0
+	full := within(fillTimeout, func() bool {
+		n, _ := r.fleet.tracker.total()
+		if n >= last+wanted/fillSteps {
+			last = n
+			r.options.progress(strconv.Itoa(n) + " accelerators in use after " + time.Since(start).Round(time.Millisecond).String())
+		}
+		return n >= wanted
+	})
 	accelerators, tasks := r.fleet.tracker.total()
 	if !full {
 		return StateError("only " + strconv.Itoa(accelerators) + " accelerators of " + strconv.Itoa(wanted) + " were in use in time")
@@ -82,8 +96,11 @@
 	random := rand.New(rand.NewPCG(r.options.Seed, uint64(d)))
 	checkpoint := checkpoints[d]
 	var list []api.JobSubmitRequest
-	for left := r.size.fill; left > 0; {
+	for left := r.size.fill + backlog; left > 0; {
 		n := min(left, gangSizes[random.IntN(len(gangSizes))])
+		if left <= backlog {
+			n = 1
+		}
 		left -= n
 		customer := r.size.guaranteed + len(list)%(r.size.customers-r.size.guaranteed)
 		list = append(list, api.JobSubmitRequest{
--- a/daemon/experiment/target/options.go
+++ b/daemon/experiment/target/options.go
@@ -39,7 +39,8 @@
 	// perWorker is the number of accelerators of a worker. 910 workers with 18
 	// have room for the 16,000 tasks of the target size.
 	perWorker int
-	// fill is the number of accelerators that jobs ask for in each failure domain.
+	// fill is the number of accelerators that jobs ask for in each failure
+	// domain, beside the backlog. It is what the workers have.
 	fill  int
 	gangs []int
 	// repeats is the number of urgent gangs of each kind.
@@ -49,20 +50,22 @@
 	// restarts workers restart one after the other at this distance.
 	restarts        int
 	restartDistance time.Duration
+	// failovers is the number of leaders lost, one after the other.
+	failovers int
 }
 
 func (o Options) size() size {
 	if o.Quick {
 		return size{
-			domains: 2, hosts: 4, workers: 60, customers: 20, guaranteed: 3, perWorker: 18, fill: 500,
+			domains: 2, hosts: 4, workers: 60, customers: 20, guaranteed: 3, perWorker: 18, fill: 540,
 			gangs: []int{8, 32}, repeats: 1, changes: 4, idle: 2 * time.Second,
-			restarts: 4, restartDistance: 100 * time.Millisecond,
+			restarts: 4, restartDistance: 100 * time.Millisecond, failovers: 1,
 		}
 	}
 	return size{
-		domains: 4, hosts: 9, workers: 910, customers: 110, guaranteed: 8, perWorker: 18, fill: 4_000,
+		domains: 4, hosts: 9, workers: 910, customers: 110, guaranteed: 8, perWorker: 18, fill: 4_100,
 		gangs: []int{8, 32, 64}, repeats: 6, changes: 30, idle: 20 * time.Second,
-		restarts: 110, restartDistance: 400 * time.Millisecond,
+		restarts: 110, restartDistance: 400 * time.Millisecond, failovers: 4,
 	}
 }
 
--- a/daemon/experiment/target/process.go
+++ b/daemon/experiment/target/process.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"cranberrydrum.dev/daemon/api"
@@ -30,6 +31,8 @@
 	defer func() { _ = log.Close() }()
 	h.cmd = exec.Command(daemon, h.args...)
 	h.cmd.Stderr = log
+	// A run that is interrupted leaves no hosts behind.
+	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := h.cmd.Start(); err != nil {
 		return &SetupError{What: "host " + h.id, Cause: err}
 	}
