--- /dev/null
+++ b/daemon/experiment/target/target_test.go
@@ -0,0 +1,58 @@
+package target_test
+
+import (
+	"encoding/csv"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"cranberrydrum.dev/daemon/experiment/target"
+)
+
+func TestTarget(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "target size")
+}
+
+var _ = Describe("the target-size run", func() {
+	// Guards against a run that measures nothing, and against lost tasks and
+	// late starts in a small deployment. CPU and traffic of the hosts depend on
+	// the machine and are not checked here.
+	It("keeps the promises in a quick run", func() {
+		daemon, err := gexec.Build("cranberrydrum.dev/cmd/cranberrydrumd")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(gexec.CleanupBuildArtifacts)
+		table, err := target.Run(target.Options{Seed: 1, Quick: true, Daemon: daemon, Progress: func(line string) { GinkgoWriter.Println(line) }})
+		Expect(err).NotTo(HaveOccurred(), table.String())
+		promises := 0
+		for _, row := range table.Rows {
+			if row.Bound != nil && !strings.HasPrefix(row.Quantity, "host ") && !strings.Contains(row.Quantity, "new owner gives orders") {
+				Expect(row.OK()).To(BeTrue(), table.String())
+				promises++
+			}
+		}
+		Expect(promises).To(BeNumerically(">", 20), table.String())
+	})
+
+	// Guards against a figure beyond its bound that is shown as kept.
+	It("compares figures with their bounds", func() {
+		bound := 3.0
+		table := target.Table{Rows: []target.Row{{Quantity: "a", Bound: &bound, Figure: 3}, {Quantity: "b, c", Bound: &bound, Figure: 3.1}, {Quantity: "d", Figure: 9}}}
+		Expect(table.OK()).To(BeFalse())
+		records, err := csv.NewReader(strings.NewReader(table.CSV())).ReadAll()
+		Expect(err).NotTo(HaveOccurred())
+		Expect([]string{records[1][4], records[2][4], records[3][4]}).To(Equal([]string{"ok", "not ok", ""}))
+		table.Rows = table.Rows[:1]
+		Expect(table.OK()).To(BeTrue())
+	})
+
+	It("names an unknown part and a daemon that it cannot start", func() {
+		_, err := target.Run(target.Options{Parts: []target.Part{"weather"}})
+		Expect(err).To(BeAssignableToTypeOf(&target.UnknownPartError{}))
+		_, err = target.Run(target.Options{Quick: true, Daemon: "/nonexistent/cranberrydrumd"})
+		Expect(err).To(BeAssignableToTypeOf(&target.SetupError{}))
+	})
+})
