--- a/cmd/cranberrydrum/commands/bench_target.go
+++ b/cmd/cranberrydrum/commands/bench_target.go
@@ -18,7 +18,9 @@
 type BoundPassedError struct{ Count int }
 
 // Error implements error.
-func (e *BoundPassedError) Error() string { return fmt.Sprintf("%d figures pass their bounds", e.Count) }
+func (e *BoundPassedError) Error() string {
+	return fmt.Sprintf("%d figures pass their bounds", e.Count)
+}
 
 // BenchTarget measures a deployment of the target size.
 func BenchTarget(env *cli.Env) *cobra.Command {
