--- a/daemon/experiment/target/cluster.go
+++ b/daemon/experiment/target/cluster.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"bytes"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -186,6 +187,18 @@
 	return nil
 }
 
+// takeOvers counts how often a host became the owner of a failure domain.
+func (c *cluster) takeOvers() int {
+	sum := 0
+	for _, h := range c.hosts {
+		log, err := os.ReadFile(filepath.Join(c.folder, h.id+".log"))
+		if err == nil {
+			sum += bytes.Count(log, []byte("this host owns the failure domain"))
+		}
+	}
+	return sum
+}
+
 func (c *cluster) close() {
 	for _, h := range c.hosts {
 		h.kill()
--- a/daemon/experiment/target/run.go
+++ b/daemon/experiment/target/run.go
@@ -43,12 +43,20 @@
 // timed runs one phase and reports how long it took.
 func (r *run) timed(name string, phase func() error) error {
 	start := time.Now()
+	stopped := r.fleet.tracker.allStopped()
 	err := phase()
+	stopped = r.fleet.tracker.allStopped() - stopped
 	accelerators, _ := r.fleet.tracker.total()
 	r.options.progress(name + ": " + time.Since(start).Round(time.Millisecond).String() + ", load " + machineLoad() + ", accelerators in use " + number(float64(accelerators)))
+	if calm[Part(name)] {
+		r.add(bounded("tasks stopped during part "+name, "1", 0, float64(stopped), "no job or worker changed"))
+	}
 	return err
 }
 
+// calm are the parts in which nothing may stop a task.
+var calm = map[Part]bool{PartIdle: true, PartConfig: true, PartLink: true}
+
 func (r *run) measure(p Part) error {
 	switch p {
 	case PartIdle:
@@ -77,6 +85,7 @@
 			return err
 		}
 	}
+	r.add(free("take-overs of failure domains", "1", float64(r.cluster.takeOvers()), "from the logs of the hosts, starts included"))
 	r.add(free("submissions and readings sent again", "1", float64(r.resent.Load()), ""),
 		free("renewals without an answer", "1", float64(r.fleet.failed.Load()), number(float64(r.fleet.renewals.Load()))+" renewals"))
 	return nil
--- a/daemon/experiment/target/tracker.go
+++ b/daemon/experiment/target/tracker.go
@@ -122,3 +122,14 @@
 	}
 	return accelerators, len(t.members)
 }
+
+// allStopped returns the tasks of all failure domains that ended before their time.
+func (t *tracker) allStopped() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sum := 0
+	for _, n := range t.stopped {
+		sum += n
+	}
+	return sum
+}
