Tell the planner when gangs were reserved and until when they may stop

Cause: the planner protects jobs inside a guarantee by the order of their reservations and lets urgent jobs pass a longer grace, but the controller did not hand over either; jobs of one customer could lose the protection of the guarantee to a later start after a leader change.

--- a/scheduler/domain/state.go
+++ b/scheduler/domain/state.go
@@ -25,7 +25,8 @@
 // Bounds of request keys beside those of the rules. A recorded answer above
 // maxAnswerBytes is dropped as a whole.
 const (
-	maxKeyBytes    = 64 << 20
+	// maxKeyBytes keeps the keys of a host well below its 64 MB for control.
+	maxKeyBytes    = 24 << 20
 	maxAnswerBytes = 64 << 10
 	// compactPerKey is how many compact records are kept per full one.
 	compactPerKey = 3
--- a/scheduler/jobs/config.go
+++ b/scheduler/jobs/config.go
@@ -14,6 +14,7 @@
 		if d.Name == domain {
 			d.Source = structs.Source{}
 			set.Topology = d
+			set.Rules.Topology = d
 		}
 	}
 	for _, c := range cfg.Customers {
--- a/scheduler/jobs/job.go
+++ b/scheduler/jobs/job.go
@@ -23,8 +23,10 @@
 	seq uint64
 
 	// Domain clock of the events of the job.
-	submitted    time.Duration
-	started      time.Duration
+	submitted time.Duration
+	started   time.Duration
+	// order is the log index of the reservation of the run.
+	order        uint64
 	checkpointed time.Duration
 	finished     time.Duration
 
@@ -174,6 +176,7 @@
 	j.phases = make([]structs.TaskPhase, len(members))
 	j.live = len(members)
 	j.started, j.Reason = s.clock, ""
+	j.order = s.index
 	s.hold(j)
 }
 
--- a/scheduler/jobs/round.go
+++ b/scheduler/jobs/round.go
@@ -136,11 +136,18 @@
 
 // running returns what the planner needs about an active job.
 func (c *Controller) running(j *job) placement.Running {
-	return placement.Running{
-		ID: j.ID, Spec: j.Spec, Members: cloneMembers(j.Members),
+	r := placement.Running{
+		ID: j.ID, Spec: j.Spec, Members: cloneMembers(j.Members), Order: j.order,
 		Started: j.started, Checkpointed: j.checkpointed,
 		Estimate: c.estimates.estimate(j.Spec), Stopping: j.Status == structs.JobStopping,
 	}
+	if j.Status == structs.JobReserved {
+		r.Started = 0
+	}
+	if j.Status == structs.JobStopping && !j.halt {
+		r.StopBy = j.deadline
+	}
+	return r
 }
 
 // learn takes the run time of a job that succeeded in one piece.
--- a/scheduler/jobs/snapshot.go
+++ b/scheduler/jobs/snapshot.go
@@ -53,6 +53,7 @@
 	Avoid        []string
 	Resumed      bool
 	Ineligible   bool
+	Order        uint64
 }
 
 // Snapshot returns the state as bytes, equal for equal states.
@@ -177,7 +178,7 @@
 	return jobRecord{
 		Job: j.Job, Seq: j.seq, Submitted: j.submitted, Started: j.started, Checkpointed: j.checkpointed,
 		Finished: j.finished, Phases: j.phases, Cause: uint8(j.cause), Halt: j.halt, Deadline: j.deadline,
-		FailedOn: j.failedOn, Avoid: j.avoid, Resumed: j.resumed, Ineligible: j.ineligible,
+		FailedOn: j.failedOn, Avoid: j.avoid, Resumed: j.resumed, Ineligible: j.ineligible, Order: j.order,
 	}
 }
 
@@ -186,6 +187,6 @@
 	return &job{
 		Job: r.Job, seq: r.Seq, submitted: r.Submitted, started: r.Started, checkpointed: r.Checkpointed,
 		finished: r.Finished, phases: r.Phases, cause: stopCause(r.Cause), halt: r.Halt, deadline: r.Deadline,
-		failedOn: r.FailedOn, avoid: r.Avoid, resumed: r.Resumed, ineligible: r.Ineligible,
+		failedOn: r.FailedOn, avoid: r.Avoid, resumed: r.Resumed, ineligible: r.Ineligible, order: r.Order,
 	}
 }
