daemon/node: count the time to know backend servers from the start of serving

Cause: the readiness of the directory of backend servers counted from the start of the process. A start that took 3.5 s to open its logs on a busy disk was ready at once with an empty directory. Change: the time counts from when announcements are taken.

--- a/daemon/node/backends.go
+++ b/daemon/node/backends.go
@@ -28,8 +28,9 @@
 
 	mu       sync.Mutex
 	registry *registry.Registry
-	// told is when another host first sent what it knows; 0 until then.
-	told time.Duration
+	// opened is when the host began to take announcements, and told when another
+	// host first sent what it knows; 0 until then.
+	opened, told time.Duration
 }
 
 func newBackendDirectory(domain string, ttl time.Duration) *backendDirectory {
@@ -130,14 +131,21 @@
 	}
 }
 
-// settled reports whether a host that started at time 0 knows the backend
-// servers: another host has told it, or each of them has announced itself since.
+// open notes that the host takes announcements from now on.
+func (d *backendDirectory) open(now time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.opened = now
+}
+
+// settled reports whether a host knows the backend servers after its start:
+// another host has told it, or each of them has announced itself since.
 func (d *backendDirectory) settled(now time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	// Dispatchers take up what the directory knows at each refresh.
 	known := d.told > 0 && now-d.told >= 2*backendRefresh
-	return known || now >= d.ttl
+	return known || (d.opened > 0 && now-d.opened >= d.ttl)
 }
 
 func decodeBackend(e registry.Entry) (structs.Backend, bool) {
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -173,6 +173,7 @@
 		g.Start()
 	}
 	n.configChanged()
+	n.backends.open(n.now())
 	n.wg.Add(1)
 	go n.maintain()
 	return nil
