--- a/daemon/standin/executor.go
+++ b/daemon/standin/executor.go
@@ -46,6 +46,8 @@
 	MaxRunning      int
 	MaxConnections  int
 	OpenConnections int
+	// Accepted counts all connections so far.
+	Accepted int
 	// RunsByKey counts the executions of each request key.
 	RunsByKey map[string]int
 	// LastNew is when the last request arrived.
@@ -97,7 +99,7 @@
 		rng:      rand.New(rand.NewPCG(cfg.Seed, 1)),
 	}
 	e.stats.RunsByKey = map[string]int{}
-	e.server = &fasthttp.Server{Handler: e.handle, NoDefaultServerHeader: true, DisablePreParseMultipartForm: true, MaxRequestBodySize: 4 << 20}
+	e.server = &fasthttp.Server{Handler: e.handle, NoDefaultServerHeader: true, DisablePreParseMultipartForm: true, CloseOnShutdown: true, MaxRequestBodySize: 4 << 20}
 	e.wg.Add(2)
 	go func() { defer e.wg.Done(); _ = e.server.Serve(&trackedListener{listener, e.conns}) }()
 	go e.announceLoop()
@@ -114,7 +116,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	stats := e.stats
-	stats.OpenConnections, stats.MaxConnections = e.conns.counts()
+	stats.OpenConnections, stats.MaxConnections, stats.Accepted = e.conns.counts()
 	stats.RunsByKey = make(map[string]int, len(e.stats.RunsByKey))
 	for key, runs := range e.stats.RunsByKey {
 		stats.RunsByKey[key] = runs
@@ -168,7 +170,6 @@
 	for _, conn := range e.conns.all() {
 		_ = conn.Close()
 	}
-	e.server.CloseOnShutdown = true
 	done := make(chan struct{})
 	go func() { _ = e.server.Shutdown(); close(done) }()
 	select {
