--- a/daemon/standin/conns.go
+++ b/daemon/standin/conns.go
@@ -11,6 +11,8 @@
 	mu   sync.Mutex
 	open map[*trackedConn]struct{}
 	max  int
+	// accepted counts all connections so far.
+	accepted int
 }
 
 // trackedConn is a connection that an executor accepted.
@@ -35,6 +37,7 @@
 	tracked := &trackedConn{Conn: conn, table: t}
 	t.open[tracked] = struct{}{}
 	t.max = max(t.max, len(t.open))
+	t.accepted++
 	return tracked
 }
 
@@ -48,11 +51,12 @@
 	return conns
 }
 
-// counts returns how many connections are open and were open at most.
-func (t *connTable) counts() (open, highest int) {
+// counts returns how many connections are open, were open at most and were
+// accepted.
+func (t *connTable) counts() (open, highest, accepted int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.open), t.max
+	return len(t.open), t.max, t.accepted
 }
 
 // trackedListener adds what it accepts to a table.
--- a/daemon/upstream/limit.go
+++ b/daemon/upstream/limit.go
@@ -73,10 +73,10 @@
 	gone atomic.Bool
 }
 
-func newExecutorClients(address string, limit *connLimit) *executorClients {
+func (p *Pool) newClients(address string, limit *connLimit) *executorClients {
 	c := &executorClients{limit: limit}
-	c.kept = newClient(address, c.dialKept)
-	c.fresh = newClient(address, c.dialFresh)
+	c.kept = p.newClient(address, c.dialKept)
+	c.fresh = p.newClient(address, c.dialFresh)
 	return c
 }
 
--- a/daemon/upstream/pool.go
+++ b/daemon/upstream/pool.go
@@ -79,11 +79,18 @@
 	mu      sync.Mutex
 	clients map[string]*executorClients
 	limits  map[string]*connLimit
+	// maxAge and maxIdle bound how long a connection is kept.
+	maxAge, maxIdle time.Duration
 }
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{clients: map[string]*executorClients{}, limits: map[string]*connLimit{}}
+	return &Pool{
+		clients: map[string]*executorClients{},
+		limits:  map[string]*connLimit{},
+		maxAge:  maxConnectionAge,
+		maxIdle: maxConnectionIdle,
+	}
 }
 
 // Do sends one attempt and returns the whole answer, or an AttemptError.
@@ -166,7 +173,7 @@
 	}
 	clients := p.clients[a.Address]
 	if clients == nil {
-		clients = newExecutorClients(a.Address, limit)
+		clients = p.newClients(a.Address, limit)
 		p.clients[a.Address] = clients
 	}
 	if limit.resize(max(1, a.Connections)) {
@@ -175,13 +182,13 @@
 	return clients
 }
 
-func newClient(address string, dial fasthttp.DialFuncWithTimeout) *fasthttp.HostClient {
+func (p *Pool) newClient(address string, dial fasthttp.DialFuncWithTimeout) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
 		Addr: address,
 		// The dial function keeps the bound.
 		MaxConns:                      math.MaxInt32,
-		MaxConnDuration:               maxConnectionAge,
-		MaxIdleConnDuration:           maxConnectionIdle,
+		MaxConnDuration:               p.maxAge,
+		MaxIdleConnDuration:           p.maxIdle,
 		NoDefaultUserAgentHeader:      true,
 		DisableHeaderNamesNormalizing: false,
 		DialTimeout:                   dial,
--- a/daemon/upstream/pool_test.go
+++ b/daemon/upstream/pool_test.go
@@ -107,6 +107,27 @@
 		Eventually(func() int { return e.Stats().OpenConnections }, time.Second).Should(Equal(1))
 	})
 
+	It("replace connections after their age and close idle ones", func() {
+		// Guards against connections that something between the two ends has
+		// forgotten.
+		e := newExecutor()
+		aged := upstream.NewPoolWith(150*time.Millisecond, time.Minute)
+		DeferCleanup(aged.Close)
+		accepted := 0
+		for range 12 {
+			_, err := aged.Do(attempt(e.Address(), 50, nil))
+			Expect(err).NotTo(HaveOccurred())
+			accepted = e.Stats().Accepted
+		}
+		Expect(accepted).To(And(BeNumerically(">=", 3), BeNumerically("<=", 6)))
+		idle := upstream.NewPoolWith(time.Minute, 100*time.Millisecond)
+		DeferCleanup(idle.Close)
+		aged.Close()
+		_, err := idle.Do(attempt(e.Address(), 0, nil))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() int { return e.Stats().OpenConnections }, time.Second).Should(BeZero())
+	})
+
 	It("use a new connection when asked for, and none that is idle", func() {
 		e, p := newExecutor(), newPool()
 		_, err := p.Do(attempt(e.Address(), 0, nil))
