transport: bound the bodies of the calls that run on a host

Cause: each connection ran up to 4096 calls of up to 1 MiB, so that peers could make a host keep 4 GiB for each of them. Change: calls beyond 64 MiB of bodies on one host are answered as busy, which the caller sees as not sent.

--- a/daemon/transport/call_test.go
+++ b/daemon/transport/call_test.go
@@ -176,6 +176,24 @@
 		}
 	})
 
+	It("are refused when the bodies that the peer holds reach a bound", func() {
+		// Guards against 4096 bodies of 1 MiB for each connection in memory.
+		a, b := pair(nil, func(c *Config) { c.CallBytes = 1500 << 10 })
+		release := make(chan struct{})
+		b.handler.answer = func(string, []byte, time.Duration) ([]byte, error) {
+			<-release
+			return nil, nil
+		}
+		first, second := goCall(a, make([]byte, 700<<10), 3*time.Second), goCall(a, make([]byte, 700<<10), 3*time.Second)
+		Eventually(b.callBytes.Load, time.Second).Should(Equal(int64(1400 << 10)))
+		Expect(errorOf(goCall(a, make([]byte, 700<<10), time.Second))).To(beNotSent)
+		close(release)
+		Expect(errorOf(first)).To(Succeed())
+		Expect(errorOf(second)).To(Succeed())
+		Expect(errorOf(goCall(a, make([]byte, 700<<10), time.Second))).To(Succeed())
+		Eventually(b.callBytes.Load, time.Second).Should(BeZero())
+	})
+
 	It("are refused when the peer runs too many, as not sent", func() {
 		a, raw := rawPair(nil)
 		conn := raw.next()
--- a/daemon/transport/inbound.go
+++ b/daemon/transport/inbound.go
@@ -90,22 +90,41 @@
 }
 
 func (in *inbound) startCall(f *frame) {
-	select {
-	case in.calls <- struct{}{}:
-	default:
+	if !in.admitCall(f) {
 		in.reply(&frame{Kind: KindReply, ID: f.ID, Code: codeBusy})
 		return
 	}
 	in.t.calls.Add(1)
 	go func() {
 		defer in.t.calls.Done()
-		defer func() { <-in.calls }()
+		defer in.endCall(f)
 		remaining := time.Duration(f.RemainingMS) * time.Millisecond
 		body, err := in.t.handler.HandleCall(in.peer, f.Method, f.Body, remaining)
 		in.reply(replyFrame(f.ID, body, err))
 	}()
 }
 
+// admitCall reserves room for a call in the bounds of this connection and of
+// this host.
+func (in *inbound) admitCall(f *frame) bool {
+	if in.t.callBytes.Add(int64(len(f.Body))) > int64(in.t.cfg.CallBytes) {
+		in.t.callBytes.Add(-int64(len(f.Body)))
+		return false
+	}
+	select {
+	case in.calls <- struct{}{}:
+		return true
+	default:
+		in.t.callBytes.Add(-int64(len(f.Body)))
+		return false
+	}
+}
+
+func (in *inbound) endCall(f *frame) {
+	<-in.calls
+	in.t.callBytes.Add(-int64(len(f.Body)))
+}
+
 // replyFrame turns the result of a call into a reply. A refusal keeps its code
 // and outcome, so that the caller's host can report it unchanged.
 func replyFrame(id uint64, body []byte, err error) *frame {
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -50,8 +51,10 @@
 	// QueueBytes bounds the bodies of the calls, and apart from them those of
 	// the other messages, that wait for one peer.
 	QueueBytes int
-	Logger     logr.Logger
-	Observer   Observer
+	// CallBytes bounds the bodies of the calls that all peers run here.
+	CallBytes int
+	Logger    logr.Logger
+	Observer  Observer
 }
 
 // Defaults of the link between two hosts.
@@ -62,6 +65,7 @@
 	// DefaultQueueBytes takes 1.1 s at 30 Mbit/s, so that a call that fetches a
 	// configuration is answered within the 3 s in which it has to be in force.
 	DefaultQueueBytes = 4 << 20
+	DefaultCallBytes  = 64 << 20
 )
 
 const (
@@ -81,6 +85,8 @@
 	wg     sync.WaitGroup
 	// calls counts the calls of peers that a handler still answers.
 	calls sync.WaitGroup
+	// callBytes is the size of the bodies of those calls.
+	callBytes atomic.Int64
 
 	mu    sync.Mutex
 	peers map[string]*outbound
@@ -116,6 +122,9 @@
 	if cfg.QueueBytes <= 0 {
 		cfg.QueueBytes = DefaultQueueBytes
 	}
+	if cfg.CallBytes <= 0 {
+		cfg.CallBytes = DefaultCallBytes
+	}
 	if cfg.CheckPeer == nil {
 		cfg.CheckPeer = func(string, string) string { return "" }
 	}
