--- a/daemon/experiment/target/table.go
+++ b/daemon/experiment/target/table.go
@@ -49,7 +49,7 @@
 	note := strconv.Itoa(len(took)) + " samples"
 	last := len(took) - 1
 	r.add(bounded(name+", p50", "s", bound.Seconds(), took[last/2].Seconds(), note),
-		bounded(name+", p99", "s", bound.Seconds(), took[last*99/100].Seconds(), note),
+		bounded(name+", p99", "s", bound.Seconds(), took[(len(took)*99+99)/100-1].Seconds(), note),
 		bounded(name+", max", "s", bound.Seconds(), took[last].Seconds(), note))
 }
 
