Keep the controller of a failure domain while its leader lapses in a term

Cause: a stall of the group's goroutine, such as a slow sync, loses the leader lease for a moment; the owner then dropped its controller, built it again a few milliseconds later in the same term and woke all held renewals. Change: the controller is kept while the host leads in the same term; it is suspended, answers nothing, and on its return all worker leases are granted again, as after a pause. Another term, role or a restored state drops it.

--- a/daemon/node/domainowner.go
+++ b/daemon/node/domainowner.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-logr/logr"
 
+	"cranberrydrum.dev/coord/raft"
 	"cranberrydrum.dev/daemon/group"
 	"cranberrydrum.dev/daemon/metrics"
 	"cranberrydrum.dev/scheduler/domain"
@@ -37,7 +38,9 @@
 	metrics *metrics.Metrics
 	log     logr.Logger
 
-	controller   *jobs.Controller
+	controller *jobs.Controller
+	// suspended is set while this host leads but does not hold the leader lease.
+	suspended    bool
 	scheduler    *timedPlanner
 	term         uint64
 	nextTakeOver time.Duration
@@ -50,12 +53,13 @@
 // Step implements group.Owner.
 func (o *domainOwner) Step(now time.Duration, view group.View) [][]byte {
 	if !view.Lease || !view.Ready {
-		o.resign()
+		o.pause(view)
 		return nil
 	}
 	if o.controller == nil || o.term != view.Status.Term || view.Restored {
 		o.lead(now, view.Status.Term)
 	}
+	o.resume(now)
 	o.configure()
 	var commands [][]byte
 	for _, c := range o.controller.Tick(now) {
@@ -70,6 +74,30 @@
 	return append(commands, o.keyCommands(now)...)
 }
 
+// pause stops acting as the owner. The controller is kept while this host leads
+// in the same term, because no other leader can have changed the state. To
+// build it again takes milliseconds and makes all workers renew at once, and a
+// slow sync loses the leader lease for a moment several times a second.
+func (o *domainOwner) pause(view group.View) {
+	if o.term != view.Status.Term || view.Status.Role != raft.RoleLeader || view.Restored {
+		o.resign()
+		return
+	}
+	o.suspended = o.controller != nil
+}
+
+// resume goes on after a pause. Renewals were refused during it, so all leases
+// of workers are granted again.
+func (o *domainOwner) resume(now time.Duration) {
+	if o.suspended {
+		o.suspended = false
+		o.controller.Resume(now)
+	}
+}
+
+// acts reports whether this host acts as the owner.
+func (o *domainOwner) acts() bool { return o.controller != nil && !o.suspended }
+
 // watch returns a channel that is closed when the orders of a worker may have changed.
 func (o *domainOwner) watch(worker string) <-chan struct{} {
 	changed := o.watchers[worker]
@@ -97,6 +125,7 @@
 	cfg.Lease = o.lease
 	cfg.Margin = workerLeaseMargin
 	o.controller = jobs.NewController(cfg, o.state.Jobs(), now, term)
+	o.suspended = false
 	o.term = term
 	if o.watchers == nil {
 		o.watchers = map[string]chan struct{}{}
@@ -112,6 +141,7 @@
 		return
 	}
 	o.controller = nil
+	o.suspended = false
 	o.scheduler = nil
 	for worker, changed := range o.watchers {
 		delete(o.watchers, worker)
--- a/daemon/node/jobs.go
+++ b/daemon/node/jobs.go
@@ -88,7 +88,7 @@
 	}
 	var err error
 	ran := n.group(domainGroup(domainName)).Do(func(now time.Duration) {
-		if hosted.owner.controller == nil {
+		if !hosted.owner.acts() {
 			err = structs.NotRun(structs.CodeNotLeader, "this host does not own failure domain "+domainName)
 			return
 		}
--- a/scheduler/jobs/leases.go
+++ b/scheduler/jobs/leases.go
@@ -50,9 +50,16 @@
 func (c *Controller) noticePause(now time.Duration) {
 	paused := now-c.lastTick > maxTickGap
 	c.lastTick = now
-	if !paused {
-		return
+	if paused {
+		c.grantAll(now)
 	}
+}
+
+// Resume goes on after a time in which renewals were refused. The leader is in
+// the same term, so that only its leases need care.
+func (c *Controller) Resume(now time.Duration) { c.grantAll(now) }
+
+func (c *Controller) grantAll(now time.Duration) {
 	for _, id := range slices.Sorted(maps.Keys(c.leases)) {
 		if l := c.leases[id]; !l.declared {
 			c.grant(now, id, l.epoch)
