--- a/daemon/metrics/metrics.go
+++ b/daemon/metrics/metrics.go
@@ -62,7 +62,7 @@
 	m.dropped = m.counter("peer_frames_dropped_total", "Frames dropped, by reason.", "kind", "reason")
 	m.closed = m.counter("peer_connections_closed_total", "Connections to other hosts that ended, by reason.", "reason")
 	m.spillBytes = m.counter("region_link_bytes_total", "Bytes sent to other regions, by purpose.", "purpose")
-	m.fragmentation = m.gauges("fragmentation_ratio", "Share of free accelerators that the largest waiting gang cannot use.", "domain")
+	m.fragmentation = m.gauges("fragmentation_ratio", "Part of the largest gang that the free accelerators would allow in one rack, but that does not fit.", "domain")
 	m.leader = m.gauges("group_leader", "1 if this host leads the replicated log.", "group")
 	m.term = m.gauges("group_term", "Term of the replicated log.", "group")
 	m.queued = m.gauges("queue_length", "Requests waiting on this host.", "service", "class")
--- a/daemon/node/domainowner.go
+++ b/daemon/node/domainowner.go
@@ -189,6 +189,7 @@
 	if now >= o.nextExpire {
 		o.nextExpire = now + keyExpireInterval
 		o.publishKeys()
+		fragmentationOf(o, workersOf(o))
 		commands = o.appendCommand(commands)(domain.EncodeExpire(clock))
 	}
 	return commands
