--- a/coord/replica/cluster_test.go
+++ b/coord/replica/cluster_test.go
@@ -59,12 +59,11 @@
 	machine *machine
 	// replica is nil while the host is down.
 	replica *replica.Replica
-	paused  bool
-	inbox   []raft.Message
+	inbox   simnet.Inbox[raft.Message]
 	commit  uint64
 }
 
-// write is a proposal as its client sees it.
+// write is a proposal as its client sees it, or a read, which has no ticket.
 type write struct {
 	value      string
 	ticket     replica.Ticket
@@ -83,7 +82,7 @@
 	// sequence orders the calls and returns of clients.
 	sequence  int64
 	writes    []*write
-	reads     []readOp
+	reads     []write
 	leaders   map[uint64]string
 	committed map[uint64]record
 	broken    string
@@ -91,11 +90,6 @@
 	chunks    int
 }
 
-type readOp struct {
-	value      string
-	call, done int64
-}
-
 func newCluster(seed uint64, count int, tune func(*replica.Config)) *cluster {
 	c := &cluster{
 		seed: seed, net: simnet.New[raft.Message](seed, defaultConditions),
@@ -140,8 +134,7 @@
 
 func (c *cluster) start(h *host) {
 	h.machine = &machine{}
-	h.inbox = nil
-	h.paused = false
+	h.inbox.Resume()
 	r, err := replica.Open(h.config, h.store, h.machine)
 	if err != nil {
 		c.fail("host %s cannot restart: %v", h.id, err)
@@ -188,25 +181,20 @@
 }
 
 func (c *cluster) receive(h *host, m raft.Message) {
-	if h.paused {
-		h.inbox = append(h.inbox, m)
-		return
+	if !h.inbox.Hold(m) {
+		c.call(h, func(now time.Duration) (replica.Output, error) { return h.replica.Receive(now, m) })
 	}
-	c.call(h, func(now time.Duration) (replica.Output, error) { return h.replica.Receive(now, m) })
 }
 
 func (c *cluster) resume(h *host) {
-	h.paused = false
-	inbox := h.inbox
-	h.inbox = nil
-	for _, m := range inbox {
+	for _, m := range h.inbox.Resume() {
 		c.receive(h, m)
 	}
 }
 
 // call runs a method of a replica and handles its output.
 func (c *cluster) call(h *host, method func(time.Duration) (replica.Output, error)) error {
-	if h.replica == nil || h.paused {
+	if h.replica == nil || h.inbox.Paused() {
 		return replica.ErrClosed
 	}
 	out, err := method(h.clock.Read(c.now))
@@ -272,7 +260,7 @@
 		return false
 	}
 	c.sequence += 2
-	c.reads = append(c.reads, readOp{value: h.machine.register(), call: c.sequence - 1, done: c.sequence})
+	c.reads = append(c.reads, write{value: h.machine.register(), call: c.sequence - 1, done: c.sequence})
 	return true
 }
 
@@ -292,7 +280,7 @@
 	var best *host
 	for _, id := range c.ids {
 		h := c.hosts[id]
-		if h.replica == nil || h.paused || h.replica.Status().Role != raft.RoleLeader {
+		if h.replica == nil || h.inbox.Paused() || h.replica.Status().Role != raft.RoleLeader {
 			continue
 		}
 		if best == nil || h.replica.Status().Term > best.replica.Status().Term {
--- a/coord/replica/fuzz_test.go
+++ b/coord/replica/fuzz_test.go
@@ -21,12 +21,9 @@
 	flag.Parse()
 	given := map[string]bool{}
 	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	defaults := map[string]string{
-		"rapid.seed": "20261204", "rapid.checks": "60", "rapid.steps": "200", "rapid.nofailfile": "true",
-	}
-	for name, value := range defaults {
-		if !given[name] {
-			_ = flag.Set(name, value)
+	for name, value := range map[string]string{"seed": "20261204", "checks": "200", "steps": "200", "nofailfile": "true"} {
+		if !given["rapid."+name] {
+			_ = flag.Set("rapid."+name, value)
 		}
 	}
 	os.Exit(m.Run())
@@ -42,8 +39,9 @@
 
 // livenessLimit is the time within which a healed group commits a new write.
 // Restarted hosts refuse to vote for one election timeout, a host campaigns
-// after up to one and a half, and a transfer in progress may take another.
-const livenessLimit = 8 * electionTimeout
+// after up to one and a half, or two and a half with low priority, and a
+// transfer in progress may take another.
+const livenessLimit = 6 * electionTimeout
 
 type fuzzer struct{ *cluster }
 
@@ -81,20 +79,6 @@
 	return f.hosts[one(t, f.ids, "host")]
 }
 
-// pickWhere returns a host with a property, or nil if there is none.
-func (f fuzzer) pickWhere(t *rapid.T, property func(*host) bool) *host {
-	var found []string
-	for _, id := range f.ids {
-		if property(f.hosts[id]) {
-			found = append(found, id)
-		}
-	}
-	if len(found) == 0 {
-		return nil
-	}
-	return f.hosts[one(t, found, "host")]
-}
-
 // target picks the leader mostly, because few faults elsewhere matter.
 func (f fuzzer) target(t *rapid.T) *host {
 	if l := f.leader(); l != nil && one(t, []bool{true, true, false}, "leader") {
@@ -108,7 +92,7 @@
 func (f fuzzer) victim(t *rapid.T) *host {
 	failed := 0
 	for _, h := range f.hosts {
-		if h.replica == nil || h.paused {
+		if h.replica == nil || h.inbox.Paused() {
 			failed++
 		}
 	}
@@ -132,7 +116,7 @@
 		{2, f.partition},
 		{2, func(t *rapid.T) { f.net.Cut(f.target(t).id, f.pick(t).id) }},
 		{1, f.noise},
-		{2, f.onVictim(func(h *host) { h.paused = true })},
+		{2, f.onVictim(func(h *host) { h.inbox.Pause() })},
 		{2, f.onVictim(f.crash)},
 		{2, f.onVictim(func(h *host) { h.store.LosePower() })},
 		{1, func(t *rapid.T) { _ = f.transfer(f.target(t), f.pick(t).id) }},
@@ -153,14 +137,17 @@
 	}, "span"))
 }
 
-// recover resumes a paused host or restarts a crashed one.
+// recover resumes paused hosts and restarts crashed ones.
 func (f fuzzer) recover(t *rapid.T) {
-	h := f.pickWhere(t, func(h *host) bool { return h.paused || h.replica == nil })
-	switch {
-	case h == nil:
-	case h.replica == nil:
-		f.start(h)
-	default:
+	for _, id := range f.ids {
+		h := f.hosts[id]
+		failed := h.inbox.Paused() || h.replica == nil
+		if !failed || !one(t, []bool{true, false}, "recover") {
+			continue
+		}
+		if h.replica == nil {
+			f.start(h)
+		}
 		f.resume(h)
 	}
 }
@@ -262,6 +249,9 @@
 	return lines
 }
 
+// TestFaults drives replicas through random faults. It hardly notices a missing
+// protection of a lease by a restarted follower, by one in a newer term or from
+// late replies, nor votes that are not stored; examples test these.
 func TestFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
--- a/daemon/node/service.go
+++ b/daemon/node/service.go
@@ -48,8 +48,9 @@
 	refreshed  time.Duration
 	nextID     uint64
 
-	mu       sync.Mutex
-	snapshot serving.Snapshot
+	mu        sync.Mutex
+	snapshot  serving.Snapshot
+	published serviceStatus
 }
 
 // pendingRequest is a request whose final effect is still to come.
@@ -176,6 +177,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.snapshot = s.dispatcher.Snapshot()
+	s.published = s.load(s.snapshot)
+}
+
+// currentLoad returns the load for other hosts as of the last publication.
+func (s *service) currentLoad() serviceStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.published
 }
 
 func (s *service) status() serving.Snapshot {
--- a/daemon/standin/worker.go
+++ b/daemon/standin/worker.go
@@ -47,12 +47,18 @@
 	done    chan struct{}
 	seq     uint64
 	sent    []byte
-	tasks   map[agent.StopTask]*workerTask
+	tasks   map[runID]*workerTask
 
 	mu     sync.Mutex
 	frozen chan struct{}
 }
 
+// runID identifies the task of one run of a job.
+type runID struct {
+	job string
+	run uint64
+}
+
 type workerTask struct {
 	started time.Time
 	resumed time.Duration
@@ -84,7 +90,7 @@
 		freezes: make(chan struct{}, 1),
 		stop:    make(chan struct{}),
 		done:    make(chan struct{}),
-		tasks:   map[agent.StopTask]*workerTask{},
+		tasks:   map[runID]*workerTask{},
 	}
 	go w.run()
 	return w
@@ -181,7 +187,7 @@
 func (w *Worker) suspend() []TaskStart {
 	var suspended []TaskStart
 	for id := range w.tasks {
-		if s, ok := w.cfg.Log.ended(w.cfg.Worker.ID, id.Job, id.Run); ok {
+		if s, ok := w.cfg.Log.ended(w.cfg.Worker.ID, id.job, id.run); ok {
 			suspended = append(suspended, s)
 		}
 	}
@@ -191,7 +197,7 @@
 // resume puts back the tasks that the agent did not stop on waking.
 func (w *Worker) resume(suspended []TaskStart) {
 	for _, s := range suspended {
-		if w.tasks[agent.StopTask{Job: s.Job, Run: s.Run}] != nil {
+		if w.tasks[runID{s.Job, s.Run}] != nil {
 			w.cfg.Log.started(s)
 		}
 	}
@@ -248,7 +254,7 @@
 
 func (w *Worker) step(event agent.Event) {
 	if exited, ok := event.(agent.TaskExited); ok {
-		w.end(agent.StopTask{Job: exited.Job, Run: exited.Run})
+		w.end(runID{exited.Job, exited.Run})
 	}
 	for _, effect := range w.agent.Step(w.now(), event) {
 		switch e := effect.(type) {
@@ -263,7 +269,7 @@
 }
 
 func (w *Worker) startTask(e agent.StartTask) {
-	id := agent.StopTask{Job: e.Job, Run: e.Run}
+	id := runID{e.Job, e.Run}
 	task := &workerTask{started: time.Now(), resumed: w.cfg.Log.resumeFrom(e.Job)}
 	w.tasks[id] = task
 	w.cfg.Log.started(TaskStart{Worker: w.cfg.Worker.ID, Job: e.Job, Run: e.Run, Accelerators: e.Accelerators, At: task.started})
@@ -287,26 +293,27 @@
 }
 
 func (w *Worker) stopTask(e agent.StopTask) {
-	task := w.tasks[e]
+	id := runID{e.Job, e.Run}
+	task := w.tasks[id]
 	if task == nil {
 		return
 	}
 	task.timer.Stop()
-	w.end(e)
+	w.end(id)
 	// Posted from another goroutine: this one drains the events.
 	go w.post(agent.TaskExited{Job: e.Job, Run: e.Run, Failed: true, Error: "stopped"})
 }
 
-func (w *Worker) end(id agent.StopTask) {
+func (w *Worker) end(id runID) {
 	if task := w.tasks[id]; task != nil {
 		task.ended.Store(true)
 	}
 	delete(w.tasks, id)
-	w.cfg.Log.ended(w.cfg.Worker.ID, id.Job, id.Run)
+	w.cfg.Log.ended(w.cfg.Worker.ID, id.job, id.run)
 }
 
 func (w *Worker) checkpointTask(e agent.CheckpointTask) {
-	task := w.tasks[agent.StopTask(e)]
+	task := w.tasks[runID{e.Job, e.Run}]
 	if task == nil {
 		return
 	}
@@ -322,6 +329,6 @@
 func (w *Worker) endAll() {
 	for id, task := range w.tasks {
 		task.timer.Stop()
-		w.cfg.Log.ended(w.cfg.Worker.ID, id.Job, id.Run)
+		w.cfg.Log.ended(w.cfg.Worker.ID, id.job, id.run)
 	}
 }
--- a/scheduler/experiment/placement/run_test.go
+++ b/scheduler/experiment/placement/run_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,8 +17,10 @@
 }
 
 var _ = Describe("the experiment", func() {
+	// Guards against an experiment that differs between runs, and against one in
+	// which no customer asks for a free guarantee or no policy can violate it.
 	It("is deterministic and keeps the guarantees with the scheduler only", func() {
-		o := Options{Size: SizeRemada, Length: 12 * time.Hour, Seed: 5}
+		o := Options{Size: SizeRemada, Length: 24 * time.Hour, Seed: 1}
 		table := Run(o)
 		Expect(Run(o).CSV()).To(Equal(table.CSV()))
 		scheduler := table.Rows[0]
@@ -25,18 +29,29 @@
 		Expect(scheduler.Unfinished).To(BeZero())
 		Expect(scheduler.Probes).To(BeNumerically(">", 0))
 		Expect(scheduler.UrgentMax).To(BeNumerically("<=", 2500*time.Millisecond))
+		Expect(table.Rows[1].Violations).To(BeNumerically(">", 0))
 		Expect(scheduler.Refused).To(BeNumerically(">", 0))
 	})
 })
 
-// TestTables prints the tables of the sizes named in PLACEMENT_SIZES.
+// TestTables prints the tables of the sizes in PLACEMENT_SIZES, optionally for
+// the policies in PLACEMENT_POLICIES, a PLACEMENT_LENGTH and a PLACEMENT_SEED.
 func TestTables(t *testing.T) {
 	if os.Getenv("PLACEMENT_SIZES") == "" {
 		t.Skip("PLACEMENT_SIZES is not set")
 	}
-	for _, size := range []Size{SizeKorbfrisch, SizeRemada, SizeTarget} {
+	o := Options{Seed: 1}
+	for _, name := range strings.Fields(os.Getenv("PLACEMENT_POLICIES")) {
+		o.Policies = append(o.Policies, Policy(name))
+	}
+	o.Length, _ = time.ParseDuration(os.Getenv("PLACEMENT_LENGTH"))
+	if seed, err := strconv.ParseUint(os.Getenv("PLACEMENT_SEED"), 10, 64); err == nil {
+		o.Seed = seed
+	}
+	for _, size := range strings.Fields(os.Getenv("PLACEMENT_SIZES")) {
+		o.Size = Size(size)
 		begin := time.Now()
-		table := Run(Options{Size: size, Seed: 1})
-		t.Logf("%s in %v\n%s", size, time.Since(begin), table)
+		table := Run(o)
+		t.Logf("%s seed %d in %v\n%s", size, o.Seed, time.Since(begin), table)
 	}
 }
--- a/scheduler/experiment/serving/experiment_test.go
+++ b/scheduler/experiment/serving/experiment_test.go
@@ -1,7 +1,9 @@
 package serving_test
 
 import (
+	"fmt"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -19,30 +21,48 @@
 func TestCrest(t *testing.T) {
 	var variants []experiment.Variant
 	for _, v := range experiment.AllVariants() {
-		if v.Dispatching == experiment.DispatchCranberrydrum || v.Fault == experiment.FaultNone {
+		// Leaves out what repeats another variant or switches off a rule.
+		if v.Label == "even" || v.Label == "policy balanced" || v.NoSizeSeparation {
+			continue
+		}
+		if v.Dispatching == experiment.DispatchCranberrydrum || (v.Fault == experiment.FaultNone && v.Shape == "korbfrisch") {
 			variants = append(variants, v)
 		}
 	}
-	table := experiment.Run(small(variants))
-	for i, row := range table.Rows {
-		if row.Wrong+row.Lost > 0 {
-			t.Errorf("%s: %d wrong and %d lost answers", row.Name, row.Wrong, row.Lost)
-		}
-		if variants[i].Dispatching != experiment.DispatchCranberrydrum {
-			if row.CrestInDeadline > 0.7 {
-				t.Errorf("%s is not a crest for a baseline: %.3f", row.Name, row.CrestInDeadline)
-			}
-			continue
-		}
-		if row.Doubled+row.FalseNotRun > 0 {
-			t.Errorf("%s: %d doubled, %d falsely refused as not run", row.Name, row.Doubled, row.FalseNotRun)
+	for _, v := range variants {
+		t.Run(fmt.Sprintf("%+v", v), func(t *testing.T) {
+			t.Parallel()
+			checkRow(t, v, experiment.Run(small([]experiment.Variant{v})).Rows[0])
+		})
+	}
+}
+
+func checkRow(t *testing.T, v experiment.Variant, row experiment.Row) {
+	defer func() {
+		if t.Failed() {
+			t.Logf("%+v", row)
 		}
-		if variants[i].Sharing != experiment.ShareOptimistic && row.CrestInDeadline < 0.99 {
-			t.Errorf("%s: only %.3f of the urgent requests of the crest in time", row.Name, row.CrestInDeadline)
+	}()
+	if row.Wrong+row.Lost > 0 {
+		t.Errorf("%d wrong and %d lost answers", row.Wrong, row.Lost)
+	}
+	if v.Dispatching != experiment.DispatchCranberrydrum {
+		if row.CrestInDeadline > 0.7 {
+			t.Errorf("not a crest for a baseline: %.3f", row.CrestInDeadline)
 		}
+		return
+	}
+	if row.Doubled+row.FalseNotRun > 0 {
+		t.Errorf("%d doubled, %d falsely refused as not run", row.Doubled, row.FalseNotRun)
 	}
-	if t.Failed() {
-		t.Log("\n" + table.String())
+	if v.Sharing == experiment.ShareOptimistic {
+		return
+	}
+	if row.MaxLive > 8 {
+		t.Errorf("%d attempts on an executor with 8 slots", row.MaxLive)
+	}
+	if row.CrestInDeadline < 0.99 {
+		t.Errorf("only %.3f of the urgent requests of the crest in time", row.CrestInDeadline)
 	}
 }
 
@@ -55,11 +75,16 @@
 	}
 }
 
-// TestTable prints the whole table when CRANBERRYDRUM_EXPERIMENT is set.
+// TestTable prints the whole table when CRANBERRYDRUM_EXPERIMENT is set, to
+// the number of seeds.
 func TestTable(t *testing.T) {
 	if os.Getenv("CRANBERRYDRUM_EXPERIMENT") == "" {
 		t.Skip("set CRANBERRYDRUM_EXPERIMENT to run all variants")
 	}
-	table := experiment.Run(experiment.DefaultOptions())
+	options := experiment.DefaultOptions()
+	if repeat, err := strconv.Atoi(os.Getenv("CRANBERRYDRUM_EXPERIMENT")); err == nil {
+		options.Repeat = repeat
+	}
+	table := experiment.Run(options)
 	t.Log("\n" + table.String())
 }
--- a/scheduler/jobs/job.go
+++ b/scheduler/jobs/job.go
@@ -23,8 +23,10 @@
 	seq uint64
 
 	// Domain clock of the events of the job.
-	submitted    time.Duration
-	started      time.Duration
+	submitted time.Duration
+	started   time.Duration
+	// order is the log index of the reservation of the run.
+	order        uint64
 	checkpointed time.Duration
 	finished     time.Duration
 
@@ -159,6 +161,10 @@
 	j.phases, j.avoid = nil, nil
 	j.cause, j.halt, j.deadline = 0, false, 0
 	s.terminal = append(s.terminal, j)
+	s.open[j.Spec.Customer]--
+	if s.open[j.Spec.Customer] == 0 {
+		delete(s.open, j.Spec.Customer)
+	}
 }
 
 // reserve hands the planned accelerators to a job.
@@ -170,6 +176,7 @@
 	j.phases = make([]structs.TaskPhase, len(members))
 	j.live = len(members)
 	j.started, j.Reason = s.clock, ""
+	j.order = s.index
 	s.hold(j)
 }
 
--- a/scheduler/jobs/round.go
+++ b/scheduler/jobs/round.go
@@ -53,6 +53,11 @@
 		c.workerChanged(now, w.ID)
 	}
 	for _, j := range c.state.sortedJobs() {
+		if j.Status.Terminal() {
+			c.dropJob(j.ID)
+			c.learn(j)
+			continue
+		}
 		c.jobChanged(now, j.ID)
 	}
 	c.dirty = true
@@ -106,12 +111,19 @@
 		c.planner.SetQueued(c.queuedView(j))
 		return
 	}
+	c.dropJob(id)
+	if j != nil && j.Status.Terminal() {
+		c.jobOutcome(c.Clock(now), j)
+		c.learn(j)
+	}
+}
+
+// dropJob forgets a job that is neither to be planned nor active.
+func (c *Controller) dropJob(id string) {
+	delete(c.gangs, id)
 	delete(c.queued, id)
 	delete(c.waiting, id)
 	c.planner.Remove(id)
-	if j != nil && j.Status.Terminal() {
-		c.jobEnded(now, j)
-	}
 }
 
 // queuedView returns what the planner needs about a queued job.
@@ -124,23 +136,26 @@
 
 // running returns what the planner needs about an active job.
 func (c *Controller) running(j *job) placement.Running {
-	return placement.Running{
-		ID: j.ID, Spec: j.Spec, Members: cloneMembers(j.Members),
+	r := placement.Running{
+		ID: j.ID, Spec: j.Spec, Members: cloneMembers(j.Members), Order: j.order,
 		Started: j.started, Checkpointed: j.checkpointed,
 		Estimate: c.estimates.estimate(j.Spec), Stopping: j.Status == structs.JobStopping,
 	}
+	if j.Status == structs.JobReserved {
+		r.Started = 0
+	}
+	if j.Status == structs.JobStopping && !j.halt {
+		r.StopBy = j.deadline
+	}
+	return r
 }
 
-// jobEnded learns from a terminal job.
-func (c *Controller) jobEnded(now time.Duration, j *job) {
-	c.keeper.Ended(c.Clock(now), j.ID, j.Status == structs.JobFailed)
-	if j.Status != structs.JobSucceeded {
+// learn takes the run time of a job that succeeded in one piece.
+func (c *Controller) learn(j *job) {
+	if j.Status != structs.JobSucceeded || j.resumed {
 		return
 	}
-	for _, m := range j.Members {
-		c.keeper.Succeeded(c.Clock(now), m.Worker, j.ID, j.started)
-	}
-	if !j.resumed && c.estimates.add(j.Spec, j.finished-j.started) {
+	if c.estimates.add(j.Spec, j.finished-j.started) {
 		c.refreshEstimates(j.Spec.Customer)
 	}
 }
@@ -188,6 +203,10 @@
 	}
 }
 
+// maxPlanMembers bounds the members in one command, so that it fits a frame of
+// 1 MiB at about 35 bytes a member. The rest is planned again.
+const maxPlanMembers = 8192
+
 // logged turns a plan into the command that carries it.
 func (c *Controller) logged(plan placement.Plan) *ApplyPlan {
 	body := &ApplyPlan{}
@@ -198,7 +217,13 @@
 			})
 		}
 	}
+	members := 0
 	for _, st := range plan.Starts {
+		members += len(st.Members)
+		if members > maxPlanMembers && len(body.Starts) > 0 {
+			c.dirty = true
+			break
+		}
 		if j := c.state.jobs[st.Job]; j != nil {
 			body.Starts = append(body.Starts, PlannedStart{Job: st.Job, Run: j.Run, Members: st.Members})
 		}
--- a/scheduler/placement/phases.go
+++ b/scheduler/placement/phases.go
@@ -178,7 +178,7 @@
 	if len(candidates) == 0 {
 		return false
 	}
-	r.makeRoom(j, candidates[0].place(), r.s.cfg.UrgentGrace)
+	r.use(j, &candidates[0], r.s.cfg.UrgentGrace)
 	return true
 }
 
@@ -190,7 +190,7 @@
 		c.resetCursors()
 	}
 	for _, c := range waiting {
-		c.turn.bucket, c.turn.job = r.next(c, nil)
+		r.takeTurn(c)
 	}
 	for !r.done() {
 		c := r.nextFair(waiting)
@@ -200,7 +200,15 @@
 		if !r.never(c.turn.job) {
 			r.serveFair(c, c.turn.bucket, c.turn.job)
 		}
-		c.turn.bucket, c.turn.job = r.next(c, nil)
+		r.takeTurn(c)
+	}
+}
+
+// takeTurn finds the job that a customer would run next.
+func (r *round) takeTurn(c *customer) {
+	c.turn.bucket, c.turn.job = r.next(c, nil)
+	if c.turn.job != nil {
+		c.turn.level = r.level(c.turn.job)
 	}
 }
 
@@ -213,7 +221,7 @@
 		if c.blocked || c.turn.job == nil {
 			continue
 		}
-		l := r.level(c.turn.job)
+		l := c.turn.level
 		if first == nil || l > level || (l == level && c.less(first)) {
 			first, level = c, l
 		}
@@ -236,6 +244,7 @@
 		return
 	}
 	if r.starving(j) && b.tried == 0 && r.reserve(j) {
+		r.waitReserved(&r.reservations[len(r.reservations)-1])
 		return
 	}
 	if parts := r.backfill(j); parts != nil {
@@ -245,7 +254,7 @@
 	if b.tried == 0 {
 		r.wait(j, WaitNoRoom)
 	}
-	if len(r.held) > 0 {
+	if len(r.held) > 0 && j.estimate > 0 && !r.backfillFull[b.size] {
 		r.skip(b)
 		return
 	}
@@ -254,7 +263,7 @@
 
 // starving reports whether a job has waited so long that it gets a
 // reservation. The policy shortens the wait if completion time matters more
-// and lengthens it if service at the crest does.
+// and lengthens it if service at peak demand does.
 func (r *round) starving(j *job) bool {
 	p := r.s.rules.Policy
 	factor := min(max(1+p.Crest-p.Completion, 0.25), 2)
--- a/scheduler/placement/reclaim.go
+++ b/scheduler/placement/reclaim.go
@@ -54,6 +54,9 @@
 		r.start(j, parts)
 		return true
 	}
+	if !withVictims && !r.leavers {
+		return false
+	}
 	grace := r.s.cfg.ReclaimGrace
 	if j.spec.Priority >= structs.PriorityUrgent {
 		grace = r.s.cfg.UrgentGrace
@@ -78,16 +81,21 @@
 			continue
 		}
 		j.customer.roundInside += j.spec.Accelerators
-		if c.state == startable {
-			r.start(j, c.place())
-		} else {
-			r.makeRoom(j, c.place(), grace)
-		}
+		r.use(j, c, grace)
 		return true
 	}
 	return false
 }
 
+// use starts a job on a candidate's place or makes room there.
+func (r *round) use(j *job, c *candidate, grace time.Duration) {
+	if c.state == startable {
+		r.start(j, c.place())
+		return
+	}
+	r.makeRoom(j, c.place(), grace)
+}
+
 // findClaimable looks for available accelerators, in the blocks that the
 // customer has bound already and then where an open slot could be bound.
 func (r *round) findClaimable(j *job) []guarantee.Part {
@@ -104,24 +112,41 @@
 	if !r.s.ledger.MayHold(c.account, j.spec.Accelerators) {
 		return nil
 	}
-	look := r.freeView(j, c.account)
-	level := r.s.ledger.SlotFor(c.account, j.spec.Accelerators)
+	if parts := r.findBindable(j, true); parts != nil {
+		return parts
+	}
+	return r.findBindable(j, false)
+}
+
+// findBindable looks for available accelerators in blocks that the smallest
+// open slot can bind. Idle blocks come first: jobs of others inside a block are
+// stopped as soon as the customer needs the rest of it.
+func (r *round) findBindable(j *job, idle bool) []guarantee.Part {
+	account := j.customer.account
+	look := r.freeView(j, account)
+	level := r.s.ledger.SlotFor(account, j.spec.Accelerators)
 	return r.find(j.spec.Accelerators, func(at int, w *worker) guarantee.Mask {
 		room := look(at, w)
 		if room == 0 {
 			return 0
 		}
-		return room & r.s.ledger.Bindable(c.account, at, level)
+		block := room
+		if !idle {
+			block = w.usable &^ r.s.ledger.Foreign(account, at)
+		}
+		return room & r.s.ledger.Bindable(account, at, level, block)
 	})
 }
 
 // mayStop reports whether a job may be stopped for a requester: jobs that stop
-// already, and jobs outside their guarantee. An urgent job outside its own
+// already (for an urgent requester those that stop in time), and jobs outside
+// their guarantee. An urgent job outside its own
 // guarantee spares other urgent jobs, and a customer's job is stopped for
 // another of the same customer only if it is less important.
 func (r *round) mayStop(requester, victim *job, account int) bool {
 	if r.leaving(victim) {
-		return true
+		urgent := requester.spec.Priority >= structs.PriorityUrgent
+		return !urgent || r.stopBy(victim) <= r.now+r.s.cfg.UrgentGrace
 	}
 	if victim.inside {
 		return false
@@ -135,14 +160,21 @@
 // reclaimView returns the accelerators that are free or held by jobs that may
 // be stopped.
 func (r *round) reclaimView(j *job, account int) view {
+	// Without jobs of its own outside the guarantee, a customer's guaranteed job
+	// may stop all jobs outside a guarantee.
+	c := j.customer
+	anyVictim := account != noAccount && c.held == c.inside && j.spec.Priority < structs.PriorityUrgent
 	ownedOnly := account != noAccount && !r.s.ledger.MayHold(account, j.spec.Accelerators)
 	return func(at int, w *worker) guarantee.Mask {
 		if j.avoids(w) {
 			return 0
 		}
-		room := w.usable &^ w.taken
+		room := w.usable &^ (w.taken | w.fixed)
 		for _, o := range w.jobs {
-			if !r.mayStop(j, o.job, account) {
+			if room == 0 {
+				return 0
+			}
+			if !anyVictim && !r.mayStop(j, o.job, account) {
 				room &^= o.mask
 			}
 		}
--- a/scheduler/placement/reserve.go
+++ b/scheduler/placement/reserve.go
@@ -1,17 +1,23 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"math/bits"
 	"slices"
 	"time"
 
 	"cranberrydrum.dev/scheduler/guarantee"
+	"cranberrydrum.dev/scheduler/structs"
 )
 
-// overrunSlack is the assumed remaining time of a job that runs longer than
-// estimated.
-const overrunSlack = time.Minute
+// A job that runs longer than estimated is expected to run for a further share
+// of its elapsed time, because run times are heavy-tailed. With a fixed short
+// rest, reservations would settle where stragglers run.
+const (
+	overrunShare = 2
+	overrunSlack = time.Minute
+)
 
 // unknownEnd is the expected end of a job without an estimate.
 const unknownEnd = time.Duration(math.MaxInt64)
@@ -20,11 +26,15 @@
 func (r *round) expectedEnd(j *job) time.Duration {
 	switch {
 	case r.leaving(j):
-		return r.now + r.s.cfg.ReclaimGrace
+		return max(r.stopBy(j), r.now+overrunSlack)
 	case j.estimate <= 0:
 		return unknownEnd
+	case j.started == 0: // reserved and not started yet
+		return r.now + j.estimate
+	case j.started+j.estimate > r.now:
+		return j.started + j.estimate
 	default:
-		return max(j.started+j.estimate, r.now+overrunSlack)
+		return r.now + max((r.now-j.started)/overrunShare, overrunSlack)
 	}
 }
 
@@ -39,11 +49,22 @@
 	return at
 }
 
+// wholeAt returns when a whole worker is expected to be free. The value of a
+// round is kept, because each reservation looks at all racks; it ignores
+// victims chosen later in the round.
+func (r *round) wholeAt(w *worker) time.Duration {
+	if w.wholeStamp != r.s.stamp {
+		w.wholeStamp = r.s.stamp
+		w.wholeAt = r.freeAt(w, guarantee.FullMask(r.s.perWorker))
+	}
+	return w.wholeAt
+}
+
 // reserve holds the accelerators that are expected to be free first for a
 // starving gang.
 func (r *round) reserve(j *job) bool {
 	n := j.spec.Accelerators
-	if r.reservations >= r.s.cfg.MaxReservations || r.unreservable[n] {
+	if len(r.reservations) >= r.s.cfg.MaxReservations || r.unreservable[n] {
 		return false
 	}
 	parts, start := r.earliest(j)
@@ -51,7 +72,6 @@
 		r.unreservable[n] = len(j.avoid) == 0
 		return false
 	}
-	r.reservations++
 	for _, p := range parts {
 		w := r.touch(p.Worker)
 		if w.hold == 0 {
@@ -61,8 +81,86 @@
 		w.holdUntil = min(w.holdUntil, start)
 		r.s.recount(w, func() { w.hold |= p.Mask })
 	}
-	r.wait(j, WaitReserved)
-	r.plan.Waiting[len(r.plan.Waiting)-1].ExpectedStart = start
+	clear(r.backfillFull)
+	r.reservations = append(r.reservations, reservation{job: j, parts: parts, start: start})
+	return true
+}
+
+// reservation holds accelerators for a starving gang until the end of a round.
+type reservation struct {
+	job   *job
+	parts []guarantee.Part
+	start time.Duration
+}
+
+// waitReserved reports a reservation.
+func (r *round) waitReserved(v *reservation) {
+	r.wait(v.job, WaitReserved)
+	r.plan.Waiting[len(r.plan.Waiting)-1].ExpectedStart = v.start
+}
+
+// reserveGangs reserves for the oldest starving gangs of several workers before
+// guaranteed and urgent jobs are placed. Those use reserved accelerators only
+// if no others are free, so a rack can drain, and they still never preempt
+// while something is free.
+func (r *round) reserveGangs() {
+	var gangs []*job
+	for _, c := range r.s.names {
+		for _, b := range c.buckets {
+			if b.size < 2*r.s.perWorker || b.priority >= structs.PriorityUrgent {
+				continue
+			}
+			for _, j := range b.jobs[:min(len(b.jobs), r.s.cfg.MaxReservations)] {
+				if r.starving(j) && r.mayReserve(j) {
+					gangs = append(gangs, j)
+				}
+			}
+		}
+	}
+	slices.SortFunc(gangs, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(r.level(b), r.level(a)), compareQueued(a, b))
+	})
+	for _, j := range gangs {
+		if r.reserve(j) {
+			j.stamp = r.s.stamp
+		}
+	}
+}
+
+// mayReserve reports whether neither the quota nor the guarantee of its
+// customer decides on a gang.
+func (r *round) mayReserve(j *job) bool {
+	c, n := j.customer, j.spec.Accelerators
+	if neverRunnable(r.s.capacity, c.quota, n) != nil || !c.fits(n) {
+		return false
+	}
+	return c.account == noAccount || !r.entitled(c, n)
+}
+
+// settleReservations starts the gangs whose reserved accelerators are all free.
+func (r *round) settleReservations() {
+	for i := range r.reservations {
+		v := &r.reservations[i]
+		if !v.job.customer.fits(v.job.spec.Accelerators) || !r.isFree(v.parts) {
+			r.waitReserved(v)
+			continue
+		}
+		for _, p := range v.parts {
+			w := &r.s.workers[p.Worker]
+			r.s.recount(w, func() { w.hold &^= p.Mask })
+		}
+		r.start(v.job, v.parts)
+	}
+}
+
+// isFree reports whether nothing occupies some accelerators.
+func (r *round) isFree(parts []guarantee.Part) bool {
+	for _, p := range parts {
+		w := &r.s.workers[p.Worker]
+		if p.Mask&^w.free != 0 || p.Mask&w.taken != 0 {
+			return false
+		}
+	}
 	return true
 }
 
@@ -118,13 +216,12 @@
 // earliest first.
 func (r *round) openings(j *job, k *rack) []opening {
 	var list []opening
-	full := guarantee.FullMask(r.s.perWorker)
 	for _, at := range k.workers {
 		w := &r.s.workers[at]
 		if !r.s.isWhole(r.reservable(j, w)) {
 			continue
 		}
-		if free := r.freeAt(w, full); free < unknownEnd {
+		if free := r.wholeAt(w); free < unknownEnd {
 			list = append(list, opening{at, free})
 		}
 	}
@@ -146,17 +243,37 @@
 func (r *round) earliestRack(j *job, n int) ([]guarantee.Part, time.Duration) {
 	needed := (n + r.s.perWorker - 1) / r.s.perWorker
 	var best []opening
-	bestAt := unknownEnd
+	bestScore := unknownEnd
 	for i := range r.s.racks {
 		if r.s.racks[i].healthy < needed {
 			continue
 		}
 		list := r.openings(j, &r.s.racks[i])
-		if len(list) >= needed && list[needed-1].at < bestAt {
-			best, bestAt = list[:needed], list[needed-1].at
+		if len(list) < needed {
+			continue
+		}
+		if score := r.drainScore(list[:needed]); score < bestScore {
+			best, bestScore = list[:needed], score
 		}
 	}
-	return r.partsOf(best), bestAt
+	if best == nil {
+		return nil, unknownEnd
+	}
+	return r.partsOf(best), best[needed-1].at
+}
+
+// drainScore rates a rack for a reservation: the expected wait times the share
+// of workers that are still busy. The share keeps a reservation on a rack that
+// is already draining; by the expected end alone, which is often wrong, it
+// would move on each time an estimate changes and lose the idle workers.
+func (r *round) drainScore(list []opening) time.Duration {
+	busy := 0
+	for _, o := range list {
+		if o.at > r.now {
+			busy++
+		}
+	}
+	return (list[len(list)-1].at - r.now) / time.Duration(len(list)) * time.Duration(busy)
 }
 
 // earliestWide takes the workers of all racks that are free first.
@@ -190,20 +307,47 @@
 	if r.full[n] {
 		return nil
 	}
-	parts := r.findFree(j, noAccount)
+	parts := r.findUnbound(j)
+	if parts == nil {
+		parts = r.findFree(j, noAccount)
+	}
 	if parts == nil && len(j.avoid) == 0 {
 		r.full[n] = true
 	}
 	return parts
 }
 
+// findUnbound looks for available accelerators outside all guaranteed blocks,
+// where the job is less likely to be preempted.
+func (r *round) findUnbound(j *job) []guarantee.Part {
+	look := r.freeView(j, noAccount)
+	return r.find(j.spec.Accelerators, func(at int, w *worker) guarantee.Mask {
+		room := look(at, w)
+		if room == 0 {
+			return 0
+		}
+		return room &^ r.s.ledger.BoundMask(at)
+	})
+}
+
 // backfill looks for reserved accelerators that are free now, if the job is
 // expected to end before the reservation starts.
 func (r *round) backfill(j *job) []guarantee.Part {
-	if len(r.held) == 0 || j.estimate <= 0 {
+	n := j.spec.Accelerators
+	if len(r.held) == 0 || j.estimate <= 0 || r.backfillFull[n] {
 		return nil
 	}
-	end := r.now + j.estimate
+	if parts := r.backfillBy(j, r.now+j.estimate); parts != nil {
+		return parts
+	}
+	if len(j.avoid) == 0 && r.backfillBy(j, r.now) == nil {
+		r.backfillFull[n] = true
+	}
+	return nil
+}
+
+// backfillBy looks for reserved accelerators for a job that ends at a time.
+func (r *round) backfillBy(j *job, end time.Duration) []guarantee.Part {
 	look := func(_ int, w *worker) guarantee.Mask {
 		if j.avoids(w) {
 			return 0
@@ -214,6 +358,7 @@
 		return w.free &^ w.taken
 	}
 	n := j.spec.Accelerators
+	tried := -1
 	for _, at := range r.held {
 		w := &r.s.workers[at]
 		if end > w.holdUntil {
@@ -225,6 +370,10 @@
 			}
 			continue
 		}
+		if w.rack == tried {
+			continue
+		}
+		tried = w.rack
 		if parts := r.gangInRack(&r.s.racks[w.rack], n, look); parts != nil {
 			return parts
 		}
--- a/scheduler/placement/round.go
+++ b/scheduler/placement/round.go
@@ -12,24 +12,31 @@
 // round is the state of one scheduling round. Everything that it changes in
 // the scheduler is rolled back at its end.
 type round struct {
-	s       *Scheduler
-	now     time.Duration
-	plan    Plan
-	mark    int   // position of the ledger before the round
-	touched []int // workers with accelerators taken or reserved
-	held    []int // workers with reservations
-	// reservations counts the gangs with a reservation.
-	reservations int
+	s            *Scheduler
+	now          time.Duration
+	plan         Plan
+	mark         int   // position of the ledger before the round
+	touched      []int // workers with accelerators taken or reserved
+	held         []int // workers with reservations
+	reservations []reservation
+	// leavers is set if jobs are stopping.
+	leavers bool
 	// full lists gang sizes for which nothing is available any more.
 	full map[int]bool
 	// unreservable lists gang sizes for which nothing can be reserved.
 	unreservable map[int]bool
+	// backfillFull lists gang sizes that do not fit into reserved accelerators
+	// at any time before the reservations.
+	backfillFull map[int]bool
 }
 
 // newRound starts a round.
 func newRound(s *Scheduler, now time.Duration) *round {
 	s.stamp++
-	return &round{s: s, now: now, mark: s.ledger.Mark(), full: make(map[int]bool), unreservable: make(map[int]bool)}
+	return &round{
+		s: s, now: now, mark: s.ledger.Mark(), leavers: s.stopping > 0, full: make(map[int]bool),
+		unreservable: make(map[int]bool), backfillFull: make(map[int]bool),
+	}
 }
 
 // rollBack undoes the tentative changes.
@@ -94,7 +101,9 @@
 				continue
 			}
 			o.job.victim = r.s.stamp
+			r.leavers = true
 			verdict := r.assess(j, o.job, grace)
+			o.job.victimBy = r.now + verdict.Grace
 			r.plan.Preempts = append(r.plan.Preempts, Preempt{
 				Job: o.job.id, For: j.id, Checkpoint: verdict.Checkpoint, Grace: verdict.Grace,
 			})
@@ -108,6 +117,14 @@
 	return j.stopping || j.victim == r.s.stamp
 }
 
+// stopBy returns when the grace of a leaving job ends.
+func (r *round) stopBy(j *job) time.Duration {
+	if j.stopping {
+		return j.stopBy
+	}
+	return j.victimBy
+}
+
 // assess weighs the preemption of a job.
 func (r *round) assess(requester, victim *job, grace time.Duration) preemption.Verdict {
 	return preemption.Assess(r.now, grace, preemption.Job{
--- a/scheduler/placement/scheduler.go
+++ b/scheduler/placement/scheduler.go
@@ -38,6 +38,8 @@
 	claims []*job
 	marks  []int
 	stamp  uint64
+	// stopping counts the running jobs that were told to stop.
+	stopping int
 }
 
 // New returns a scheduler without rules, workers and jobs.
@@ -96,13 +98,16 @@
 	s.Remove(r.ID)
 	j := &job{
 		id: r.ID, spec: r.Spec, running: true, estimate: r.Estimate, members: r.Members,
-		order: r.Order, started: r.Started, checkpointed: r.Checkpointed, stopping: r.Stopping,
+		order: r.Order, started: r.Started, checkpointed: r.Checkpointed, stopping: r.Stopping, stopBy: r.StopBy,
 	}
 	for _, m := range r.Members {
 		j.held += len(m.Accelerators)
 	}
 	s.register(j)
 	j.customer.held += j.held
+	if j.stopping {
+		s.stopping++
+	}
 	if !s.stale {
 		s.occupy(j)
 	}
@@ -119,6 +124,7 @@
 	j.spec = r.Spec
 	j.estimate = r.Estimate
 	j.checkpointed = r.Checkpointed
+	j.stopBy = r.StopBy
 	return true
 }
 
@@ -140,6 +146,9 @@
 		return
 	}
 	j.customer.held -= j.held
+	if j.stopping {
+		s.stopping--
+	}
 	if !s.stale {
 		s.vacate(j)
 	}
@@ -220,8 +229,10 @@
 func (s *Scheduler) Round(now time.Duration) Plan {
 	s.flush()
 	r := newRound(s, now)
+	r.reserveGangs()
 	r.guaranteed()
 	r.urgent()
+	r.settleReservations()
 	r.fair()
 	r.rollBack()
 	return r.plan
--- a/scheduler/serving/refresh.go
+++ b/scheduler/serving/refresh.go
@@ -26,8 +26,10 @@
 	}
 	d.computeSizes(now)
 	d.sizes.updateKeep(d.tuning, d.capacity)
-	for t := medium; t < tierCount; t++ {
-		d.pools[t] = d.sizes.pool(d.capacity, t)
+	for c := range classCount {
+		for t := medium; t < tierCount; t++ {
+			d.pools[c][t] = d.overhang + d.sizes.pool(d.capacity, c, t)
+		}
 	}
 }
 
@@ -90,6 +92,9 @@
 		e.overdue = 0
 	}
 	for _, r := range d.wakes {
+		if r.flow.estimate.samples < minSamples {
+			continue
+		}
 		limit := max(silentFloor, silentFactor*r.flow.estimate.p95)
 		for i := range r.attempts {
 			a := &r.attempts[i]
@@ -101,15 +106,30 @@
 }
 
 // checkSilent opens the breaker of an executor that seems to be silent, which
-// would otherwise keep its slots until the timeouts.
+// would otherwise keep its slots until the timeouts. If many executors look
+// silent, they have all become slow, and closing them would stop the service.
 func (d *Dispatcher) checkSilent(now time.Duration, e *executor) {
 	if e.breaker != breakerClosed || e.overdue < silentAttempts {
 		return
 	}
+	if d.suspects() > max(1, len(d.order)/silentShare) {
+		return
+	}
 	e.open(now)
 	d.counters.BreakersOpened++
 }
 
+// suspects counts the executors that look silent now or have an open breaker.
+func (d *Dispatcher) suspects() int {
+	count := 0
+	for _, e := range d.order {
+		if e.breaker != breakerClosed || e.overdue >= silentAttempts {
+			count++
+		}
+	}
+	return count
+}
+
 // computeSizes sets the boundaries from the shortest median of current flows.
 func (d *Dispatcher) computeSizes(now time.Duration) {
 	shortest := never
@@ -126,11 +146,11 @@
 		d.sizes.bounds = [tierCount]time.Duration{mediumFactor * shortest, longFactor * shortest, never}
 	}
 	d.sizes.shortest = shortest
-	d.sizes.current = [tierCount]bool{}
+	d.sizes.current = [classCount][tierCount]bool{}
 	d.sizes.mean = [tierCount]time.Duration{}
 	d.eachCurrent(now, func(f *flow) {
 		f.tier = d.sizes.tierOf(d.expected(f))
-		d.sizes.current[f.tier] = true
+		d.sizes.current[f.class][f.tier] = true
 		d.sizes.mean[f.tier] = max(d.sizes.mean[f.tier], d.meanTime(f))
 	})
 }
@@ -159,6 +179,17 @@
 	return priorMedian[f.class]
 }
 
+// needed is the service time that must fit before the deadline. An attempt that
+// is cut off there leaves the outcome of a non-idempotent request unknown, so
+// nearly all of them must fit.
+func (d *Dispatcher) needed(r *request) time.Duration {
+	expected := d.expected(r.flow)
+	if r.nonIdempotent {
+		return max(expected, r.flow.estimate.p95)
+	}
+	return expected
+}
+
 // meanTime is the expected use of a slot by a request of the flow.
 func (d *Dispatcher) meanTime(f *flow) time.Duration {
 	if f.estimate.samples >= minSamples {
@@ -201,6 +232,37 @@
 // more important work, and the part of its own class that fair sharing lets
 // pass before it, over the slots that its class and size may use.
 func (d *Dispatcher) waitFor(f *flow) time.Duration {
+	return time.Duration(float64(d.plainWait(f)) * f.correction)
+}
+
+const (
+	// Weight of one request in the correction of estimated waits, and its bound.
+	correctionWeight = 0.02
+	correctionMin    = 0.5
+	// shortWait is a wait too short to be compared with its estimate.
+	shortWait = 20 * time.Millisecond
+)
+
+// correctionMax bounds the correction of waits that are longer than estimated.
+// The wait of less important work shrinks again when a crest ends, so that a
+// higher bound would refuse requests that could be served after it.
+var correctionMax = [classCount]float64{urgent: 4, normal: 1.5, bulk: 1.5}
+
+// learnWait compares the wait of a request with its estimate. The estimate
+// leaves out what is hard to foresee, such as more important work that arrives
+// later and slots held by stragglers.
+func (d *Dispatcher) learnWait(now time.Duration, r *request) {
+	if r.sends > 0 || r.predicted < shortWait {
+		return
+	}
+	f := r.flow
+	ratio := float64(now-r.arrived) / float64(r.predicted)
+	ratio = min(max(ratio, correctionMin), correctionMax[r.class])
+	f.correction += correctionWeight * (ratio - f.correction)
+}
+
+// plainWait is the estimate without the correction.
+func (d *Dispatcher) plainWait(f *flow) time.Duration {
 	q := &d.queues[f.class]
 	ahead := 0.0
 	for c := range f.class {
@@ -224,7 +286,7 @@
 	c := indexOf(class)
 	f := d.queues[c].flows[customer]
 	if f == nil {
-		f = &flow{class: c, customer: customer, weight: d.weightOf(customer)}
+		f = d.newFlow(c, customer)
 	}
 	return d.waitFor(f), d.expected(f), d.up
 }
@@ -236,5 +298,5 @@
 			slots -= d.reserve(other)
 		}
 	}
-	return max(1, float64(slots)*(1-d.sizes.usualKeep[f.tier]))
+	return max(1, float64(slots)*(1-d.sizes.usualKeep[f.class][f.tier]))
 }
