--- a/cmd/e2e/keyed_load_test.go
+++ b/cmd/e2e/keyed_load_test.go
@@ -35,7 +35,6 @@
 	c       *cluster
 	home    string
 	workMS  string
-	paused  sync.Map
 	mu      sync.Mutex
 	history []*keyHistory
 	next    int
--- a/cmd/e2e/rules_test.go
+++ b/cmd/e2e/rules_test.go
@@ -267,13 +267,12 @@
 		c := newCluster(threeHosts)
 		c.begin(baseRules())
 		w := watchVersions(c)
-		last := uint64(1)
 		for range 310 {
-			last = c.applyChange(c.hosts[0])
+			c.applyChange(c.hosts[0])
 		}
 		victim := c.hosts[1]
 		victim.kill()
-		last = c.applyChange(c.hosts[0])
+		last := c.applyChange(c.hosts[0])
 		victim.start()
 		c.awaitReady(victim)
 		c.awaitVersion(last, "3s")
