Count retries by their cause, wait for running calls at the end, refuse large remote answers

Causes found by review: the retry counter had the result of the retry and not of the failure before it; calls of peers could outlive Close; an answer above one frame from another host ended as an unspecific lost reply; rules above 256 KiB did not fit a command of the log, although 512 KiB are allowed; the demo gave each direction between failure domains a link of its own.

--- a/daemon/demo/deployment.go
+++ b/daemon/demo/deployment.go
@@ -155,13 +155,16 @@
 	return relay.Address(), nil
 }
 
-// linkBetween returns the link of a direction between two failure domains; the
-// hosts of a failure domain share it.
+// linkBetween returns the link between two failure domains, seen from the first.
+// All relays between them share it in both directions.
 func (d *deployment) linkBetween(from, to *demoHost) *standin.Link {
 	key := [2]string{from.domain, to.domain}
 	if link := d.links[key]; link != nil {
 		return link
 	}
+	if link := d.links[[2]string{to.domain, from.domain}]; link != nil {
+		return link.Reversed()
+	}
 	link := standin.NewLink(0, 0)
 	switch {
 	case from.region != to.region:
--- a/daemon/metrics/metrics.go
+++ b/daemon/metrics/metrics.go
@@ -143,13 +143,6 @@
 	m.retryTotals[service] = maps.Clone(totals)
 }
 
-// Retried counts an attempt after the first one. The reason is the failure
-// that caused it, not its own result.
-func (m *Metrics) Retried(service, reason string) {
-	m.presetService(service)
-	m.retries.WithLabelValues(service, reason).Inc()
-}
-
 // Attempted counts a finished attempt.
 func (m *Metrics) Attempted(service, result string) {
 	m.presetService(service)
--- a/daemon/node/groups.go
+++ b/daemon/node/groups.go
@@ -15,11 +15,13 @@
 )
 
 const (
-	groupsFolder      = "groups"
-	snapshotEntries   = 4096
-	snapshotBytes     = 8 << 20
-	keepEntries       = 1024
-	raftBatchBytes    = 256 << 10
+	groupsFolder    = "groups"
+	snapshotEntries = 4096
+	snapshotBytes   = 8 << 20
+	keepEntries     = 1024
+	// raftBatchBytes holds the largest rules file (512 KiB) in one command and
+	// fits a frame between hosts.
+	raftBatchBytes    = 640 << 10
 	raftSnapshotChunk = 64 << 10
 	handOverTimeout   = 3 * time.Second
 	handOverPoll      = 20 * time.Millisecond
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -431,5 +431,6 @@
 	n.transport.Close()
 	n.closeServices()
 	n.closeGroups()
+	n.transport.Wait()
 	n.pool.Close()
 }
--- a/daemon/node/requests.go
+++ b/daemon/node/requests.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"cranberrydrum.dev/daemon/transport"
 	"cranberrydrum.dev/daemon/upstream"
 	"cranberrydrum.dev/scheduler/structs"
 )
@@ -146,8 +147,16 @@
 	return &upstream.Response{Status: a.Status, ContentType: a.ContentType, Body: a.Body}
 }
 
-func remoteAnswerOf(r *upstream.Response) *remoteAnswer {
-	return &remoteAnswer{Status: r.Status, ContentType: r.ContentType, Body: r.Body}
+// maxRemoteAnswerBytes lets an answer fit one frame between hosts.
+const maxRemoteAnswerBytes = transport.MaxFrameBytes - 4096
+
+// remoteAnswerOf returns an answer for another host. A larger one cannot be
+// passed on; it is never cut, and its request has run.
+func remoteAnswerOf(r *upstream.Response) (any, error) {
+	if len(r.Body) > maxRemoteAnswerBytes {
+		return nil, structs.Unknown(structs.CodeTooLarge, "the request ran; its answer is too large to be passed between hosts")
+	}
+	return &remoteAnswer{Status: r.Status, ContentType: r.ContentType, Body: r.Body}, nil
 }
 
 // handleRequest serves an idempotent request that another host has forwarded.
@@ -161,7 +170,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return remoteAnswerOf(response), nil
+	return remoteAnswerOf(response)
 }
 
 // handleBegunRequest serves a non-idempotent request for the owner of its key.
@@ -177,7 +186,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return remoteAnswerOf(response), nil
+	return remoteAnswerOf(response)
 }
 
 // handleKeyedRequest serves a non-idempotent request as the owner of its key.
@@ -192,7 +201,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return remoteAnswerOf(response), nil
+	return remoteAnswerOf(response)
 }
 
 // keyPoll is how often a resend looks for the outcome of the run in progress.
--- a/daemon/node/service.go
+++ b/daemon/node/service.go
@@ -295,9 +295,6 @@
 
 func (s *service) finishAttempt(p *pendingRequest, f finishedAttempt) {
 	s.node.metrics.Attempted(s.name, string(f.event.Result))
-	if f.event.Attempt > 1 {
-		s.node.metrics.Retried(s.name, string(f.event.Result))
-	}
 	if f.response != nil {
 		p.responses[f.event.Attempt] = f.response
 	}
--- a/daemon/node/sync.go
+++ b/daemon/node/sync.go
@@ -119,6 +119,7 @@
 		n.metrics.SetGroup(g.Name(), g.Leads(), g.Status().Term)
 	}
 	for _, s := range n.allServices() {
+		s.node.metrics.Retries(s.name, s.status().Counters.Retries)
 		for class, queued := range s.status().Queued {
 			n.metrics.SetQueued(s.name, class, queued)
 		}
