Keep the configuration in force of every host with a disk; create logs only once

Change: every host with a disk keeps and loads the accepted text; the identity records that the initial logs were created; all domains are asked at once.

--- a/daemon/node/groups.go
+++ b/daemon/node/groups.go
@@ -68,7 +68,7 @@
 			return err
 		}
 	}
-	if !n.cfg.Bootstrap {
+	if !n.cfg.Bootstrap || n.identity.Formed {
 		return nil
 	}
 	for _, name := range n.initialGroups() {
@@ -79,7 +79,8 @@
 			return err
 		}
 	}
-	return nil
+	n.identity.Formed = true
+	return n.identity.save(n.cfg.DataDir)
 }
 
 // initialGroups returns the logs that this host is an initial member of.
--- a/daemon/node/identity.go
+++ b/daemon/node/identity.go
@@ -26,6 +26,10 @@
 type identity struct {
 	Host  string `json:"host"`
 	Store string `json:"store"`
+	// Formed is set once the host has created the logs that it is an initial
+	// member of. It never creates any later, because a log that it does not
+	// have may exist on other hosts by then.
+	Formed bool `json:"formed,omitempty"`
 }
 
 // openIdentity reads the identity of a data folder or makes a new one.
@@ -57,14 +61,19 @@
 		return identity{}, &FolderError{Folder: filepath.Dir(path), Cause: err}
 	}
 	id := identity{Host: host, Store: hex.EncodeToString(raw)}
+	return id, id.save(filepath.Dir(path))
+}
+
+// save makes the identity durable.
+func (id identity) save(folder string) error {
 	data, err := json.Marshal(id)
 	if err != nil {
-		return identity{}, &FolderError{Folder: filepath.Dir(path), Cause: err}
+		return &FolderError{Folder: folder, Cause: err}
 	}
-	if err := writeFileSync(path, data); err != nil {
-		return identity{}, &FolderError{Folder: filepath.Dir(path), Cause: err}
+	if err := writeFileSync(filepath.Join(folder, identityFile), data); err != nil {
+		return &FolderError{Folder: folder, Cause: err}
 	}
-	return id, nil
+	return nil
 }
 
 // peerStores remembers which store each peer had when it was first met, so
--- a/daemon/node/jobs.go
+++ b/daemon/node/jobs.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"sync"
 	"time"
 
 	"cranberrydrum.dev/scheduler/domain"
@@ -238,13 +239,22 @@
 }
 
 // ListJobs returns the jobs of all reachable failure domains and the names of
-// the others.
+// the others. It asks all domains at once, because one without a leader is
+// given up only after the patience of callLeader.
 func (n *Node) ListJobs(customer string, timeout time.Duration) (list []structs.Job, unreachable []string) {
-	for _, d := range n.domains() {
-		query := &jobQuery{Domain: d, Customer: customer}
-		result, err := callLeader[jobList](n, domainGroup(d), methodJobList, query, timeout, true)
-		if err != nil {
-			unreachable = append(unreachable, d)
+	domains := n.domains()
+	results := make([]*jobList, len(domains))
+	var asked sync.WaitGroup
+	for i, d := range domains {
+		asked.Go(func() {
+			query := &jobQuery{Domain: d, Customer: customer}
+			results[i], _ = callLeader[jobList](n, domainGroup(d), methodJobList, query, timeout, true)
+		})
+	}
+	asked.Wait()
+	for i, result := range results {
+		if result == nil {
+			unreachable = append(unreachable, domains[i])
 			continue
 		}
 		list = append(list, result.Jobs...)
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -101,13 +101,11 @@
 	return n, nil
 }
 
-// openConfig prepares a host that has no replica of the configuration. With a
-// disk it goes on from the version that it had in force; without one it cannot
-// know that version, and asks.
+// openConfig prepares the configuration in force. A host with a disk goes on
+// from the version that it had in force, also if it has become a learner of the
+// configuration's log since, which may lag. Without a disk it cannot know that
+// version, and asks.
 func (n *Node) openConfig() error {
-	if n.group(groupConfig) != nil {
-		return nil
-	}
 	if n.cfg.DataDir == "" {
 		n.config.mustConfirm = true
 		return nil
