--- a/coord/dedup/suite_test.go
+++ b/coord/dedup/suite_test.go
@@ -1,25 +1,19 @@
 package dedup_test
 
 import (
-	"flag"
 	"os"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"cranberrydrum.dev/coord/testflags"
 )
 
 // TestMain fixes the seed and the number of runs of the stateful tests unless
 // they are given on the command line.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "3000"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
+	testflags.SetDefaults(map[string]string{"rapid.seed": "1", "rapid.checks": "3000"})
 	os.Exit(m.Run())
 }
 
--- a/coord/detector/detector_test.go
+++ b/coord/detector/detector_test.go
@@ -1,7 +1,6 @@
 package detector_test
 
 import (
-	"flag"
 	"math"
 	"os"
 	"reflect"
@@ -11,19 +10,13 @@
 	"pgregory.net/rapid"
 
 	"cranberrydrum.dev/coord/detector"
+	"cranberrydrum.dev/coord/testflags"
 )
 
 // TestMain fixes the seed and the number of runs unless they are given on the
 // command line.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
+	testflags.SetDefaults(map[string]string{"rapid.seed": "1", "rapid.checks": "300"})
 	os.Exit(m.Run())
 }
 
--- a/daemon/node/errors.go
+++ b/daemon/node/errors.go
@@ -24,20 +24,6 @@
 	return "data folder " + e.Folder + " belongs to host " + e.Found + ", not " + e.Expected
 }
 
-// ServeError reports an HTTP address that cannot be served.
-type ServeError struct {
-	Address string
-	Cause   error
-}
-
-// Error implements error.
-func (e *ServeError) Error() string {
-	return "cannot serve HTTP on " + e.Address + ": " + e.Cause.Error()
-}
-
-// Unwrap returns the cause.
-func (e *ServeError) Unwrap() error { return e.Cause }
-
 // CodecError reports a message between hosts that cannot be encoded or decoded.
 type CodecError struct {
 	What  string
--- a/daemon/storage/disk_test.go
+++ b/daemon/storage/disk_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"flag"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -12,6 +11,7 @@
 
 	"cranberrydrum.dev/coord/raft"
 	"cranberrydrum.dev/coord/replica"
+	"cranberrydrum.dev/coord/testflags"
 	"cranberrydrum.dev/coord/wal"
 	"cranberrydrum.dev/daemon/storage"
 )
@@ -19,14 +19,7 @@
 // TestMain fixes the seed and the number of runs unless they are given on the
 // command line.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "4711", "rapid.checks": "25"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
+	testflags.SetDefaults(map[string]string{"rapid.seed": "4711", "rapid.checks": "25"})
 	os.Exit(m.Run())
 }
 
--- a/scheduler/configstate/state_test.go
+++ b/scheduler/configstate/state_test.go
@@ -1,11 +1,11 @@
 package configstate_test
 
 import (
-	"flag"
 	"os"
 	"strings"
 	"testing"
 
+	"cranberrydrum.dev/coord/testflags"
 	"cranberrydrum.dev/scheduler/configstate"
 	"cranberrydrum.dev/scheduler/rules"
 	"cranberrydrum.dev/scheduler/structs"
@@ -16,14 +16,7 @@
 // TestMain fixes the seed and the number of cases, unless they are given, so
 // that CI has the same verdict each time.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "4711", "rapid.checks": "150", "rapid.steps": "60"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
+	testflags.SetDefaults(map[string]string{"rapid.seed": "4711", "rapid.checks": "150", "rapid.steps": "60"})
 	os.Exit(m.Run())
 }
 
--- a/scheduler/rules/rules_test.go
+++ b/scheduler/rules/rules_test.go
@@ -1,13 +1,13 @@
 package rules_test
 
 import (
-	"flag"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"cranberrydrum.dev/coord/testflags"
 	"cranberrydrum.dev/scheduler/rules"
 	"cranberrydrum.dev/scheduler/structs"
 	. "github.com/onsi/ginkgo/v2"
@@ -17,14 +17,7 @@
 // TestMain fixes the seed and the number of cases, unless they are given, so
 // that CI has the same verdict each time.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20261", "rapid.checks": "300"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
+	testflags.SetDefaults(map[string]string{"rapid.seed": "20261", "rapid.checks": "300"})
 	os.Exit(m.Run())
 }
 
