--- a/daemon/experiment/target/jobs.go
+++ b/daemon/experiment/target/jobs.go
@@ -19,8 +19,14 @@
 	fullShare  = 0.97
 	submitters = 8
 	// backlog is the number of jobs of one accelerator that wait when the
-	// failure domain is full, so that none of its accelerators stays free.
-	backlog = 40
+	// failure domain is full, so that none of its accelerators stays free. It is
+	// larger than the largest gang: if that one comes last and does not fit, the
+	// small jobs must fill its place.
+	backlog = 80
+	// backlogRun is short enough for backfill: a gang that cannot start any more
+	// gets a reservation for when the long jobs end, and jobs that would run
+	// beyond it rightly leave accelerators free.
+	backlogRun = longRun / 2
 	// fillSteps is the number of progress lines while the domains fill.
 	fillSteps = 10
 )
@@ -98,15 +104,16 @@
 	var list []api.JobSubmitRequest
 	for left := r.size.fill + backlog; left > 0; {
 		n := min(left, gangSizes[random.IntN(len(gangSizes))])
+		declared := longRun
 		if left <= backlog {
-			n = 1
+			n, declared = 1, backlogRun
 		}
 		left -= n
 		customer := r.size.guaranteed + len(list)%(r.size.customers-r.size.guaranteed)
 		list = append(list, api.JobSubmitRequest{
 			Name: "fill-" + strconv.Itoa(len(list)), Customer: customerName(customer), FailureDomain: domainName(d),
 			Priority: []string{"bulk", "normal"}[len(list)%2], Accelerators: n,
-			DeclaredRuntimeMS: longRun.Milliseconds(), CheckpointTimeMS: checkpoint.declared.Milliseconds(),
+			DeclaredRuntimeMS: declared.Milliseconds(), CheckpointTimeMS: checkpoint.declared.Milliseconds(),
 			Command: []string{"run", longRun.String(), checkpoint.command},
 		})
 	}
