--- a/coord/testflags/testflags.go
+++ b/coord/testflags/testflags.go
@@ -5,14 +5,18 @@
 import "flag"
 
 // SetDefaults parses the command line and sets the flags that it does not give.
-// Flags that do not exist are ignored. It is called from TestMain.
+// It is called from TestMain. A flag that does not exist is a mistake in the
+// test, which would then run with a random seed, so it panics.
 func SetDefaults(defaults map[string]string) {
 	flag.Parse()
 	given := map[string]bool{}
 	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
 	for name, value := range defaults {
-		if !given[name] && flag.Lookup(name) != nil {
-			_ = flag.Set(name, value)
+		if given[name] {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
 		}
 	}
 }
--- a/scheduler/jobs/jobs_test.go
+++ b/scheduler/jobs/jobs_test.go
@@ -1,7 +1,6 @@
 package jobs_test
 
 import (
-	"flag"
 	"fmt"
 	"maps"
 	"os"
@@ -13,22 +12,13 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"cranberrydrum.dev/coord/testflags"
 	"cranberrydrum.dev/scheduler/structs"
 )
 
 // TestMain fixes seed and number of checks unless the command line sets them.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "7", "rapid.checks": "20"} {
-		if given[name] {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+	testflags.SetDefaults(map[string]string{"rapid.seed": "7", "rapid.checks": "20"})
 	os.Exit(m.Run())
 }
 
--- a/scheduler/preemption/preemption_test.go
+++ b/scheduler/preemption/preemption_test.go
@@ -1,7 +1,6 @@
 package preemption_test
 
 import (
-	"flag"
 	"math/bits"
 	"os"
 	"testing"
@@ -11,19 +10,13 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"cranberrydrum.dev/coord/testflags"
 	"cranberrydrum.dev/scheduler/preemption"
 )
 
 // TestMain fixes the seed of the stateful tests unless one is given.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		if err := flag.Set("rapid.seed", "20261204"); err != nil {
-			panic(err)
-		}
-	}
+	testflags.SetDefaults(map[string]string{"rapid.seed": "20261204"})
 	os.Exit(m.Run())
 }
 
