--- a/daemon/standin/worker.go
+++ b/daemon/standin/worker.go
@@ -63,7 +63,10 @@
 	started time.Time
 	resumed time.Duration
 	timer   *time.Timer
-	ended   atomic.Bool
+	// due is when the task ends at its present speed.
+	due       time.Time
+	throttled bool
+	ended     atomic.Bool
 }
 
 const (
@@ -264,6 +267,8 @@
 			w.stopTask(e)
 		case agent.CheckpointTask:
 			w.checkpointTask(e)
+		case agent.ThrottleTask:
+			w.throttleTask(e)
 		}
 	}
 }
@@ -280,9 +285,30 @@
 		exit.Error = "the accelerator does not respond"
 		left = failAfter
 	}
+	task.due = task.started.Add(max(left, 0))
 	task.timer = time.AfterFunc(max(left, 0), func() { w.post(exit) })
 }
 
+// throttleFactor is how much longer a throttled task needs for its rest.
+const throttleFactor = 2
+
+// throttleTask slows a task down, or ends that.
+func (w *Worker) throttleTask(e agent.ThrottleTask) {
+	task := w.tasks[runID{e.Job, e.Run}]
+	if task == nil || task.throttled == e.On || !task.timer.Stop() {
+		return
+	}
+	task.throttled = e.On
+	left := time.Until(task.due)
+	if e.On {
+		left *= throttleFactor
+	} else {
+		left /= throttleFactor
+	}
+	task.due = time.Now().Add(left)
+	task.timer.Reset(max(left, 0))
+}
+
 func (w *Worker) taskTime(command []string) time.Duration {
 	if len(command) > 1 {
 		if d, err := time.ParseDuration(command[1]); err == nil {
