--- a/daemon/experiment/target/run.go
+++ b/daemon/experiment/target/run.go
@@ -1,9 +1,12 @@
 package target
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"cranberrydrum.dev/daemon/api"
 )
 
 // run is the state of one run.
@@ -108,21 +111,40 @@
 	return nil
 }
 
-// registered returns the number of workers that the owner of a failure domain
-// knows and does not hold in quarantine.
+// reportTimeout bounds the wait for a host that has the report of the owner.
+const reportTimeout = 5 * time.Second
+
+// registered returns how many workers of a failure domain its owner knows as
+// healthy. A status without the report of the owner, as from a host that has
+// just started and knows no leader, says nothing about the workers.
 func (r *run) registered(domain string) int {
-	for _, h := range r.cluster.inDomain(domain) {
-		status, err := h.client.Status(true)
-		if err != nil {
-			continue
-		}
-		n := 0
-		for _, w := range status.Workers {
-			if w.Domain == domain && !w.Quarantined {
-				n++
+	n := 0
+	within(reportTimeout, func() bool {
+		for _, h := range r.cluster.inDomain(domain) {
+			status, err := h.client.Status(true)
+			if err != nil || !reports(status, domain) {
+				continue
 			}
+			n = healthy(status, domain)
+			return true
+		}
+		return false
+	})
+	return n
+}
+
+// reports tells whether a status holds the report of the owner of a domain.
+func reports(status api.StatusResponse, domain string) bool {
+	return slices.ContainsFunc(status.Fragmentation, func(f api.Fragmentation) bool { return f.FailureDomain == domain })
+}
+
+// healthy counts the workers that are neither lost nor quarantined.
+func healthy(status api.StatusResponse, domain string) int {
+	n := 0
+	for _, w := range status.Workers {
+		if w.Domain == domain && !w.Quarantined && w.Reason == "" {
+			n++
 		}
-		return n
 	}
-	return 0
+	return n
 }
