httpapi: build the table of routes once; node: look an announcement up in one loop

Found by reading: the table of 14 handlers was built again for each request, also for each renewal of a worker; the lookup of one announcement went through a second function that returned at most one element.

--- a/daemon/httpapi/server.go
+++ b/daemon/httpapi/server.go
@@ -37,6 +37,8 @@
 	listener net.Listener
 	auth     *authorizer
 	metrics  fasthttp.RequestHandler
+	// routes maps "METHOD path" to the handlers of fixed paths.
+	routes map[string]handler
 }
 
 // ListenError reports an address that cannot be listened on.
@@ -65,6 +67,7 @@
 		auth:     newAuthorizer(n),
 		metrics:  fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(n.Metrics().Registry, promhttp.HandlerOpts{})),
 	}
+	s.routes = s.fixedRoutes()
 	s.server = &fasthttp.Server{
 		Handler:     s.handle,
 		ReadTimeout: cfg.Timeouts.HTTPRead,
@@ -156,10 +159,10 @@
 		}
 		return nil
 	}
-	return s.routes()[method+" "+path]
+	return s.routes[method+" "+path]
 }
 
-func (s *Server) routes() map[string]handler {
+func (s *Server) fixedRoutes() map[string]handler {
 	return map[string]handler{
 		"POST " + api.PathJobs:            s.submitJob,
 		"GET " + api.PathJobs:             s.listJobs,
--- a/daemon/node/backends.go
+++ b/daemon/node/backends.go
@@ -181,17 +181,10 @@
 func (d *backendDirectory) entry(now time.Duration, id string) []registry.Entry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, c := range d.changesOf(now, id) {
-		return []registry.Entry{c.Entry}
-	}
-	return nil
-}
-
-func (d *backendDirectory) changesOf(now time.Duration, id string) []registry.Change {
 	changes, _ := d.registry.Changes(now, 0)
 	for _, c := range changes {
 		if c.ID == id {
-			return []registry.Change{c}
+			return []registry.Entry{c.Entry}
 		}
 	}
 	return nil
