upstream: a fresh connection that loses its place to another tries again

Cause: a fresh attempt that finds the share of connections used up closes one idle connection and dials again. Between the two steps another attempt can take the freed place, and the first one was then refused as "all connections are in use" although more idle connections could be closed.

Ruled out: connections of earlier attempts that are released late. All failures were on the line of four fresh attempts beside four idle connections, where each attempt has an idle connection to close.

Change: the dial goes on until it has a place or no idle connection is left.

Conclusion: a loop in the product, not a longer wait in the test; callers saw the same refusal under bursts of non-idempotent requests.

--- a/daemon/upstream/limit.go
+++ b/daemon/upstream/limit.go
@@ -89,16 +89,21 @@
 	return c.dial(address, timeout)
 }
 
-// dialFresh gives up a connection that is kept idle if the share is used up.
+// dialFresh closes connections that are kept idle while the share is used up.
+// Another attempt may take the place of a closed connection before this one
+// does, so it goes on until it has a place or no idle connection is left.
 func (c *executorClients) dialFresh(address string, timeout time.Duration) (net.Conn, error) {
-	conn, err := c.dial(address, timeout)
-	if _, full := err.(*noConnectionError); !full || c.kept.IdleConnsCount() == 0 {
-		return conn, err
-	}
-	if idle, err := c.kept.AcquireConn(timeout, false); err == nil {
+	for {
+		conn, err := c.dial(address, timeout)
+		if _, full := err.(*noConnectionError); !full || c.kept.IdleConnsCount() == 0 {
+			return conn, err
+		}
+		idle, err := c.kept.AcquireConn(timeout, false)
+		if err != nil {
+			return nil, err
+		}
 		c.kept.CloseConn(idle)
 	}
-	return c.dial(address, timeout)
 }
 
 func (c *executorClients) dial(address string, timeout time.Duration) (net.Conn, error) {
