raft: the leader itself picks who takes over at a planned stop

Cause: a stopping host chose its successor in daemon/node by the longest log alone.

Change: raft.HandOverLeadership and replica.HandOver use that rule; the copy in daemon/node is gone.

Test: "hands over to a voter that was heard recently" fails if the rule does not look at who was heard.

--- a/coord/raft/errors.go
+++ b/coord/raft/errors.go
@@ -42,6 +42,12 @@
 	return "raft: cannot transfer leadership to " + e.To + ", which is not another voter"
 }
 
+// NoSuccessorError reports that no other voter was heard recently that has
+// every committed entry.
+type NoSuccessorError struct{}
+
+func (e *NoSuccessorError) Error() string { return "raft: no other voter can take over leadership" }
+
 // NotReadyError reports that no entry of the leader's own term is committed.
 type NotReadyError struct{ Term uint64 }
 
--- a/coord/raft/transfer.go
+++ b/coord/raft/transfer.go
@@ -28,9 +28,28 @@
 	if to == n.cfg.ID || !n.membership().IsVoter(to) {
 		return &TransferRefusedError{To: to}
 	}
+	n.startTransfer(to)
+	return nil
+}
+
+// HandOverLeadership transfers leadership to the voter that can take over
+// soonest, one of normal priority if there is one.
+func (n *Node) HandOverLeadership(now time.Duration) error {
+	n.advanceClock(now)
+	if err := n.acceptsProposals(); err != nil {
+		return err
+	}
+	to := n.bestSuccessor(false)
+	if to == "" {
+		return &NoSuccessorError{}
+	}
+	n.startTransfer(to)
+	return nil
+}
+
+func (n *Node) startTransfer(to string) {
 	n.lead.transfer = transfer{to: to, deadline: n.now + n.cfg.ElectionTimeout}
 	n.continueTransfer()
-	return nil
 }
 
 // continueTransfer sends TimeoutNow when the target has every entry, and
@@ -78,8 +97,7 @@
 	longest := handOverMaxTimeouts * n.cfg.ElectionTimeout
 	n.election.handOverDelay = min(n.election.handOverDelay*handOverBackoff, longest)
 	n.lead.handOver = n.now + n.election.handOverDelay
-	n.lead.transfer = transfer{to: to, deadline: n.now + n.cfg.ElectionTimeout}
-	n.continueTransfer()
+	n.startTransfer(to)
 }
 
 // bestSuccessor returns the voter with the longest log that was heard recently
--- a/coord/replica/cluster_test.go
+++ b/coord/replica/cluster_test.go
@@ -275,6 +275,10 @@
 	return c.call(h, func(now time.Duration) (replica.Output, error) { return h.replica.Transfer(now, to) })
 }
 
+func (c *cluster) handOver(h *host) error {
+	return c.call(h, func(now time.Duration) (replica.Output, error) { return h.replica.HandOver(now) })
+}
+
 // leader returns the running host that leads in the highest term.
 func (c *cluster) leader() *host {
 	var best *host
--- a/coord/replica/fuzz_test.go
+++ b/coord/replica/fuzz_test.go
@@ -120,6 +120,7 @@
 		{2, f.onVictim(f.crash)},
 		{2, f.onVictim(func(h *host) { h.store.LosePower() })},
 		{1, func(t *rapid.T) { _ = f.transfer(f.target(t), f.pick(t).id) }},
+		{1, func(t *rapid.T) { _ = f.handOver(f.target(t)) }},
 	}
 }
 
--- a/coord/replica/replica.go
+++ b/coord/replica/replica.go
@@ -163,10 +163,7 @@
 		return Ticket{}, Output{}, r.failed
 	}
 	index, term, refused := r.node.ProposeChange(now, c)
-	out, err := r.process()
-	if err == nil {
-		err = refused
-	}
+	out, err := r.processRefusable(refused)
 	return Ticket{Index: index, Term: term}, out, err
 }
 
@@ -175,7 +172,20 @@
 	if r.failed != nil {
 		return Output{}, r.failed
 	}
-	refused := r.node.TransferLeadership(now, to)
+	return r.processRefusable(r.node.TransferLeadership(now, to))
+}
+
+// HandOver hands leadership to the voter that can take over soonest.
+func (r *Replica) HandOver(now time.Duration) (Output, error) {
+	if r.failed != nil {
+		return Output{}, r.failed
+	}
+	return r.processRefusable(r.node.HandOverLeadership(now))
+}
+
+// processRefusable processes what a call of the node left behind and reports
+// its refusal, unless the replica itself fails.
+func (r *Replica) processRefusable(refused error) (Output, error) {
 	out, err := r.process()
 	if err == nil {
 		err = refused
--- a/coord/replica/replica_test.go
+++ b/coord/replica/replica_test.go
@@ -174,6 +174,25 @@
 		c.writeMany(1)
 	})
 
+	// Guards against a planned stop that waits for a voter which died with the
+	// whole log, while another one could take over at once.
+	It("hands over to a voter that was heard recently", func() {
+		c := newCluster(13, 3, func(cfg *replica.Config) { cfg.Raft.LowPriority = cfg.Raft.ID == "h3" })
+		c.writeMany(1)
+		Expect(c.waitFor(livenessLimit, c.converged)).To(BeTrue())
+		l := c.leader()
+		for _, id := range c.others(l) {
+			if id != "h3" {
+				c.crash(c.hosts[id])
+			}
+		}
+		c.run(electionTimeout / 2)
+		Expect(c.handOver(l)).To(Succeed())
+		Expect(c.waitFor(electionTimeout/2, func() bool { return c.leader() != nil && c.leader().id == "h3" })).To(BeTrue())
+		c.writeMany(1)
+		Expect(c.broken).To(BeEmpty())
+	})
+
 	// After a TimeoutNow the target may campaign at any time, so the leader
 	// must not act on its lease again in the same term.
 	It("gives up the lease when it starts a transfer", func() {
--- a/daemon/group/group.go
+++ b/daemon/group/group.go
@@ -248,12 +248,12 @@
 	}
 }
 
-// Transfer hands leadership to another voter if this host leads.
-func (g *Group) Transfer(to string) error {
+// HandOver hands leadership to another voter if this host leads.
+func (g *Group) HandOver() error {
 	var err error
 	g.Do(func(now time.Duration) {
 		var out replica.Output
-		out, err = g.cfg.Replica.Transfer(now, to)
+		out, err = g.cfg.Replica.HandOver(now)
 		g.handleProposed(out, err)
 	})
 	return err
--- a/daemon/node/groups.go
+++ b/daemon/node/groups.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -234,37 +235,21 @@
 func (n *Node) handOverGroup(g *group.Group) {
 	deadline := n.now() + handOverTimeout
 	for n.now() < deadline {
-		status := g.Status()
-		if status.Role != raft.RoleLeader {
+		if g.Status().Role != raft.RoleLeader {
 			return
 		}
-		if target := transferTarget(status); target != "" && status.TransferTo == "" {
-			if err := g.Transfer(target); err != nil {
-				n.log.V(1).Info("leadership transfer refused", "group", g.Name(), "to", target, "error", err.Error())
-			}
+		if err := g.HandOver(); err != nil && !transferring(err) {
+			n.log.V(1).Info("leadership transfer refused", "group", g.Name(), "error", err.Error())
 		}
 		n.wait(handOverPoll)
 	}
 	n.log.Info("leadership was not handed over in time", "group", g.Name())
 }
 
-// transferTarget returns the voter that has the most of the log, one of normal
-// priority if there is one.
-func transferTarget(status raft.Status) string {
-	best := raft.PeerStatus{}
-	for _, p := range status.Peers {
-		if !p.Voter || p.State != raft.PeerReplicate {
-			continue
-		}
-		better := p.Match > best.Match
-		if p.LowPriority != best.LowPriority {
-			better = best.LowPriority
-		}
-		if best.ID == "" || better {
-			best = p
-		}
-	}
-	return best.ID
+// transferring reports whether the refusal says that a transfer goes on.
+func transferring(refused error) bool {
+	var inProgress *raft.TransferInProgressError
+	return errors.As(refused, &inProgress)
 }
 
 func (n *Node) closeGroups() {
