loopback: one piece of code gives out addresses of test hosts, each once

Cause: the process suite and bench target described all hosts of a deployment before any of them listened and drew each port at random, so two hosts could get the same port: C(20,2)/18,000, one deployment of ten hosts in 95. The second host then ended with "address already in use". The same code stood in three places, and only bench control guarded against it.

Change: daemon/loopback draws below the range of outgoing ports and never gives an address twice in a process; the three copies are gone.

Conclusion: collisions within a suite can no longer happen; those between suites that run at the same time on one machine remain possible.

--- a/cmd/e2e/cluster_test.go
+++ b/cmd/e2e/cluster_test.go
@@ -81,7 +81,7 @@
 
 // add gives a host its addresses and its folder; it is not started.
 func (c *cluster) add(at place) *process {
-	p := &process{place: at, http: freePort(), peer: freePort(), log: &bytes.Buffer{}}
+	p := &process{place: at, http: freeAddress(), peer: freeAddress(), log: &bytes.Buffer{}}
 	if !at.diskless {
 		p.data = GinkgoT().TempDir()
 	}
--- a/cmd/e2e/process_test.go
+++ b/cmd/e2e/process_test.go
@@ -3,12 +3,9 @@
 import (
 	"bytes"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"slices"
-	"strconv"
 	"strings"
 	"syscall"
 
@@ -16,6 +13,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gexec"
 
+	"cranberrydrum.dev/daemon/loopback"
 	"cranberrydrum.dev/daemon/settings"
 )
 
@@ -57,23 +55,11 @@
 	ended bool
 }
 
-// Ports are taken below the range from which the kernel picks the local ports
-// of outgoing connections, so that no connection takes a port between the
-// choice here and the start of the daemon.
-const (
-	lowestPort = 12000
-	ports      = 18000
-)
-
-func freePort() string {
-	for {
-		address := "127.0.0.1:" + strconv.Itoa(lowestPort+rand.IntN(ports))
-		l, err := net.Listen("tcp", address)
-		if err == nil {
-			Expect(l.Close()).To(Succeed())
-			return address
-		}
-	}
+func freeAddress() string {
+	GinkgoHelper()
+	address, err := loopback.FreeAddress()
+	Expect(err).NotTo(HaveOccurred())
+	return address
 }
 
 // daemonEnvironment leaves out the variables of this project: the daemon
--- a/daemon/experiment/control/cluster.go
+++ b/daemon/experiment/control/cluster.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -13,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"cranberrydrum.dev/daemon/httpapi"
+	"cranberrydrum.dev/daemon/loopback"
 	"cranberrydrum.dev/daemon/node"
 	"cranberrydrum.dev/daemon/settings"
 	"cranberrydrum.dev/scheduler/configstate"
@@ -73,41 +72,16 @@
 // addHosts names the hosts and chooses their addresses.
 func (c *cluster) addHosts(count int) error {
 	for i := range count {
-		listener, err := reserve()
+		address, err := loopback.FreeAddress()
 		if err != nil {
-			return err
+			return &SetupError{What: "address of a host", Cause: err}
 		}
-		defer func() { _ = listener.Close() }()
 		d := c.domains[i%len(c.domains)]
-		c.hosts = append(c.hosts, &host{id: d + "-" + strconv.Itoa(i+1), domain: d, address: listener.Addr().String()})
+		c.hosts = append(c.hosts, &host{id: d + "-" + strconv.Itoa(i+1), domain: d, address: address})
 	}
 	return nil
 }
 
-// Ports of hosts lie below the range from which the system takes the ports of
-// outgoing connections, so that none of these can occupy one before its host
-// listens.
-const (
-	firstPort    = 20_000
-	ports        = 10_000
-	portAttempts = 100
-)
-
-// reserve listens on a free port until all hosts have chosen theirs, so that
-// no two hosts choose the same.
-func reserve() (net.Listener, error) {
-	var failure error
-	for range portAttempts {
-		port := firstPort + rand.IntN(ports)
-		listener, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
-		if err == nil {
-			return listener, nil
-		}
-		failure = err
-	}
-	return nil, &SetupError{What: "free port", Cause: failure}
-}
-
 func (c *cluster) startHost(h *host) error {
 	cfg, err := settings.Parse(c.arguments(h), nil)
 	if err != nil {
--- a/daemon/experiment/target/cluster.go
+++ b/daemon/experiment/target/cluster.go
@@ -2,14 +2,13 @@
 
 import (
 	"bytes"
-	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"strconv"
 	"time"
 
 	"cranberrydrum.dev/daemon/api"
+	"cranberrydrum.dev/daemon/loopback"
 	"cranberrydrum.dev/daemon/standin"
 )
 
@@ -69,13 +68,13 @@
 }
 
 func (c *cluster) addHost(i int) error {
-	web, err := freeAddress()
+	web, err := loopback.FreeAddress()
 	if err != nil {
-		return err
+		return &SetupError{What: "address of a host", Cause: err}
 	}
-	peer, err := freeAddress()
+	peer, err := loopback.FreeAddress()
 	if err != nil {
-		return err
+		return &SetupError{What: "address of a host", Cause: err}
 	}
 	d := i % c.size.domains
 	h := &host{id: domainName(d) + "-" + strconv.Itoa(i+1), domain: domainName(d), region: regionName(d, c.size.domains), http: web, peer: peer}
@@ -84,27 +83,6 @@
 	return err
 }
 
-// Ports of hosts lie below the range from which the system takes the ports of
-// outgoing connections.
-const (
-	firstPort    = 12_000
-	ports        = 18_000
-	portAttempts = 100
-)
-
-func freeAddress() (string, error) {
-	var failure error
-	for range portAttempts {
-		address := "127.0.0.1:" + strconv.Itoa(firstPort+rand.IntN(ports))
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			return address, listener.Close()
-		}
-		failure = err
-	}
-	return "", &SetupError{What: "free port", Cause: failure}
-}
-
 func (c *cluster) configure(h *host) error {
 	h.args = []string{
 		"--host-id=" + h.id, "--failure-domain=" + h.domain, "--region=" + h.region,
