--- a/coord/internal/simnet/network.go
+++ b/coord/internal/simnet/network.go
@@ -1,9 +1,10 @@
 package simnet
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
+
+	"cranberrydrum.dev/coord/pqueue"
 )
 
 // seedStream separates the random numbers of the network from those of other
@@ -31,6 +32,19 @@
 
 type link struct{ from, to string }
 
+// queued is a delivery with its number, which orders those of one time.
+type queued[M any] struct {
+	delivery Delivery[M]
+	sequence uint64
+}
+
+func (q queued[M]) arrivesBefore(other queued[M]) bool {
+	if q.delivery.At != other.delivery.At {
+		return q.delivery.At < other.delivery.At
+	}
+	return q.sequence < other.sequence
+}
+
 // Network carries messages of type M between hosts. All times are true times,
 // in contrast to the readings of the hosts' clocks.
 type Network[M any] struct {
@@ -38,7 +52,7 @@
 	standard Conditions
 	links    map[link]Conditions
 	cut      map[link]bool
-	queue    deliveryQueue[M]
+	queue    *pqueue.Queue[queued[M]]
 	sequence uint64
 	stats    Stats
 }
@@ -50,6 +64,7 @@
 		standard: standard,
 		links:    map[link]Conditions{},
 		cut:      map[link]bool{},
+		queue:    pqueue.New(queued[M].arrivesBefore, nil),
 	}
 }
 
@@ -120,15 +135,13 @@
 		d.At += time.Duration(n.rand.Int64N(int64(c.MaxDelay - c.MinDelay + 1)))
 	}
 	n.sequence++
-	heap.Push(&n.queue, queued[M]{delivery: d, sequence: n.sequence})
+	n.queue.Push(queued[M]{delivery: d, sequence: n.sequence})
 }
 
 // Next returns the time of the next delivery, if there is any.
 func (n *Network[M]) Next() (at time.Duration, ok bool) {
-	if len(n.queue) == 0 {
-		return 0, false
-	}
-	return n.queue[0].delivery.At, true
+	first, ok := n.queue.First()
+	return first.delivery.At, ok
 }
 
 // Deliver removes and returns the next message that arrives until now.
@@ -138,21 +151,15 @@
 		return d, false
 	}
 	n.stats.Delivered++
-	return heap.Pop(&n.queue).(queued[M]).delivery, true
+	next, _ := n.queue.Pop()
+	return next.delivery, true
 }
 
 // Discard removes the messages on their way to a host, as when its
 // connections break.
 func (n *Network[M]) Discard(to string) {
-	kept := n.queue[:0]
-	for _, q := range n.queue {
-		if q.delivery.To != to {
-			kept = append(kept, q)
-		}
-	}
-	n.stats.Lost += uint64(len(n.queue) - len(kept))
-	n.queue = kept
-	heap.Init(&n.queue)
+	lost := n.queue.RemoveIf(func(q queued[M]) bool { return q.delivery.To == to })
+	n.stats.Lost += uint64(lost)
 }
 
 // Stats returns the counters.
--- a/coord/lease/lease.go
+++ b/coord/lease/lease.go
@@ -10,9 +10,10 @@
 package lease
 
 import (
-	"container/heap"
 	"fmt"
 	"time"
+
+	"cranberrydrum.dev/coord/pqueue"
 )
 
 // tokenBitsPerTerm is how many tokens, as a power of two, one leader can
@@ -64,22 +65,36 @@
 	return fmt.Sprintf("lease: token %d is not above %d", e.Token, e.Last)
 }
 
-// item is a lease with its place in the heap.
+// item is a lease with its position in the queue.
 type item struct {
 	Lease
 	position int
 }
 
+func (it *item) setPosition(position int) { it.position = position }
+
+// endsBefore orders leases by end, then holder.
+func (it *item) endsBefore(other *item) bool {
+	if it.Ends != other.Ends {
+		return it.Ends < other.Ends
+	}
+	return it.Holder < other.Holder
+}
+
 // Table holds at most one lease for each holder.
 type Table struct {
 	items map[string]*item
-	ends  endHeap
+	ends  *pqueue.Queue[*item]
 	last  uint64
 }
 
 // New returns an empty table whose first token is above the given one.
 func New(last uint64) *Table {
-	return &Table{items: map[string]*item{}, last: last}
+	return &Table{
+		items: map[string]*item{},
+		ends:  pqueue.New((*item).endsBefore, (*item).setPosition),
+		last:  last,
+	}
 }
 
 // Len returns the number of leases, including ended ones that Expired has not
@@ -120,7 +135,7 @@
 func (t *Table) insert(l Lease) Lease {
 	it := &item{Lease: l}
 	t.items[l.Holder] = it
-	heap.Push(&t.ends, it)
+	t.ends.Push(it)
 	return l
 }
 
@@ -135,7 +150,7 @@
 		return Lease{}, &NotHeldError{Holder: holder, Token: token}
 	}
 	it.Ends = max(it.Ends, now+duration)
-	heap.Fix(&t.ends, it.position)
+	t.ends.Fix(it.position)
 	return it.Lease, nil
 }
 
@@ -162,20 +177,23 @@
 // their end, then holder.
 func (t *Table) Expired(now time.Duration) []Lease {
 	var out []Lease
-	for len(t.ends) > 0 && t.ends[0].Ends < now {
-		it := t.ends[0]
+	for {
+		it, ok := t.ends.First()
+		if !ok || it.Ends >= now {
+			return out
+		}
 		t.remove(it)
 		out = append(out, it.Lease)
 	}
-	return out
 }
 
 // NextEnd returns when the next lease ends, for a timer.
 func (t *Table) NextEnd() (time.Duration, bool) {
-	if len(t.ends) == 0 {
+	it, ok := t.ends.First()
+	if !ok {
 		return 0, false
 	}
-	return t.ends[0].Ends, true
+	return it.Ends, true
 }
 
 func (t *Table) find(holder string, token uint64) (*item, error) {
@@ -190,40 +208,6 @@
 }
 
 func (t *Table) remove(it *item) {
-	heap.Remove(&t.ends, it.position)
+	t.ends.Remove(it.position)
 	delete(t.items, it.Holder)
 }
-
-// endHeap orders leases by end, then holder.
-type endHeap []*item
-
-func (h endHeap) Len() int { return len(h) }
-
-func (h endHeap) Less(i, j int) bool {
-	if h[i].Ends != h[j].Ends {
-		return h[i].Ends < h[j].Ends
-	}
-	return h[i].Holder < h[j].Holder
-}
-
-func (h endHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].position = i
-	h[j].position = j
-}
-
-// Push implements heap.Interface.
-func (h *endHeap) Push(x any) {
-	it := x.(*item)
-	it.position = len(*h)
-	*h = append(*h, it)
-}
-
-// Pop implements heap.Interface.
-func (h *endHeap) Pop() any {
-	last := len(*h) - 1
-	it := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return it
-}
--- a/coord/registry/registry.go
+++ b/coord/registry/registry.go
@@ -2,10 +2,11 @@
 
 import (
 	"bytes"
-	"container/heap"
 	"container/list"
 	"sort"
 	"time"
+
+	"cranberrydrum.dev/coord/pqueue"
 )
 
 // MaxIDBytes bounds the length of an id.
@@ -22,17 +23,27 @@
 	deadline time.Duration
 	revision uint64
 	material uint64
-	// position is the index in the deadline heap.
+	// position is the index in the queue of deadlines.
 	position int
 	// element is the place in the list ordered by revision.
 	element *list.Element
 }
 
+func (r *record) setPosition(position int) { r.position = position }
+
+// isDueBefore orders records by deadline, then id.
+func (r *record) isDueBefore(other *record) bool {
+	if r.deadline != other.deadline {
+		return r.deadline < other.deadline
+	}
+	return r.entry.ID < other.entry.ID
+}
+
 // Registry holds the newest announcement of each id.
 type Registry struct {
 	cfg       Config
 	records   map[string]*record
-	deadlines deadlineHeap
+	deadlines *pqueue.Queue[*record]
 	// changes holds *record by revision, oldest first.
 	changes  *list.List
 	revision uint64
@@ -40,7 +51,12 @@
 
 // New returns an empty registry.
 func New(cfg Config) *Registry {
-	return &Registry{cfg: cfg, records: map[string]*record{}, changes: list.New()}
+	return &Registry{
+		cfg:       cfg,
+		records:   map[string]*record{},
+		deadlines: pqueue.New((*record).isDueBefore, (*record).setPosition),
+		changes:   list.New(),
+	}
 }
 
 // Len returns the number of live entries and tombstones.
@@ -106,7 +122,7 @@
 	rec.entry.Payload = bytes.Clone(e.Payload)
 	r.records[e.ID] = rec
 	rec.element = r.changes.PushBack(rec)
-	heap.Push(&r.deadlines, rec)
+	r.deadlines.Push(rec)
 	r.touch(rec, true)
 }
 
@@ -119,7 +135,7 @@
 	rec.born = born
 	rec.dead = e.State == Left || born+e.TTL < now
 	rec.deadline = r.deadlineOf(rec)
-	heap.Fix(&r.deadlines, rec.position)
+	r.deadlines.Fix(rec.position)
 	same := old.Incarnation == e.Incarnation && old.State == e.State && old.TTL == e.TTL
 	same = same && wasDead == rec.dead && bytes.Equal(old.Payload, e.Payload)
 	r.touch(rec, !same)
@@ -134,7 +150,7 @@
 	}
 	rec.born = born
 	rec.deadline = r.deadlineOf(rec)
-	heap.Fix(&r.deadlines, rec.position)
+	r.deadlines.Fix(rec.position)
 }
 
 // deadlineOf returns when a live record expires or a tombstone is forgotten.
@@ -158,23 +174,25 @@
 // tombstones and returns the entries that expired, in order of expiry.
 func (r *Registry) Expire(now time.Duration) []Entry {
 	var out []Entry
-	for len(r.deadlines) > 0 && r.deadlines[0].deadline < now {
-		rec := r.deadlines[0]
+	for {
+		rec, ok := r.deadlines.First()
+		if !ok || rec.deadline >= now {
+			return out
+		}
 		if rec.dead {
 			r.forget(rec)
 			continue
 		}
 		rec.dead = true
 		rec.deadline = r.deadlineOf(rec)
-		heap.Fix(&r.deadlines, rec.position)
+		r.deadlines.Fix(rec.position)
 		r.touch(rec, true)
 		out = append(out, rec.at(now))
 	}
-	return out
 }
 
 func (r *Registry) forget(rec *record) {
-	heap.Remove(&r.deadlines, rec.position)
+	r.deadlines.Remove(rec.position)
 	r.changes.Remove(rec.element)
 	delete(r.records, rec.entry.ID)
 }
@@ -232,37 +250,3 @@
 	}
 	return out, r.revision
 }
-
-// deadlineHeap orders records by deadline, then id.
-type deadlineHeap []*record
-
-func (h deadlineHeap) Len() int { return len(h) }
-
-func (h deadlineHeap) Less(i, j int) bool {
-	if h[i].deadline != h[j].deadline {
-		return h[i].deadline < h[j].deadline
-	}
-	return h[i].entry.ID < h[j].entry.ID
-}
-
-func (h deadlineHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].position = i
-	h[j].position = j
-}
-
-// Push implements heap.Interface.
-func (h *deadlineHeap) Push(x any) {
-	rec := x.(*record)
-	rec.position = len(*h)
-	*h = append(*h, rec)
-}
-
-// Pop implements heap.Interface.
-func (h *deadlineHeap) Pop() any {
-	last := len(*h) - 1
-	rec := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return rec
-}
