Workers renew directly with the owner of their failure domain

Cause: a worker renews with any host of its failure domain, and a host that does not own the domain passes the renewal on. Half of all renewals crossed between hosts, and each was decoded and encoded on two hosts.

The owner checks its lease as before, and every host still passes a renewal on to the present owner, so a stale address costs a retry only.

Backend servers need no hint: their announcements are not passed to an owner, each host of the failure domain needs them.

--- a/cmd/e2e/cluster_test.go
+++ b/cmd/e2e/cluster_test.go
@@ -93,7 +93,7 @@
 // configure sets the flags of a host for the hosts that are known now.
 func (c *cluster) configure(p *process) {
 	p.args = append([]string{"--host-id=" + p.id, "--failure-domain=" + p.domain, "--region=" + p.region,
-		"--http-listen=" + p.http, "--peer-listen=" + p.peer}, c.flags...)
+		"--http-listen=" + p.http, "--http-advertise=" + p.http, "--peer-listen=" + p.peer}, c.flags...)
 	if !p.diskless {
 		p.args = append(p.args, "--data-dir="+p.data)
 	}
--- a/cmd/e2e/jobs_test.go
+++ b/cmd/e2e/jobs_test.go
@@ -35,12 +35,17 @@
 }
 
 func startWorkers(c *cluster, count int) *workforce {
+	return startWorkersAt(c, count, c.urls(oerlikon))
+}
+
+// startWorkersAt starts workers that know the given entry hosts.
+func startWorkersAt(c *cluster, count int, urls []string) *workforce {
 	w := &workforce{c: c, log: standin.NewTaskLog()}
 	for i := range count {
 		worker := standin.NewWorker(standin.WorkerConfig{
 			Worker: structs.Worker{ID: fmt.Sprintf("w-%02d", i), Domain: oerlikon, Rack: fmt.Sprintf("rack-%d", i/workersInRack),
 				Accelerators: accelerators, Cores: 64, MemoryMB: 256 << 10},
-			Hosts: c.urls(oerlikon), Token: workerToken, RenewInterval: 300 * time.Millisecond,
+			Hosts: urls, Token: workerToken, RenewInterval: 300 * time.Millisecond,
 			CheckpointTime: 50 * time.Millisecond, Log: w.log,
 		})
 		w.workers = append(w.workers, worker)
--- a/daemon/experiment/target/cluster.go
+++ b/daemon/experiment/target/cluster.go
@@ -108,7 +108,7 @@
 func (c *cluster) configure(h *host) error {
 	h.args = []string{
 		"--host-id=" + h.id, "--failure-domain=" + h.domain, "--region=" + h.region,
-		"--http-listen=" + h.http, "--peer-listen=" + h.peer,
+		"--http-listen=" + h.http, "--http-advertise=" + h.http, "--peer-listen=" + h.peer,
 		"--data-dir=" + filepath.Join(c.folder, h.id), "--bootstrap", "--balancer-wait=0s",
 	}
 	for _, other := range c.hosts {
--- a/daemon/experiment/target/fleet.go
+++ b/daemon/experiment/target/fleet.go
@@ -63,10 +63,11 @@
 		ID: domain + "-worker-" + strconv.Itoa(position), Domain: domain, Rack: domain + "-rack-" + strconv.Itoa(position/workersInRack),
 		Accelerators: c.size.perWorker, Cores: workerCores, MemoryMB: workerMemoryMB,
 	}}
+	var hosts []string
 	for _, h := range c.inDomain(domain) {
-		w.hosts = append(w.hosts, h.http)
+		hosts = append(hosts, h.http)
 	}
-	w.first = position % len(w.hosts)
+	w.hosts = agent.NewHostList(hosts, position%len(hosts))
 	w.agent = agent.New(w.self, uint64(time.Now().UnixNano()))
 	// Workers of a deployment do not renew in step.
 	w.next = f.start.Add(time.Second * time.Duration(i) / time.Duration(c.size.workers))
--- a/daemon/experiment/target/worker.go
+++ b/daemon/experiment/target/worker.go
@@ -15,13 +15,12 @@
 type worker struct {
 	fleet *fleet
 	self  structs.Worker
-	hosts []string
 
 	mu    sync.Mutex
+	hosts *agent.HostList
 	agent *agent.Agent
 	// life counts the restarts; answers to an earlier life are dropped.
 	life  int
-	first int
 	seq   uint64
 	sent  []byte
 	next  time.Time
@@ -156,29 +155,34 @@
 	}
 }
 
-// exchange sends one renewal to the hosts until one answers, starting with the
-// one that answered last.
+// exchange sends one renewal to the hosts until one answers.
 func (w *worker) exchange(life int, seq uint64, body []byte, hold time.Duration) {
 	w.mu.Lock()
-	first := w.first
+	order := w.hosts.Order()
 	w.mu.Unlock()
-	for i := range w.hosts {
-		at := (first + i) % len(w.hosts)
-		orders, ok := w.fleet.post(w.hosts[at], body, hold)
+	for _, host := range order {
+		orders, ok := w.fleet.post(host, body, hold)
 		if ok {
-			w.answered(life, seq, at, orders)
+			w.answered(life, seq, host, orders)
 			return
 		}
+		w.failed(host)
 	}
 }
 
-func (w *worker) answered(life int, seq uint64, host int, orders structs.WorkerOrders) {
+func (w *worker) failed(host string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.hosts.Failed(w.now(), host)
+}
+
+func (w *worker) answered(life int, seq uint64, host string, orders structs.WorkerOrders) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hosts.Answered(w.now(), host, orders.Owner)
 	if life != w.life {
 		return
 	}
-	w.first = host
 	if orders.Lease > 0 {
 		w.fleet.tracker.ordered(w.self.Domain, orders.Term)
 	}
--- a/daemon/node/jobs.go
+++ b/daemon/node/jobs.go
@@ -143,10 +143,19 @@
 // do. Otherwise it holds the answer until the orders change, so that an order
 // does not wait for the next renewal: urgent work has 4.8 s from submission to
 // start, and preparing, starting and preempting take one order each.
-func (n *Node) handleWorkerRenew(_ string, r *workerRenewal, _ time.Duration) (any, error) {
+func (n *Node) handleWorkerRenew(from string, r *workerRenewal, _ time.Duration) (any, error) {
+	orders, err := n.renewHeld(r)
+	if from != n.cfg.HostID {
+		orders.Owner = n.cfg.HTTPAdvertise
+	}
+	return &workerOrders{Orders: orders}, err
+}
+
+// renewHeld renews a lease and holds the orders for up to the stated wait.
+func (n *Node) renewHeld(r *workerRenewal) (structs.WorkerOrders, error) {
 	orders, changed, err := n.renewOnce(r.Report, r.Wait > 0)
 	if err != nil || r.Wait <= 0 || !jobs.CarriedOut(r.Report, orders) {
-		return &workerOrders{Orders: orders}, err
+		return orders, err
 	}
 	timer := time.NewTimer(min(r.Wait, n.cfg.Timeouts.WorkerLease/maxHoldShare))
 	defer timer.Stop()
@@ -156,7 +165,7 @@
 	case <-n.stop:
 	}
 	orders, _, err = n.renewOnce(r.Report, false)
-	return &workerOrders{Orders: orders}, err
+	return orders, err
 }
 
 // maxHoldShare bounds a held answer to a part of the lease, because the lease
--- a/daemon/settings/check.go
+++ b/daemon/settings/check.go
@@ -39,6 +39,9 @@
 	if netip.MustParseAddrPort(s.PeerAdvertise).Addr().IsUnspecified() {
 		return &Error{Flag: flagPeerAdvertise, Value: s.PeerAdvertise, Reason: "cannot be reached by other hosts", Allowed: "an address of this host"}
 	}
+	if s.HTTPAdvertise != "" && netip.MustParseAddrPort(s.HTTPAdvertise).Addr().IsUnspecified() {
+		return &Error{Flag: flagHTTPAdvertise, Value: s.HTTPAdvertise, Reason: "cannot be reached by workers", Allowed: "an address of this host"}
+	}
 	return nil
 }
 
--- a/daemon/settings/doc.go
+++ b/daemon/settings/doc.go
@@ -19,6 +19,9 @@
 	// HTTPListen and PeerListen are IP addresses with a port.
 	HTTPListen string
 	PeerListen string
+	// HTTPAdvertise is the address at which workers reach the HTTP API of this
+	// host directly. Without it their renewals go through any host.
+	HTTPAdvertise string
 	// PeerAdvertise is the address at which other hosts reach this one.
 	PeerAdvertise string
 	// Peers are the other hosts, sorted by id.
--- a/daemon/settings/options.go
+++ b/daemon/settings/options.go
@@ -42,6 +42,7 @@
 	flagDomain         = "failure-domain"
 	flagRegion         = "region"
 	flagHTTPListen     = "http-listen"
+	flagHTTPAdvertise  = "http-advertise"
 	flagPeerListen     = "peer-listen"
 	flagPeerAdvertise  = "peer-advertise"
 	flagPeer           = "peer"
@@ -74,6 +75,7 @@
 func networkOptions() []option {
 	return []option{
 		{flag: flagHTTPListen, usage: "address of the HTTP API; port 0 picks a free one", def: "127.0.0.1:7400", allowed: allowedListen, set: address(func(s *Settings) *string { return &s.HTTPListen }, true)},
+		{flag: flagHTTPAdvertise, usage: "address at which workers reach the HTTP API of this host directly; without it, other hosts pass renewals on to it", allowed: allowedListen, set: address(func(s *Settings) *string { return &s.HTTPAdvertise }, false)},
 		{flag: flagPeerListen, usage: "address for connections of other hosts", def: "127.0.0.1:7401", allowed: allowedListen, set: address(func(s *Settings) *string { return &s.PeerListen }, false)},
 		{flag: flagPeerAdvertise, usage: "address at which other hosts reach this one; defaults to --peer-listen", allowed: allowedListen, set: address(func(s *Settings) *string { return &s.PeerAdvertise }, false)},
 		{flag: flagPeer, usage: "another host; repeat the flag, or separate entries with blanks in the variable; an entry for this host is ignored", allowed: allowedPeer, repeated: true, set: setPeer},
--- a/daemon/standin/worker.go
+++ b/daemon/standin/worker.go
@@ -36,7 +36,6 @@
 type Worker struct {
 	cfg    WorkerConfig
 	client *fasthttp.Client
-	hosts  *hostList
 	agent  *agent.Agent
 	start  time.Time
 	events chan agent.Event
@@ -51,6 +50,7 @@
 
 	mu     sync.Mutex
 	frozen chan struct{}
+	hosts  *agent.HostList
 }
 
 // runID identifies the task of one run of a job.
@@ -86,7 +86,7 @@
 	w := &Worker{
 		cfg:     cfg,
 		client:  &fasthttp.Client{ReadTimeout: announceTimeout, WriteTimeout: announceTimeout, MaxIdemponentCallAttempts: 1},
-		hosts:   &hostList{urls: cfg.Hosts},
+		hosts:   agent.NewHostList(cfg.Hosts, 0),
 		agent:   agent.New(cfg.Worker, uint64(time.Now().UnixNano())),
 		start:   time.Now(),
 		events:  make(chan agent.Event, workerEvents),
@@ -227,14 +227,43 @@
 	w.sent = body
 	headers := [][2]string{{"X-Wait-Ms", strconv.FormatInt(w.holdTime().Milliseconds(), 10)}}
 	go func() {
-		var orders structs.WorkerOrders
-		if err := w.hosts.post(w.client, "/v1/workers/renew", w.cfg.Token, headers, body, &orders); err != nil {
-			return
+		if orders, ok := w.exchange(headers, body); ok {
+			w.post(agent.OrdersReceived{Seq: seq, Orders: orders})
 		}
-		w.post(agent.OrdersReceived{Seq: seq, Orders: orders})
 	}()
 }
 
+// exchange offers a renewal to the hosts until one gives orders.
+func (w *Worker) exchange(headers [][2]string, body []byte) (structs.WorkerOrders, bool) {
+	w.mu.Lock()
+	order := w.hosts.Order()
+	w.mu.Unlock()
+	for _, host := range order {
+		var orders structs.WorkerOrders
+		one := hostList{urls: []string{host}}
+		err := one.post(w.client, "/v1/workers/renew", w.cfg.Token, headers, body, &orders)
+		w.noteExchange(host, orders, err)
+		if err == nil {
+			return orders, true
+		}
+	}
+	return structs.WorkerOrders{}, false
+}
+
+func (w *Worker) noteExchange(host string, orders structs.WorkerOrders, failure error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if failure != nil {
+		w.hosts.Failed(w.now(), host)
+		return
+	}
+	owner := orders.Owner
+	if owner != "" {
+		owner = "http://" + owner
+	}
+	w.hosts.Answered(w.now(), host, owner)
+}
+
 // holdTime lets the owner hold an answer until shortly before the next renewal.
 func (w *Worker) holdTime() time.Duration { return w.cfg.RenewInterval * 9 / 10 }
 
--- a/scheduler/structs/job.go
+++ b/scheduler/structs/job.go
@@ -141,4 +141,8 @@
 	// counted from the moment it sent the renewal.
 	Lease time.Duration `json:"lease_ns"`
 	Tasks []TaskOrder   `json:"tasks"`
+	// Owner is the address of the host that owns the failure domain, if it is
+	// another one than the host that answers. The worker may renew there
+	// directly and must fall back to the other hosts if that fails.
+	Owner string `json:"owner,omitempty" msgpack:",omitempty"`
 }
