jobs: give each task the processors and memory of its accelerators

Cause: orders named accelerators only. A task that took more processors or memory than its part of the worker starved the tasks beside it, and nothing told the worker what that part is.

Change: a prepare order carries limits, the part of the worker that belongs to the accelerators, rounded down. The agent hands them to the platform with the start of the task.

Rejected: processors and memory as further dimensions of placement. Guaranteed shapes are stated in accelerators, and a job with few accelerators and much memory would make a shape impossible to reclaim without stopping others.

Test: the stateful test of jobs now fails if a task starts without limits or if those of a worker's tasks exceed the worker.

--- a/daemon/standin/tasklog.go
+++ b/daemon/standin/tasklog.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"cranberrydrum.dev/scheduler/structs"
 )
 
 // TaskLog records which tasks ran where, for workers that share it. It is what
@@ -29,6 +31,7 @@
 	Job          string
 	Run          uint64
 	Accelerators []int
+	Limits       structs.Limits
 	At           time.Time
 	Ended        time.Time
 }
--- a/daemon/standin/worker.go
+++ b/daemon/standin/worker.go
@@ -306,7 +306,7 @@
 	id := runID{e.Job, e.Run}
 	task := &workerTask{started: time.Now(), resumed: w.cfg.Log.resumeFrom(e.Job)}
 	w.tasks[id] = task
-	w.cfg.Log.started(TaskStart{Worker: w.cfg.Worker.ID, Job: e.Job, Run: e.Run, Accelerators: e.Accelerators, At: task.started})
+	w.cfg.Log.started(TaskStart{Worker: w.cfg.Worker.ID, Job: e.Job, Run: e.Run, Accelerators: e.Accelerators, Limits: e.Limits, At: task.started})
 	exit := agent.TaskExited{Job: e.Job, Run: e.Run}
 	left := w.taskTime(e.Command) - task.resumed
 	if w.cfg.FailAll {
--- a/scheduler/agent/agent.go
+++ b/scheduler/agent/agent.go
@@ -76,6 +76,7 @@
 	key          taskKey
 	phase        phase
 	accelerators []int
+	limits       structs.Limits
 	command      []string
 	throttled    bool
 	// forced is set once the task was told to stop at the end of a lease.
--- a/scheduler/agent/events.go
+++ b/scheduler/agent/events.go
@@ -47,11 +47,12 @@
 	effect()
 }
 
-// StartTask starts the task of a run on accelerators.
+// StartTask starts the task of a run on accelerators, within limits.
 type StartTask struct {
 	Job          string
 	Run          uint64
 	Accelerators []int
+	Limits       structs.Limits
 	Command      []string
 }
 
--- a/scheduler/agent/orders.go
+++ b/scheduler/agent/orders.go
@@ -103,6 +103,9 @@
 	}
 	key := taskKey{o.Job, o.Run}
 	t := &task{key: key, accelerators: o.Accelerators, command: o.Command}
+	if o.Limits != nil {
+		t.limits = *o.Limits
+	}
 	a.tasks[key] = t
 	if o.Action != structs.ActionPrepare {
 		t.end(structs.TaskStopped, "")
--- a/scheduler/agent/task.go
+++ b/scheduler/agent/task.go
@@ -38,7 +38,7 @@
 		return t.throttle(false)
 	}
 	t.phase = phaseRunning
-	return []Effect{StartTask{Job: t.key.job, Run: t.key.run, Accelerators: t.accelerators, Command: t.command}}
+	return []Effect{StartTask{Job: t.key.job, Run: t.key.run, Accelerators: t.accelerators, Limits: t.limits, Command: t.command}}
 }
 
 // stop ends the task; one that never ran has ended at once.
--- a/scheduler/jobs/sim_test.go
+++ b/scheduler/jobs/sim_test.go
@@ -102,7 +102,7 @@
 	}
 	for i := range workers {
 		w := &simWorker{sim: s, bad: i < bad, rate: 0.97 + 0.06*s.rng.Float64(), offset: s.upTo(time.Hour)}
-		w.worker = structs.Worker{ID: fmt.Sprintf("w%02d", i), Domain: simDomain, Rack: "r1", Accelerators: 4}
+		w.worker = structs.Worker{ID: fmt.Sprintf("w%02d", i), Domain: simDomain, Rack: "r1", Accelerators: 4, Cores: 30, MemoryMB: 1001}
 		s.workers = append(s.workers, w)
 		w.restart()
 	}
--- a/scheduler/jobs/sim_worker_test.go
+++ b/scheduler/jobs/sim_worker_test.go
@@ -35,6 +35,7 @@
 
 type simTask struct {
 	accelerators []int
+	limits       structs.Limits
 	stopping     bool
 }
 
@@ -172,7 +173,8 @@
 func (w *simWorker) start(e agent.StartTask) {
 	key := runKey{e.Job, e.Run}
 	w.checkStart(key, e.Accelerators)
-	w.tasks[key] = &simTask{accelerators: e.Accelerators}
+	w.tasks[key] = &simTask{accelerators: e.Accelerators, limits: e.Limits}
+	w.checkLimits(key)
 	inc := w.inc
 	length := 2*time.Second + w.upTo(6*time.Second)
 	if w.longTasks || w.rng.IntN(4) == 0 {
@@ -256,3 +258,19 @@
 		w.fail("%v starts on %s, which is no member", key, w.worker.ID)
 	}
 }
+
+// checkLimits guards against a task without limits and against limits that
+// together exceed the worker, with which one task could starve the others.
+func (w *simWorker) checkLimits(started runKey) {
+	if l := w.tasks[started].limits; l.Cores <= 0 || l.MemoryMB <= 0 {
+		w.fail("%v starts without limits", started)
+	}
+	sum := structs.Limits{}
+	for _, t := range w.tasks {
+		sum.Cores += t.limits.Cores
+		sum.MemoryMB += t.limits.MemoryMB
+	}
+	if sum.Cores > w.worker.Cores || sum.MemoryMB > w.worker.MemoryMB {
+		w.fail("the tasks of %s may use %v", w.worker.ID, sum)
+	}
+}
--- a/scheduler/structs/job.go
+++ b/scheduler/structs/job.go
@@ -82,6 +82,25 @@
 	Quarantined  bool   `json:"quarantined"`
 }
 
+// Limits bound the processors and memory of a task.
+type Limits struct {
+	Cores    int `json:"cores"`
+	MemoryMB int `json:"memory_mb"`
+}
+
+// Share returns the part of the worker's processors and memory that belongs to
+// a number of its accelerators. The shares of all accelerators together never
+// exceed the worker.
+func (w Worker) Share(accelerators int) Limits {
+	if w.Accelerators <= 0 {
+		return Limits{}
+	}
+	return Limits{
+		Cores:    w.Cores * accelerators / w.Accelerators,
+		MemoryMB: w.MemoryMB * accelerators / w.Accelerators,
+	}
+}
+
 // TaskPhase is the phase of one member of a gang on its worker.
 type TaskPhase string
 
@@ -130,7 +149,10 @@
 	Run          uint64     `json:"run"`
 	Action       TaskAction `json:"action"`
 	Accelerators []int      `json:"accelerators,omitempty"`
-	Command      []string   `json:"command,omitempty"`
+	// Limits come with the accelerators. The worker enforces them, so that a
+	// task cannot starve the tasks on the other accelerators.
+	Limits  *Limits  `json:"limits,omitempty"`
+	Command []string `json:"command,omitempty"`
 }
 
 // WorkerOrders answers a renewal. Tasks that are not listed must be stopped.
