codec: check all lengths of a message before it is decoded

Cause: the msgpack library allocates the stated length of a byte string at once.

Change: coord/codec walks over a message and compares all lengths with the bytes that are there, bounds nesting, and then decodes. The compact encoding that stood in three places moved there, too.

--- a/coord/dedup/machine.go
+++ b/coord/dedup/machine.go
@@ -1,10 +1,9 @@
 package dedup
 
 import (
-	"bytes"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
+	"cranberrydrum.dev/coord/codec"
 )
 
 // Op selects the method that a command calls.
@@ -64,21 +63,18 @@
 // DecodeResult reads what Machine.Apply returned.
 func DecodeResult(data []byte) (Result, error) {
 	var r Result
-	if err := msgpack.Unmarshal(data, &r); err != nil {
+	if err := codec.Unmarshal(data, &r); err != nil {
 		return Result{}, &CommandError{Err: err}
 	}
 	return r, nil
 }
 
 func encode(v any) ([]byte, error) {
-	var out bytes.Buffer
-	encoder := msgpack.NewEncoder(&out)
-	encoder.UseArrayEncodedStructs(true)
-	encoder.UseCompactInts(true)
-	if err := encoder.Encode(v); err != nil {
+	data, err := codec.MarshalCompact(v)
+	if err != nil {
 		return nil, &CommandError{Err: err}
 	}
-	return out.Bytes(), nil
+	return data, nil
 }
 
 // Machine applies encoded commands to a Table. The terms are those of the log
@@ -95,7 +91,7 @@
 func (m *Machine) Apply(_, term uint64, command []byte) []byte {
 	var c Command
 	r := Result{Malformed: true}
-	if msgpack.Unmarshal(command, &c) == nil {
+	if codec.Unmarshal(command, &c) == nil {
 		r = m.run(term, &c)
 	}
 	out, err := encode(&r)
--- a/coord/dedup/snapshot.go
+++ b/coord/dedup/snapshot.go
@@ -1,11 +1,10 @@
 package dedup
 
 import (
-	"bytes"
 	"fmt"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
+	"cranberrydrum.dev/coord/codec"
 )
 
 // snapshotVersion is the format written by Snapshot.
@@ -65,14 +64,11 @@
 		x := wireExpired{Hash: t.fading[i].hash[:], Until: t.fading[i].until}
 		w.Expired = append(w.Expired, x)
 	}
-	var out bytes.Buffer
-	encoder := msgpack.NewEncoder(&out)
-	encoder.UseArrayEncodedStructs(true)
-	encoder.UseCompactInts(true)
-	if err := encoder.Encode(&w); err != nil {
+	data, err := codec.MarshalCompact(&w)
+	if err != nil {
 		return nil, &SnapshotError{Reason: "snapshot cannot be encoded", Err: err}
 	}
-	return out.Bytes(), nil
+	return data, nil
 }
 
 func toWire(r *record) wireRecord {
@@ -94,7 +90,7 @@
 // is smaller than the snapshot, all records are kept and new keys are refused.
 func (t *Table) Restore(data []byte) error {
 	var w wireTable
-	if err := msgpack.Unmarshal(data, &w); err != nil {
+	if err := codec.Unmarshal(data, &w); err != nil {
 		return &SnapshotError{Reason: "snapshot cannot be decoded", Err: err}
 	}
 	if w.Version != snapshotVersion {
--- a/daemon/experiment/control/renewal.go
+++ b/daemon/experiment/control/renewal.go
@@ -5,6 +5,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"cranberrydrum.dev/coord/codec"
 	"cranberrydrum.dev/scheduler/structs"
 )
 
@@ -114,7 +115,7 @@
 		return &SetupError{What: "call", Cause: err}
 	}
 	var orders structs.WorkerOrders
-	if err := msgpack.Unmarshal(answer, &orders); err != nil {
+	if err := codec.Unmarshal(answer, &orders); err != nil {
 		return &SetupError{What: "answer", Cause: err}
 	}
 	if _, err := json.Marshal(&orders); err != nil {
@@ -126,7 +127,7 @@
 // ownerWork handles the call of a renewal, as the owner of the domain does.
 func ownerWork(o *owner, call []byte) error {
 	var report structs.WorkerReport
-	if err := msgpack.Unmarshal(call, &report); err != nil {
+	if err := codec.Unmarshal(call, &report); err != nil {
 		return &SetupError{What: "call", Cause: err}
 	}
 	orders, refusal := o.controller.Renew(o.now, report, true)
--- a/daemon/experiment/control/trio.go
+++ b/daemon/experiment/control/trio.go
@@ -7,6 +7,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"cranberrydrum.dev/coord/codec"
 	"cranberrydrum.dev/coord/raft"
 	"cranberrydrum.dev/coord/replica"
 	"cranberrydrum.dev/daemon/storage"
@@ -158,7 +159,7 @@
 		t.followerBytes += size
 	}
 	var decoded raft.Message
-	if err := msgpack.Unmarshal(data, &decoded); err != nil {
+	if err := codec.Unmarshal(data, &decoded); err != nil {
 		return m, &SetupError{What: "raft message", Cause: err}
 	}
 	return decoded, nil
--- a/daemon/node/backends.go
+++ b/daemon/node/backends.go
@@ -6,6 +6,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"cranberrydrum.dev/coord/codec"
 	"cranberrydrum.dev/coord/registry"
 	"cranberrydrum.dev/scheduler/structs"
 )
@@ -150,7 +151,7 @@
 
 func decodeBackend(e registry.Entry) (structs.Backend, bool) {
 	var b structs.Backend
-	if err := msgpack.Unmarshal(e.Payload, &b); err != nil {
+	if err := codec.Unmarshal(e.Payload, &b); err != nil {
 		return b, false
 	}
 	b.State = backendState(e.State)
--- a/daemon/node/calls.go
+++ b/daemon/node/calls.go
@@ -6,6 +6,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"cranberrydrum.dev/coord/codec"
 	"cranberrydrum.dev/daemon/transport"
 	"cranberrydrum.dev/scheduler/structs"
 )
@@ -187,7 +188,7 @@
 }
 
 func decodeMessage(what string, data []byte, value any) error {
-	if err := msgpack.Unmarshal(data, value); err != nil {
+	if err := codec.Unmarshal(data, value); err != nil {
 		return &CodecError{What: what, Cause: err}
 	}
 	return nil
--- a/daemon/storage/disk.go
+++ b/daemon/storage/disk.go
@@ -5,6 +5,7 @@
 import (
 	"github.com/vmihailenco/msgpack/v5"
 
+	"cranberrydrum.dev/coord/codec"
 	"cranberrydrum.dev/coord/raft"
 	"cranberrydrum.dev/coord/wal"
 )
@@ -74,7 +75,7 @@
 	}
 	restored.Snapshot.Index = meta.Index
 	restored.Snapshot.Term = meta.Term
-	if err := msgpack.Unmarshal(meta.Membership, &restored.Snapshot.Membership); err != nil {
+	if err := codec.Unmarshal(meta.Membership, &restored.Snapshot.Membership); err != nil {
 		return raft.Restored{}, nil, &MembershipError{Cause: err}
 	}
 	return restored, data, nil
--- a/daemon/transport/call.go
+++ b/daemon/transport/call.go
@@ -5,6 +5,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"cranberrydrum.dev/coord/codec"
 	"cranberrydrum.dev/scheduler/structs"
 )
 
@@ -38,7 +39,7 @@
 
 func decodeRefusal(body []byte) (*structs.Refusal, bool) {
 	var r refusalBody
-	if err := msgpack.Unmarshal(body, &r); err != nil {
+	if err := codec.Unmarshal(body, &r); err != nil {
 		return nil, false
 	}
 	return &structs.Refusal{
--- a/daemon/transport/frame.go
+++ b/daemon/transport/frame.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"cranberrydrum.dev/coord/codec"
 )
 
 // MaxFrameBytes bounds the payload of one frame.
@@ -113,7 +115,7 @@
 // decodeFrame decodes a payload and rejects kinds that do not exist.
 func decodeFrame(payload []byte) (*frame, error) {
 	var f frame
-	if err := msgpack.Unmarshal(payload, &f); err != nil {
+	if err := codec.Unmarshal(payload, &f); err != nil {
 		return nil, &FrameError{Reason: "decode", Detail: err.Error(), Size: len(payload)}
 	}
 	if _, ok := kindNames[f.Kind]; !ok {
--- a/daemon/transport/handshake.go
+++ b/daemon/transport/handshake.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"cranberrydrum.dev/coord/codec"
 )
 
 // ProtocolVersion is raised with each change that older hosts cannot read.
@@ -200,7 +202,7 @@
 	if f.Kind != kind {
 		return &FrameError{Reason: "expected " + kind.String() + ", got " + f.Kind.String()}
 	}
-	if err := msgpack.Unmarshal(f.Body, value); err != nil {
+	if err := codec.Unmarshal(f.Body, value); err != nil {
 		return &FrameError{Reason: "decode " + kind.String(), Detail: err.Error()}
 	}
 	return nil
--- a/scheduler/configstate/messages.go
+++ b/scheduler/configstate/messages.go
@@ -1,6 +1,7 @@
 package configstate
 
 import (
+	"cranberrydrum.dev/coord/codec"
 	"cranberrydrum.dev/scheduler/rules"
 	"cranberrydrum.dev/scheduler/structs"
 	"github.com/vmihailenco/msgpack/v5"
@@ -66,7 +67,7 @@
 // DecodeResult reads what Apply returned.
 func DecodeResult(data []byte) (Result, error) {
 	var r Result
-	if err := msgpack.Unmarshal(data, &r); err != nil {
+	if err := codec.Unmarshal(data, &r); err != nil {
 		return Result{}, &CodecError{Subject: "result", Cause: err}
 	}
 	return r, nil
--- a/scheduler/configstate/snapshot.go
+++ b/scheduler/configstate/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"cranberrydrum.dev/coord/codec"
 	"cranberrydrum.dev/scheduler/rules"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -40,7 +41,7 @@
 // Restore replaces the state by a snapshot. On error the state is unchanged.
 func (s *State) Restore(data []byte) error {
 	var snap snapshot
-	if err := msgpack.Unmarshal(data, &snap); err != nil {
+	if err := codec.Unmarshal(data, &snap); err != nil {
 		return &CodecError{Subject: "snapshot", Cause: err}
 	}
 	if reason := snap.fault(); reason != "" {
--- a/scheduler/configstate/state.go
+++ b/scheduler/configstate/state.go
@@ -4,9 +4,9 @@
 	"slices"
 	"strconv"
 
+	"cranberrydrum.dev/coord/codec"
 	"cranberrydrum.dev/scheduler/rules"
 	"cranberrydrum.dev/scheduler/structs"
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // FileName labels errors in a replicated text.
@@ -52,7 +52,7 @@
 // Apply runs a command of the log and returns an encoded Result.
 func (s *State) Apply(index, _ uint64, command []byte) []byte {
 	var c Command
-	if err := msgpack.Unmarshal(command, &c); err != nil {
+	if err := codec.Unmarshal(command, &c); err != nil {
 		return encodeResult(refuse(structs.CodeInvalid, "the command cannot be decoded"))
 	}
 	return encodeResult(s.apply(index, c))
--- a/scheduler/domain/command.go
+++ b/scheduler/domain/command.go
@@ -5,6 +5,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"cranberrydrum.dev/coord/codec"
 	"cranberrydrum.dev/coord/dedup"
 	"cranberrydrum.dev/scheduler/jobs"
 	"cranberrydrum.dev/scheduler/structs"
@@ -85,7 +86,7 @@
 // DecodeDecision reads the result of a begin entry.
 func DecodeDecision(result []byte) (dedup.Decision, error) {
 	var d dedup.Decision
-	if err := msgpack.Unmarshal(result, &d); err != nil {
+	if err := codec.Unmarshal(result, &d); err != nil {
 		return d, &CodecError{What: "decision", Cause: err}
 	}
 	return d, nil
--- a/scheduler/domain/state.go
+++ b/scheduler/domain/state.go
@@ -5,6 +5,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"cranberrydrum.dev/coord/codec"
 	"cranberrydrum.dev/coord/dedup"
 	"cranberrydrum.dev/scheduler/jobs"
 	"cranberrydrum.dev/scheduler/structs"
@@ -72,7 +73,7 @@
 // entry, which a proposer cannot choose.
 func (s *State) Apply(index, term uint64, command []byte) []byte {
 	var e envelope
-	if err := msgpack.Unmarshal(command, &e); err != nil {
+	if err := codec.Unmarshal(command, &e); err != nil {
 		return encodeJobResult(invalidCommand(err))
 	}
 	s.clock = max(s.clock, e.Clock)
@@ -97,7 +98,7 @@
 // applyPolicy puts the key policy of a later configuration in force.
 func (s *State) applyPolicy(body []byte) {
 	var p keyPolicy
-	if err := msgpack.Unmarshal(body, &p); err != nil || p.Version <= s.policy.Version {
+	if err := codec.Unmarshal(body, &p); err != nil || p.Version <= s.policy.Version {
 		return
 	}
 	s.policy = p
@@ -114,7 +115,7 @@
 
 func (s *State) applyBegin(term uint64, body []byte) []byte {
 	var r dedup.Request
-	if err := msgpack.Unmarshal(body, &r); err != nil {
+	if err := codec.Unmarshal(body, &r); err != nil {
 		return nil
 	}
 	r.Term = term
@@ -123,7 +124,7 @@
 
 func (s *State) applyFinish(body []byte) []byte {
 	var f keyFinish
-	if err := msgpack.Unmarshal(body, &f); err != nil {
+	if err := codec.Unmarshal(body, &f); err != nil {
 		return nil
 	}
 	return encodePlain(s.keys.Finish(s.Clock(), f.Key, f.Token, f.Outcome))
@@ -178,7 +179,7 @@
 // Restore replaces the state by a snapshot.
 func (s *State) Restore(data []byte) error {
 	var snap snapshot
-	if err := msgpack.Unmarshal(data, &snap); err != nil {
+	if err := codec.Unmarshal(data, &snap); err != nil {
 		return &CodecError{What: "snapshot", Cause: err}
 	}
 	if err := s.jobs.Restore(snap.Jobs); err != nil {
--- a/scheduler/jobs/codec.go
+++ b/scheduler/jobs/codec.go
@@ -5,26 +5,24 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"cranberrydrum.dev/coord/codec"
 )
 
-// encode writes values one after the other. Structs become arrays, because
-// field names are two thirds of the bytes of a plan for a large gang. Fields
-// may therefore only be added at the end of a struct.
+// encode writes values one after the other.
 func encode(what string, values ...any) ([]byte, error) {
-	var buf bytes.Buffer
-	enc := msgpack.NewEncoder(&buf)
-	enc.UseArrayEncodedStructs(true)
-	enc.UseCompactInts(true)
-	for _, v := range values {
-		if err := enc.Encode(v); err != nil {
-			return nil, &EncodeError{What: what, Err: err}
-		}
+	data, err := codec.MarshalCompact(values...)
+	if err != nil {
+		return nil, &EncodeError{What: what, Err: err}
 	}
-	return buf.Bytes(), nil
+	return data, nil
 }
 
 // decode reads values one after the other and refuses bytes that remain.
 func decode(what string, data []byte, values ...any) error {
+	if err := codec.CheckAll(data); err != nil {
+		return &DecodeError{What: what, Err: err}
+	}
 	reader := bytes.NewReader(data)
 	dec := msgpack.NewDecoder(reader)
 	for _, v := range values {
@@ -48,6 +46,9 @@
 
 // DecodeCommand reads a log entry.
 func DecodeCommand(data []byte) (Command, error) {
+	if err := codec.CheckAll(data); err != nil {
+		return Command{}, &DecodeError{What: "command", Err: err}
+	}
 	reader := bytes.NewReader(data)
 	dec := msgpack.NewDecoder(reader)
 	var kind Kind
