Hosts tell each other only what changed in their status

Cause: each host sent its whole status (configuration digest, names, terms and leaders of all logs, loads of services) to each other host every 500 ms: 3.2 of the 5.0 KB/s that an idle host of nine sends.

Change: a status has a revision. Every 500 ms a host sends what changed since the revision before, or only the revision if nothing did, with the version of the configuration and whether it stops in each message. A host that has not got the message before asks for the whole status, which also covers a restart and a reconnect, so a lost message is repaired by the next one: after 500 ms and one round trip. While a message is missing the old status ages and is not confirmed.

--- a/daemon/node/hosts.go
+++ b/daemon/node/hosts.go
@@ -10,20 +10,21 @@
 )
 
 const (
-	// hostStatusInterval is how often hosts tell each other their status. It
-	// bounds, with one round trip, how late a host learns of a configuration.
+	// hostStatusInterval is how often hosts tell each other what changed in
+	// their status, or that nothing did. It bounds, with one round trip, how
+	// late a host learns of a configuration.
 	hostStatusInterval = 500 * time.Millisecond
 	// hostStatusAge is the age from which a status is no longer used.
 	hostStatusAge = 3 * time.Second
 )
 
-// hostStatus is what a host tells all others.
+// hostStatus is what a host tells all others, in status messages.
 type hostStatus struct {
-	ConfigVersion uint64          `msgpack:"v"`
-	ConfigDigest  string          `msgpack:"d"`
-	Stopping      bool            `msgpack:"s,omitempty"`
-	Groups        []groupView     `msgpack:"g,omitempty"`
-	Services      []serviceStatus `msgpack:"x,omitempty"`
+	ConfigVersion uint64
+	ConfigDigest  string
+	Stopping      bool
+	Groups        []groupView
+	Services      []serviceStatus
 }
 
 // groupView is what a member of a replicated log knows about it.
@@ -54,6 +55,7 @@
 type host struct {
 	settings.Peer
 	status   hostStatus
+	revision uint64
 	received time.Duration
 	seen     bool
 }
@@ -95,17 +97,13 @@
 	return *h, true
 }
 
-// update records the status of a host. Hosts that are not configured are ignored.
-func (t *hostTable) update(now time.Duration, id string, status hostStatus) {
+// update takes a status message of a host and reports whether it was complete.
+// Hosts that are not configured are ignored.
+func (t *hostTable) update(now time.Duration, id string, m statusMessage) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.hosts[id]
-	if h == nil {
-		return
-	}
-	h.status = status
-	h.received = now
-	h.seen = true
+	return h == nil || h.apply(now, m)
 }
 
 // all returns a copy of the hosts, sorted by id.
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -36,6 +36,7 @@
 	transport *transport.Transport
 	handlers  map[string]callHandler
 	hosts     *hostTable
+	statuses  *statusSource
 	backends  *backendDirectory
 	pool      *upstream.Pool
 	router    *router
@@ -71,6 +72,7 @@
 		metrics:  metrics.New(),
 		start:    time.Now(),
 		hosts:    newHostTable(cfg.Peers),
+		statuses: newStatusSource(),
 		backends: newBackendDirectory(cfg.Domain, cfg.Timeouts.BackendTTL),
 		pool:     upstream.NewPool(),
 		config:   newConfigKeeper(),
--- a/daemon/node/sync.go
+++ b/daemon/node/sync.go
@@ -16,16 +16,31 @@
 	Entries []registry.Entry   `msgpack:"e,omitempty"`
 }
 
-// broadcastStatus tells all hosts what is in force and who leads here.
+// broadcastStatus tells all hosts what changed in the configuration in force,
+// the leaders of logs and the load of services.
 func (n *Node) broadcastStatus() {
-	body, err := encodeMessage(n.ownStatus())
+	n.statuses.mu.Lock()
+	defer n.statuses.mu.Unlock()
+	message := n.statuses.next(n.now(), *n.ownStatus())
+	for _, h := range n.hosts.all() {
+		n.sendStatus(h.ID, message)
+	}
+}
+
+// answerStatus sends the whole status to a host that has missed a message.
+func (n *Node) answerStatus(to string) {
+	n.statuses.mu.Lock()
+	defer n.statuses.mu.Unlock()
+	n.sendStatus(to, n.statuses.full())
+}
+
+func (n *Node) sendStatus(to string, message statusMessage) {
+	body, err := encodeMessage(&message)
 	if err != nil {
 		n.log.Error(err, "the host status cannot be encoded")
 		return
 	}
-	for _, h := range n.hosts.all() {
-		_ = n.transport.Send(h.ID, transport.KindHostStatus, body)
-	}
+	_ = n.transport.Send(to, transport.KindHostStatus, body)
 }
 
 func (n *Node) ownStatus() *hostStatus {
@@ -42,13 +57,19 @@
 }
 
 func (n *Node) receiveStatus(from string, body []byte) {
-	var status hostStatus
-	if err := decodeMessage("host status", body, &status); err != nil {
+	var message statusMessage
+	if err := decodeMessage("host status", body, &message); err != nil {
 		n.metrics.FrameDropped(transport.KindHostStatus.String(), "malformed")
 		return
 	}
-	n.hosts.update(n.now(), from, status)
-	n.followConfig(from, status.ConfigVersion)
+	if message.Ask {
+		n.answerStatus(from)
+		return
+	}
+	if !n.hosts.update(n.now(), from, message) {
+		n.sendStatus(from, statusMessage{Ask: true})
+	}
+	n.followConfig(from, message.Version)
 }
 
 // syncBackends asks the hosts of the own failure domain for announcements that
