Command line: one piece of code runs queries; the test stub takes calls in parallel

Change: the stub has a lock, and the client sorts the parameters. Nine queries shared the same eight lines, which are cli.Fetch now.

--- a/cmd/cranberrydrum/cli/env.go
+++ b/cmd/cranberrydrum/cli/env.go
@@ -65,6 +65,17 @@
 	return api.NewClient(api.ClientConfig{Servers: servers, Token: token, Timeout: e.timeout})
 }
 
+// Fetch runs a query on the given servers.
+func Fetch[T any](e *Env, query func(*api.Client) (T, error)) (T, error) {
+	client, err := e.Client()
+	if err != nil {
+		var none T
+		return none, err
+	}
+	result, err := query(client)
+	return result, queryError(err)
+}
+
 // Access returns the given servers and the token for them.
 func (e *Env) Access() (servers []string, token string, err error) {
 	servers = e.servers
--- a/cmd/cranberrydrum/cli/errors.go
+++ b/cmd/cranberrydrum/cli/errors.go
@@ -74,8 +74,8 @@
 // Error implements error.
 func (e *ExecutorError) Error() string { return "the executor answered with status " + e.Status }
 
-// Query marks the error of a query.
-func Query(err error) error {
+// queryError marks the error of a query.
+func queryError(err error) error {
 	if api.OutcomeUnknown(err) {
 		return &ReadError{Cause: err}
 	}
--- a/cmd/cranberrydrum/main_test.go
+++ b/cmd/cranberrydrum/main_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 
 	"cranberrydrum.dev/cmd/cranberrydrum/cli"
@@ -45,6 +46,9 @@
 // stub is a host of which the test decides each answer. It applies rules with
 // the real state machine and can lose answers.
 type stub struct {
+	// mu guards the rest: a client that lost an answer asks again on another
+	// connection while the first one still ends.
+	mu      sync.Mutex
 	state   *configstate.State
 	lose    int
 	index   uint64
@@ -61,7 +65,15 @@
 	return listener.Addr().String()
 }
 
+func (s *stub) requests() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen
+}
+
 func (s *stub) handle(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.seen = append(s.seen, string(ctx.RequestURI())+" "+string(ctx.Request.Header.Peek("Authorization")))
 	key := string(ctx.Method()) + " " + string(ctx.Path())
 	reply, found := s.replies[key]
@@ -132,7 +144,7 @@
 		got := execute(env, "", "rules", "apply", korbfrisch, "--base-version=0")
 		Expect(got.Status).To(Equal(cli.ExitDone), got.Stderr)
 		Expect(got.Stdout).To(HavePrefix("version 1 accepted"))
-		Expect(s.seen).To(Equal([]string{"/v1/rules Bearer t0", "/v1/rules Bearer t0", "/v1/rules Bearer t0"}))
+		Expect(s.requests()).To(Equal([]string{"/v1/rules Bearer t0", "/v1/rules Bearer t0", "/v1/rules Bearer t0"}))
 		Expect(s.state.Version()).To(BeEquivalentTo(1))
 		got = execute(env, "", "rules", "apply", remada, "--base-version=0")
 		Expect(got.Status).To(Equal(cli.ExitRefused))
@@ -159,7 +171,7 @@
 		got := execute(map[string]string{cli.EnvServer: s.serve()}, "", args...)
 		Expect(got.Status).To(Equal(cli.ExitUsage))
 		Expect(got.Stderr).To(HavePrefix("error: usage (not_run): "))
-		Expect(s.seen).To(BeEmpty())
+		Expect(s.requests()).To(BeEmpty())
 	},
 		Entry("no command"),
 		Entry("unknown command", "rulse"),
@@ -215,7 +227,7 @@
 			Expect(got.Status).To(Equal(cli.ExitDone), "%s: %s", c.args, got.Stderr)
 			Expect(got.Stdout).To(ContainSubstring(c.want), c.args)
 		}
-		Expect(s.seen).To(ContainElements("/v1/jobs?customer=c Bearer secret", "/v1/members?group=config&host=b Bearer secret"))
+		Expect(s.requests()).To(ContainElements("/v1/jobs?customer=c Bearer secret", "/v1/members?group=config&host=b Bearer secret"))
 		got := execute(env, "", "request", "send", "empty")
 		Expect(got).To(And(HaveField("Status", cli.ExitRefused), HaveField("Stderr", "error: no_backend (not_run): no backend server\n")))
 	})
--- a/cmd/cranberrydrum/queries/backends_list.go
+++ b/cmd/cranberrydrum/queries/backends_list.go
@@ -2,6 +2,7 @@
 
 import (
 	"cranberrydrum.dev/cmd/cranberrydrum/cli"
+	"cranberrydrum.dev/daemon/api"
 	"github.com/spf13/cobra"
 )
 
@@ -12,14 +13,10 @@
 		Short: "List the backend servers that the answering host knows",
 		Args:  cli.Args(),
 		RunE: func(*cobra.Command, []string) error {
-			client, err := env.Client()
+			status, err := cli.Fetch(env, func(c *api.Client) (api.StatusResponse, error) { return c.Status(false) })
 			if err != nil {
 				return err
 			}
-			status, err := client.Status(false)
-			if err != nil {
-				return cli.Query(err)
-			}
 			return env.Print(cli.List(status.Backends), cli.BackendsTable(status.Backends))
 		},
 	}
--- a/cmd/cranberrydrum/queries/job_list.go
+++ b/cmd/cranberrydrum/queries/job_list.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"cranberrydrum.dev/cmd/cranberrydrum/cli"
+	"cranberrydrum.dev/daemon/api"
 	"cranberrydrum.dev/scheduler/structs"
 	"github.com/spf13/cobra"
 )
@@ -17,14 +18,10 @@
 		Short: "List jobs",
 		Args:  cli.Args(),
 		RunE: func(*cobra.Command, []string) error {
-			client, err := env.Client()
+			list, err := cli.Fetch(env, func(c *api.Client) (api.JobListResponse, error) { return c.Jobs(customer, structs.JobStatus(status)) })
 			if err != nil {
 				return err
 			}
-			list, err := client.Jobs(customer, structs.JobStatus(status))
-			if err != nil {
-				return cli.Query(err)
-			}
 			if len(list.Unreachable) > 0 {
 				_, _ = io.WriteString(env.Stderr, "warning: jobs of these failure domains are missing: "+strings.Join(list.Unreachable, ", ")+"\n")
 			}
--- a/cmd/cranberrydrum/queries/job_show.go
+++ b/cmd/cranberrydrum/queries/job_show.go
@@ -15,14 +15,10 @@
 		Short: "Show a job and the workers of its current run",
 		Args:  cli.Args("ID"),
 		RunE: func(_ *cobra.Command, args []string) error {
-			client, err := env.Client()
+			job, err := cli.Fetch(env, func(c *api.Client) (api.Job, error) { return c.Job(args[0]) })
 			if err != nil {
 				return err
 			}
-			job, err := client.Job(args[0])
-			if err != nil {
-				return cli.Query(err)
-			}
 			return env.Print(job, jobTable(job))
 		},
 	}
--- a/cmd/cranberrydrum/queries/members_list.go
+++ b/cmd/cranberrydrum/queries/members_list.go
@@ -2,6 +2,7 @@
 
 import (
 	"cranberrydrum.dev/cmd/cranberrydrum/cli"
+	"cranberrydrum.dev/daemon/api"
 	"github.com/spf13/cobra"
 )
 
@@ -12,14 +13,10 @@
 		Short: "List the members of the replicated logs",
 		Args:  cli.Args(),
 		RunE: func(*cobra.Command, []string) error {
-			client, err := env.Client()
+			members, err := cli.Fetch(env, (*api.Client).Members)
 			if err != nil {
 				return err
 			}
-			members, err := client.Members()
-			if err != nil {
-				return cli.Query(err)
-			}
 			return env.Print(members, cli.MembersTable(members.Groups))
 		},
 	}
--- a/cmd/cranberrydrum/queries/rules_diff.go
+++ b/cmd/cranberrydrum/queries/rules_diff.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"cranberrydrum.dev/cmd/cranberrydrum/cli"
+	"cranberrydrum.dev/daemon/api"
 	"cranberrydrum.dev/scheduler/rules"
 	"github.com/spf13/cobra"
 )
@@ -38,12 +39,8 @@
 	if len(args) > 1 {
 		return env.ReadFile(args[0])
 	}
-	client, err := env.Client()
-	if err != nil {
-		return nil, err
-	}
-	current, err := client.Rules()
-	return []byte(current.Text), cli.Query(err)
+	current, err := cli.Fetch(env, (*api.Client).Rules)
+	return []byte(current.Text), err
 }
 
 // diffText marks removed rules with "-" and added ones with "+"; a changed
--- a/cmd/cranberrydrum/queries/rules_history.go
+++ b/cmd/cranberrydrum/queries/rules_history.go
@@ -2,6 +2,7 @@
 
 import (
 	"cranberrydrum.dev/cmd/cranberrydrum/cli"
+	"cranberrydrum.dev/daemon/api"
 	"github.com/spf13/cobra"
 )
 
@@ -12,14 +13,10 @@
 		Short: "List the accepted versions, oldest first",
 		Args:  cli.Args(),
 		RunE: func(*cobra.Command, []string) error {
-			client, err := env.Client()
+			history, err := cli.Fetch(env, (*api.Client).RulesHistory)
 			if err != nil {
 				return err
 			}
-			history, err := client.RulesHistory()
-			if err != nil {
-				return cli.Query(err)
-			}
 			t := cli.Table{Header: []string{"VERSION", "AUTHOR", "ADDED", "REMOVED", "CHANGED", "COMMENTS", "REQUEST", "DIGEST"}}
 			for _, e := range history.Entries {
 				t.Rows = append(t.Rows, []string{
--- a/cmd/cranberrydrum/queries/rules_show.go
+++ b/cmd/cranberrydrum/queries/rules_show.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"cranberrydrum.dev/cmd/cranberrydrum/cli"
+	"cranberrydrum.dev/daemon/api"
 	"github.com/spf13/cobra"
 )
 
@@ -15,14 +16,10 @@
 		Short: "Print the rules in force; their version goes to the error stream",
 		Args:  cli.Args(),
 		RunE: func(*cobra.Command, []string) error {
-			client, err := env.Client()
+			current, err := cli.Fetch(env, (*api.Client).Rules)
 			if err != nil {
 				return err
 			}
-			current, err := client.Rules()
-			if err != nil {
-				return cli.Query(err)
-			}
 			if !env.JSON() {
 				_, _ = io.WriteString(env.Stderr, "version "+strconv.FormatUint(current.Version, 10)+", digest "+current.Digest+"\n")
 			}
--- a/cmd/cranberrydrum/queries/status.go
+++ b/cmd/cranberrydrum/queries/status.go
@@ -16,14 +16,10 @@
 		Short: "Show the state of the deployment as one host knows it",
 		Args:  cli.Args(),
 		RunE: func(*cobra.Command, []string) error {
-			client, err := env.Client()
+			status, err := cli.Fetch(env, func(c *api.Client) (api.StatusResponse, error) { return c.Status(false) })
 			if err != nil {
 				return err
 			}
-			status, err := client.Status(false)
-			if err != nil {
-				return cli.Query(err)
-			}
 			if env.JSON() {
 				return env.Print(status, cli.Table{})
 			}
--- a/cmd/cranberrydrum/queries/workers_list.go
+++ b/cmd/cranberrydrum/queries/workers_list.go
@@ -2,6 +2,7 @@
 
 import (
 	"cranberrydrum.dev/cmd/cranberrydrum/cli"
+	"cranberrydrum.dev/daemon/api"
 	"github.com/spf13/cobra"
 )
 
@@ -13,14 +14,10 @@
 		Short: "List workers",
 		Args:  cli.Args(),
 		RunE: func(*cobra.Command, []string) error {
-			client, err := env.Client()
+			status, err := cli.Fetch(env, func(c *api.Client) (api.StatusResponse, error) { return c.Status(!quarantined) })
 			if err != nil {
 				return err
 			}
-			status, err := client.Status(!quarantined)
-			if err != nil {
-				return cli.Query(err)
-			}
 			workers := status.Workers
 			if quarantined {
 				workers = status.Quarantined
--- a/daemon/api/client.go
+++ b/daemon/api/client.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -171,6 +172,8 @@
 	for key, value := range q.query {
 		req.URI().QueryArgs().Set(key, value)
 	}
+	// Equal calls have equal addresses in access logs.
+	req.URI().QueryArgs().Sort(bytes.Compare)
 	if c.config.Token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.config.Token)
 	}
