serving: short urgent work keeps its margin under every policy

Cause: within the urgent class, longer work left free the demand of short work plus 0 standard deviations and at most half of the slots when the policy is completion time. At a crest of 3 times the capacity short requests with a deadline of 1 s waited for slots of long ones.

Change: the urgent class leaves at least 2 standard deviations and up to 0.9 of the slots for its own shorter work.

--- a/scheduler/serving/size.go
+++ b/scheduler/serving/size.go
@@ -116,8 +116,33 @@
 	if floor == 0 {
 		return 0
 	}
-	kept := max(floor, demand+t.deviations*math.Sqrt(demand))
-	return min(kept/slots, t.maxKeep[size])
+	kept := max(floor, demand+t.margin(class)*math.Sqrt(demand))
+	return min(kept/slots, t.bound(class, size))
+}
+
+// What longer urgent work leaves free for shorter urgent work, at least. The
+// policy weighs less important work against more important work. Within the
+// urgent class its values for completion time, no margin and at most half of
+// the slots, made the short requests of a crest wait for slots of long ones.
+const (
+	urgentDeviations = 2
+	urgentMaxKeep    = 0.9
+)
+
+// margin returns the standard deviations that a class leaves free.
+func (t *tuning) margin(class classIndex) float64 {
+	if class == urgent {
+		return max(urgentDeviations, t.deviations)
+	}
+	return t.deviations
+}
+
+// bound returns the largest share of the slots that a class and size leaves free.
+func (t *tuning) bound(class classIndex, size tier) float64 {
+	if class == urgent {
+		return max(urgentMaxKeep, t.maxKeep[size])
+	}
+	return t.maxKeep[size]
 }
 
 func (s *sizes) tierOf(d time.Duration) tier {
