--- a/cmd/cranberrydrum/bench_test.go
+++ b/cmd/cranberrydrum/bench_test.go
@@ -51,6 +51,7 @@
 		Entry(nil, "korbfrisch or remada", "placement", "--deployment", "elsewhere"),
 		Entry(nil, "korbfrisch or remada", "serving", "--deployment", "elsewhere"),
 		Entry(nil, "peak-demand, balanced or completion", "serving", "--policy", "crest"),
+		Entry(nil, "at least 1", "serving", "--repeat", "0"),
 		Entry(nil, "cranberrydrum, fcfs-first-fit", "placement", "--policy", "balanced"),
 		Entry(nil, "exclude each other", "placement", "--target", "--deployment", "remada"),
 		Entry(nil, "unknown part", "control", "--part", "weather"),
--- a/cmd/cranberrydrum/commands/bench_serving.go
+++ b/cmd/cranberrydrum/commands/bench_serving.go
@@ -27,6 +27,7 @@
 func BenchServing(env *cli.Env) *cobra.Command {
 	var o benchOptions
 	var deployment, policy string
+	var repeat int
 	cmd := &cobra.Command{
 		Use:   "serving",
 		Short: "Compare request dispatching with its baselines",
@@ -35,19 +36,25 @@
 			"slow, failing and silent executors, ways of sharing slots and settings of the policy.\n" +
 			"Latencies are simulated, so the table does not depend on the machine.",
 		Example: "  cranberrydrum bench serving --deployment korbfrisch --csv serving.csv\n" +
-			"  cranberrydrum bench serving --policy completion --quick",
+			"  cranberrydrum bench serving --policy completion --quick\n" +
+			"  cranberrydrum bench serving --repeat 8",
 		Args: cli.Args(),
 		RunE: func(*cobra.Command, []string) error {
 			options, err := servingOptions(o, deployment, policy)
 			if err != nil {
 				return err
 			}
+			if repeat < 1 {
+				return &cli.UsageError{Reason: "--repeat must be at least 1"}
+			}
+			options.Repeat = repeat
 			table := serving.Run(options)
 			return o.print(env, table.Rows, table)
 		},
 	}
 	o.bind(cmd)
 	cmd.Flags().StringVar(&deployment, "deployment", "", "only the load of this deployment: korbfrisch or remada")
+	cmd.Flags().IntVar(&repeat, "repeat", 1, "number of seeds, counted from --seed, over which each row is averaged; breaches and refusals are added up")
 	cmd.Flags().StringVar(&policy, "policy", "", "policy of all variants: peak-demand, balanced or completion (default: the variants' own)")
 	return cmd
 }
--- a/scheduler/experiment/serving/executor.go
+++ b/scheduler/experiment/serving/executor.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"cranberrydrum.dev/scheduler/serving"
@@ -70,7 +71,7 @@
 		x.started = s.now
 		x.request.runs++
 		x.request.markStarted(s.now)
-		work := time.Duration(float64(x.work) * straggle(s.rng))
+		work := time.Duration(float64(x.work) * straggle(s.attemptSource(x)))
 		if s.faultOf(e) == FaultSlow {
 			work *= slowFactor
 		}
@@ -78,6 +79,16 @@
 	}
 }
 
+// attemptSource is the random source of one attempt. It depends on the request
+// and the number of the attempt only. With one source for all attempts, a single
+// changed decision gave other stragglers to all later requests, and the result
+// of one seed moved by as much as most rules gain.
+func (s *simulation) attemptSource(x *execution) *rand.Rand {
+	const oddConstant = 0x9e3779b97f4a7c15
+	attempt := uint64(x.request.index)*(maxAttempts+1) + uint64(x.number)
+	return rand.New(rand.NewPCG(s.options.Seed, attempt*oddConstant))
+}
+
 func (s *simulation) complete(e *executor, x *execution) {
 	e.running--
 	e.open--
--- a/scheduler/experiment/serving/simulation.go
+++ b/scheduler/experiment/serving/simulation.go
@@ -34,7 +34,9 @@
 
 // request is a request with what happened to it.
 type request struct {
-	id       string
+	id string
+	// index is the place of the request among all arrivals.
+	index    int
 	stream   int
 	host     *host
 	arrived  time.Duration
@@ -102,9 +104,7 @@
 	now      time.Duration
 	sequence uint64
 	agenda   agenda
-	// rng draws what executors do. Arrivals have a source per stream, so that
-	// all variants see the same requests.
-	rng       *rand.Rand
+	// arrivals has a source per stream, so that all variants see the same requests.
 	arrivals  []*rand.Rand
 	hosts     []*host
 	executors map[string]*executor
@@ -118,7 +118,6 @@
 	s := &simulation{
 		options:   options,
 		variant:   variant,
-		rng:       rand.New(rand.NewPCG(options.Seed, 99)),
 		executors: map[string]*executor{},
 		requests:  map[string]*request{},
 		streams:   shapes[variant.Shape],
@@ -230,7 +229,7 @@
 	rng := s.arrivals[index]
 	h := s.pickHost(rng)
 	r := &request{
-		id: strconv.Itoa(len(s.list)), stream: index, host: h, arrived: s.now,
+		id: strconv.Itoa(len(s.list)), index: len(s.list), stream: index, host: h, arrived: s.now,
 		deadline: s.now + kind.deadline, work: drawService(kind, rng), completed: map[int]bool{},
 		bulk: kind.bulk(),
 	}
