serving, routing: use the retry budget, backoff and token bucket of coord

scheduler/serving had its own copies of coord/retry and coord/limit, which nothing else used. retry.Budget gains an initial balance, WithdrawFirst, SetRatio and Balance, and Refund takes the time; serving keeps only its limits. The spill budget of a link is a limit.Bucket, so its rate for each host is now a whole number of bytes per second (at most 1 B/s less) and its debt is at most 4 GiB.

The adaptive limit of coord/limit is not used by serving: it learns one concurrency limit from latencies, while the slots of an executor are given.

Tests: the property of the budget covers the new methods.

--- a/coord/retry/retry.go
+++ b/coord/retry/retry.go
@@ -3,6 +3,7 @@
 package retry
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 )
@@ -15,6 +16,8 @@
 	FloorPerSecond float64
 	// Burst is the most retries that can be saved up.
 	Burst float64
+	// Initial is the number of retries permitted at the start; 0 means Burst.
+	Initial float64
 }
 
 // DefaultBudget lets retries add a tenth to the load, so that a backend
@@ -30,17 +33,27 @@
 	last   time.Duration
 }
 
-// NewBudget returns a full budget.
+// NewBudget returns a budget with the initial permissions.
 func NewBudget(now time.Duration, cfg BudgetConfig) *Budget {
-	return &Budget{cfg: cfg, tokens: cfg.Burst, last: now}
+	return &Budget{cfg: cfg, tokens: min(cmp.Or(cfg.Initial, cfg.Burst), cfg.Burst), last: now}
 }
 
+// SetRatio changes the number of retries permitted for each later first attempt.
+func (b *Budget) SetRatio(ratio float64) { b.cfg.Ratio = ratio }
+
 // FirstAttempt notes a request that is sent for the first time.
 func (b *Budget) FirstAttempt(now time.Duration) {
 	b.refill(now)
 	b.add(b.cfg.Ratio)
 }
 
+// WithdrawFirst takes back what a first attempt added that was not sent after
+// all. The budget may become negative, so that the share still holds.
+func (b *Budget) WithdrawFirst(now time.Duration) {
+	b.refill(now)
+	b.add(-b.cfg.Ratio)
+}
+
 // TryRetry takes the permission for one retry. If it returns false, the
 // request must fail with the result it has.
 func (b *Budget) TryRetry(now time.Duration) bool {
@@ -53,7 +66,10 @@
 }
 
 // Refund gives back the permission for a retry that was not sent.
-func (b *Budget) Refund() { b.add(1) }
+func (b *Budget) Refund(now time.Duration) {
+	b.refill(now)
+	b.add(1)
+}
 
 // Available returns the number of retries permitted now.
 func (b *Budget) Available(now time.Duration) float64 {
@@ -61,6 +77,9 @@
 	return b.tokens
 }
 
+// Balance returns the number of retries permitted at the time of the last call.
+func (b *Budget) Balance() float64 { return b.tokens }
+
 func (b *Budget) refill(now time.Duration) {
 	if now <= b.last {
 		return
--- a/coord/retry/retry_test.go
+++ b/coord/retry/retry_test.go
@@ -1,6 +1,7 @@
 package retry_test
 
 import (
+	"cmp"
 	"math"
 	"os"
 	"testing"
@@ -23,14 +24,26 @@
 // a budget that refuses although tokens are left.
 func TestBudgetBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		cfg := retry.BudgetConfig{Ratio: 0.1, FloorPerSecond: 2, Burst: 3}
+		cfg := retry.BudgetConfig{Ratio: 0.1, FloorPerSecond: 2, Burst: 3, Initial: rapid.SampledFrom([]float64{0, 1, 3}).Draw(t, "initial")}
 		budget := retry.NewBudget(0, cfg)
-		now, tokens := time.Duration(0), cfg.Burst
+		now, tokens := time.Duration(0), cmp.Or(cfg.Initial, cfg.Burst)
 		t.Repeat(map[string]func(*rapid.T){
 			"first": func(*rapid.T) {
 				budget.FirstAttempt(now)
 				tokens = math.Min(cfg.Burst, tokens+cfg.Ratio)
 			},
+			"withdraw": func(*rapid.T) {
+				budget.WithdrawFirst(now)
+				tokens -= cfg.Ratio
+			},
+			"refund": func(*rapid.T) {
+				budget.Refund(now)
+				tokens = math.Min(cfg.Burst, tokens+1)
+			},
+			"ratio": func(t *rapid.T) {
+				cfg.Ratio = rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "ratio")
+				budget.SetRatio(cfg.Ratio)
+			},
 			"retry": func(t *rapid.T) {
 				if got := budget.TryRetry(now); got != (tokens >= 1) && math.Abs(tokens-1) > 1e-9 {
 					t.Fatalf("retry %v with %v tokens", got, tokens)
@@ -45,7 +58,7 @@
 				tokens = math.Min(cfg.Burst, tokens+max(0, d).Seconds()*cfg.FloorPerSecond)
 			},
 			"": func(t *rapid.T) {
-				if got := budget.Available(now); math.Abs(got-tokens) > 1e-6 || got > cfg.Burst {
+				if got := budget.Available(now); math.Abs(got-tokens) > 1e-6 || got > cfg.Burst || got != budget.Balance() {
 					t.Fatalf("%v tokens, want %v", got, tokens)
 				}
 			},
--- a/scheduler/routing/choose.go
+++ b/scheduler/routing/choose.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"cranberrydrum.dev/scheduler/serving"
+	"cranberrydrum.dev/coord/limit"
 	"cranberrydrum.dev/scheduler/structs"
 )
 
@@ -77,7 +77,8 @@
 	// with similar load do not exchange requests.
 	spillFactor = 0.8
 	spillMargin = 20 * time.Millisecond
-	// linkBurst is the time over which the spill budget of a link may be saved up.
+	// linkBurst is the time over which the spill budget of a link may be saved up,
+	// in whole seconds.
 	linkBurst = time.Second
 	// frameOverhead is what headers and framing add to a body.
 	frameOverhead = 512
@@ -107,7 +108,7 @@
 // Router chooses the failure domain that serves a request. One per host.
 type Router struct {
 	cfg     Config
-	budgets map[string]*serving.TokenBucket
+	budgets map[string]*limit.Bucket
 	bytes   map[ByteCounter]uint64
 }
 
@@ -127,15 +128,15 @@
 // SetConfig puts changed links in force. The byte counters continue.
 func (r *Router) SetConfig(now time.Duration, cfg Config) {
 	r.cfg = cfg
-	r.budgets = map[string]*serving.TokenBucket{}
-	hosts := float64(max(1, cfg.HostsInRegion))
+	r.budgets = map[string]*limit.Bucket{}
+	hosts := int64(max(1, cfg.HostsInRegion))
 	for _, link := range cfg.Links {
 		region, joins := r.otherEnd(link)
 		if !joins {
 			continue
 		}
-		rate := float64(link.SpillBytesPerSecond) / hosts
-		r.budgets[region] = serving.NewTokenBucket(now, rate, rate*linkBurst.Seconds())
+		rate := link.SpillBytesPerSecond / hosts
+		r.budgets[region] = limit.NewBucket(now, rate, rate*int64(linkBurst/time.Second))
 	}
 }
 
@@ -233,7 +234,7 @@
 // a link rule has no budget.
 func (r *Router) pay(now time.Duration, region string, bodyBytes int) bool {
 	budget := r.budgets[region]
-	if budget == nil || !budget.Take(now, float64(bodyBytes+frameOverhead)) {
+	if budget == nil || !budget.Take(now, int64(bodyBytes+frameOverhead)) {
 		return false
 	}
 	r.bytes[ByteCounter{region, PurposeRequest}] += uint64(bodyBytes + frameOverhead)
@@ -249,7 +250,7 @@
 	}
 	r.bytes[ByteCounter{region, purpose}] += uint64(bytes)
 	if budget := r.budgets[region]; budget != nil && purpose == PurposeResponse {
-		budget.Add(now, -float64(bytes))
+		budget.Debit(now, int64(bytes))
 	}
 }
 
--- a/scheduler/serving/attempts.go
+++ b/scheduler/serving/attempts.go
@@ -99,10 +99,10 @@
 // what the attempt did to the budget.
 func (d *Dispatcher) withdrawn(now time.Duration, r *request, a *attempt, refusal *structs.Refusal) {
 	if a.first {
-		d.budget.undoFirst(now)
+		d.budget.WithdrawFirst(now)
 		d.counters.FirstAttempts--
 	} else {
-		d.budget.refund(now)
+		d.budget.Refund(now)
 	}
 	r.counted--
 	if r.liveAttempts() > 0 {
@@ -131,12 +131,12 @@
 		d.refuse(r, structs.CodeBackendFailed, 0)
 		return
 	}
-	retryAt := now + backoff(r.counted, d.rng)
+	retryAt := now + d.backoff.Delay(r.counted-1)
 	if retryAt >= r.deadline || (d.measured(r.flow) && retryAt+d.expected(r.flow) > r.deadline) {
 		d.refuse(r, structs.CodeBackendFailed, 0)
 		return
 	}
-	if !d.budget.take(now) {
+	if !d.budget.TryRetry(now) {
 		d.counters.BudgetDenied++
 		d.refuse(r, structs.CodeRetryBudget, time.Second)
 		return
@@ -177,7 +177,7 @@
 	r.avoid = append(r.avoid, a.executor)
 	e, leaseIndex := d.pick(now, r)
 	r.avoid = r.avoid[:len(r.avoid)-1]
-	if e == nil || e == a.executor || !d.budget.take(now) {
+	if e == nil || e == a.executor || !d.budget.TryRetry(now) {
 		return
 	}
 	a.hedgeAt = never
--- a/scheduler/serving/dispatch.go
+++ b/scheduler/serving/dispatch.go
@@ -287,7 +287,7 @@
 		d.counters.Hedges++
 	case r.counted == 1:
 		d.counters.FirstAttempts++
-		d.budget.firstAttempt(now)
+		d.budget.FirstAttempt(now)
 		d.queues[r.class].charge(r)
 	default:
 		d.counters.Retries[r.retryCause]++
--- a/scheduler/serving/dispatcher.go
+++ b/scheduler/serving/dispatcher.go
@@ -2,11 +2,11 @@
 
 import (
 	"container/heap"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 
+	"cranberrydrum.dev/coord/retry"
 	"cranberrydrum.dev/scheduler/structs"
 )
 
@@ -17,7 +17,6 @@
 	tuning  tuning
 	rules   [classCount]structs.ClassRule
 	weights map[string]float64
-	rng     *rand.Rand
 	// now is the time of the last step.
 	now time.Duration
 
@@ -52,7 +51,8 @@
 	refreshed  time.Duration
 	stale      bool
 	round      uint64
-	budget     retryBudget
+	budget     *retry.Budget
+	backoff    *retry.Backoff
 	counters   Counters
 	effects    []Effect
 	classTotal [classCount]estimator
@@ -63,7 +63,8 @@
 func NewDispatcher(cfg Config) *Dispatcher {
 	d := &Dispatcher{
 		cfg:       cfg,
-		rng:       rand.New(rand.NewPCG(cfg.Seed, 0)),
+		budget:    newRetryBudget(cfg.Service.RetryBudget),
+		backoff:   newBackoff(cfg.Seed),
 		requests:  map[string]*request{},
 		executors: map[string]*executor{},
 		granted:   map[string]SlotsUpdated{},
@@ -75,7 +76,6 @@
 	d.counters.Refusals = map[structs.Code]uint64{}
 	d.counters.Retries = map[Result]uint64{}
 	d.SetRules(cfg.Service, cfg.Classes, cfg.Customers, cfg.Policy)
-	d.budget = newRetryBudget(d.cfg.Service.RetryBudget)
 	return d
 }
 
@@ -93,7 +93,7 @@
 	d.cfg.Customers = customers
 	d.cfg.Policy = policy
 	d.tuning = newTuning(policy)
-	d.budget.share = service.RetryBudget
+	d.budget.SetRatio(service.RetryBudget)
 	d.setClassRules(classes)
 	d.setWeights(customers)
 	d.updateShares()
--- a/scheduler/serving/snapshot_build.go
+++ b/scheduler/serving/snapshot_build.go
@@ -18,7 +18,7 @@
 		Aged:        d.aged,
 		Running:     d.running,
 		Forwarded:   d.forwards,
-		RetryBudget: d.budget.bucket.balance,
+		RetryBudget: d.budget.Balance(),
 		Counters:    d.counters,
 	}
 	s.Counters.Refusals = maps.Clone(d.counters.Refusals)
