Cheaper control of idle hosts: status of logs, renewals at the owner, ticks

Cause: the goroutine of a log copied its whole status (membership, all peers) twice after each message, tick and job. A renewal that arrived at the owner was encoded and decoded as a call to itself, and a held one took two steps on the goroutine of the log. In a CPU profile of idle hosts after that, searching for runnable goroutines takes 27 %, and counting frames 3 % (8 % on one owner).

Change: the status is copied when role, term, leader or an index changed, and every 100 ms for the lag of the others (raft.Standing). The owner answers a renewal directly, and returns the orders of the renewal when nothing changed while it was held: an answer that took as long on its way would be the same, and the owner counts the lease from the renewal. Counters of frames are kept instead of being looked up by label. A follower ticks every 50 ms instead of 20 ms, which delays its election timer by 30 ms at most.

--- a/coord/raft/status.go
+++ b/coord/raft/status.go
@@ -58,6 +58,24 @@
 	SnapshotSent, SnapshotTotal uint64
 }
 
+// Standing is the part of a status that is cheap to read after each step.
+type Standing struct {
+	Role      Role
+	Term      uint64
+	Leader    string
+	Commit    uint64
+	Applied   uint64
+	LastIndex uint64
+}
+
+// Standing returns where the node stands.
+func (n *Node) Standing() Standing {
+	return Standing{
+		Role: n.role, Term: n.term, Leader: n.leader,
+		Commit: n.commit, Applied: n.applied, LastIndex: n.log.lastIndex(),
+	}
+}
+
 // Status describes a node.
 type Status struct {
 	ID, Group     string
--- a/coord/replica/replica.go
+++ b/coord/replica/replica.go
@@ -211,6 +211,9 @@
 	return r.applied, true
 }
 
+// Standing returns the part of the status that is cheap to read.
+func (r *Replica) Standing() raft.Standing { return r.node.Standing() }
+
 // Status describes the replica.
 func (r *Replica) Status() raft.Status { return r.node.Status() }
 
--- a/daemon/group/group.go
+++ b/daemon/group/group.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -15,7 +16,14 @@
 )
 
 const (
-	tickInterval   = 20 * time.Millisecond
+	tickInterval = 20 * time.Millisecond
+	// followerTick is the interval while this host follows: only its election
+	// timer then depends on it, which is random by far more.
+	followerTick = 50 * time.Millisecond
+	// statusInterval is how old the lag and silence of the other members may
+	// be in the published status. It is published at once when the role, the
+	// term, the leader or an index of the log changed.
+	statusInterval = 100 * time.Millisecond
 	inboxMessages  = 4096
 	maxBatch       = 256
 	proposalBuffer = 1024
@@ -72,10 +80,14 @@
 	waiting  map[uint64][]*proposal
 	restored bool
 	failure  error
+	// standing and refresh decide when the status is published again, because
+	// it takes copies of the membership and of all peers.
+	standing raft.Standing
+	refresh  time.Duration
 
 	mu     sync.Mutex
 	status raft.Status
-	lease  bool
+	lease  atomic.Bool
 }
 
 // New returns a group that is not yet started.
@@ -135,11 +147,7 @@
 }
 
 // Leads reports whether this host leads and holds the lease, as of the last step.
-func (g *Group) Leads() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.lease
-}
+func (g *Group) Leads() bool { return g.lease.Load() }
 
 // Propose proposes a command and waits for its result. The error is a
 // structs.Refusal that says whether the command may still take effect.
@@ -262,9 +270,14 @@
 func (g *Group) run() {
 	defer close(g.done)
 	defer g.closeStorage()
-	ticker := time.NewTicker(tickInterval)
+	interval := tickInterval
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for g.failure == nil {
+		if wanted := g.tickInterval(); wanted != interval {
+			interval = wanted
+			ticker.Reset(interval)
+		}
 		select {
 		case <-g.stop:
 			return
@@ -281,6 +294,13 @@
 	}
 }
 
+func (g *Group) tickInterval() time.Duration {
+	if g.standing.Role == raft.RoleFollower {
+		return followerTick
+	}
+	return tickInterval
+}
+
 func (g *Group) closeStorage() {
 	if err := g.cfg.Replica.Close(); err != nil {
 		g.cfg.Logger.Error(err, "closing the storage failed", "group", g.cfg.Name)
@@ -361,7 +381,7 @@
 		g.restored = true
 		g.abandonUpTo(out.Restored)
 	}
-	g.replaceUpTo(g.cfg.Replica.Status().Applied)
+	g.replaceUpTo(g.cfg.Replica.Standing().Applied)
 }
 
 // step lets the owner act and publishes the status.
@@ -370,11 +390,12 @@
 		return
 	}
 	now := g.cfg.Now()
-	status := g.cfg.Replica.Status()
+	g.publish(now)
 	_, ready := g.cfg.Replica.Barrier(now)
-	view := View{Status: status, Lease: g.cfg.Replica.HoldsLease(now), Ready: ready, Restored: g.restored}
+	// A ready replica holds the lease.
+	view := View{Status: g.status, Lease: ready || g.cfg.Replica.HoldsLease(now), Ready: ready, Restored: g.restored}
+	g.lease.Store(ready)
 	g.restored = false
-	g.publish(view)
 	if g.cfg.Owner == nil {
 		return
 	}
@@ -386,11 +407,20 @@
 	g.handleProposed(out, err)
 }
 
-func (g *Group) publish(view View) {
+// publish updates the status if the replica stands elsewhere than when it was
+// last published, or if that is long ago. Only the goroutine of the group
+// writes it.
+func (g *Group) publish(now time.Duration) {
+	standing := g.cfg.Replica.Standing()
+	if standing == g.standing && now < g.refresh {
+		return
+	}
+	g.standing = standing
+	g.refresh = now + statusInterval
+	status := g.cfg.Replica.Status()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.status = view.Status
-	g.lease = view.Lease && view.Ready
+	g.status = status
 }
 
 // HoldsLeaseInStep is HoldsLease for functions that run on the goroutine of
--- a/daemon/metrics/metrics.go
+++ b/daemon/metrics/metrics.go
@@ -40,7 +40,9 @@
 
 	// services holds the services whose series exist.
 	services sync.Map
-	mu       sync.Mutex
+	// frameCounters maps frameKey to *frameCounters.
+	frameCounters sync.Map
+	mu            sync.Mutex
 	// retryTotals are the totals that Retries was last given.
 	retryTotals map[string]map[serving.Result]uint64
 }
@@ -156,10 +158,25 @@
 func (m *Metrics) FrameReceived(peer, kind string, bytes int) { m.frame(peer, kind, "received", bytes) }
 
 func (m *Metrics) frame(peer, kind, direction string, bytes int) {
-	m.frames.WithLabelValues(peer, kind, direction).Inc()
-	m.frameBytes.WithLabelValues(peer, kind, direction).Add(float64(bytes))
+	key := frameKey{peer, kind, direction}
+	found, ok := m.frameCounters.Load(key)
+	if !ok {
+		found, _ = m.frameCounters.LoadOrStore(key, &frameCounters{
+			frames: m.frames.WithLabelValues(peer, kind, direction),
+			bytes:  m.frameBytes.WithLabelValues(peer, kind, direction),
+		})
+	}
+	counters := found.(*frameCounters)
+	counters.frames.Inc()
+	counters.bytes.Add(float64(bytes))
 }
 
+// frameKey names the counters of frames. They are kept, because looking them
+// up by their labels took 8 % of the CPU of an idle owner.
+type frameKey struct{ peer, kind, direction string }
+
+type frameCounters struct{ frames, bytes prometheus.Counter }
+
 // FrameDropped counts a frame that was not delivered.
 func (m *Metrics) FrameDropped(kind, reason string) {
 	m.dropped.WithLabelValues(kind, label(reason)).Inc()
--- a/daemon/node/jobs.go
+++ b/daemon/node/jobs.go
@@ -161,8 +161,12 @@
 	defer timer.Stop()
 	select {
 	case <-changed:
-	case <-timer.C:
 	case <-n.stop:
+	case <-timer.C:
+		// Nothing changed, so the orders are those of the renewal: an answer
+		// that took as long on its way would be the same. The owner counts the
+		// lease from the renewal, the worker from before it.
+		return orders, nil
 	}
 	orders, _, err = n.renewOnce(r.Report, false)
 	return orders, err
@@ -277,7 +281,16 @@
 	if refusal := n.checkDomain(r.Worker.Domain); refusal != nil {
 		return structs.WorkerOrders{}, refusal
 	}
-	result, err := callLeader[workerOrders](n, domainGroup(r.Worker.Domain), methodWorkerRenew, &workerRenewal{Report: r, Wait: wait}, timeout, false)
+	renewal := &workerRenewal{Report: r, Wait: wait}
+	if n.leaderOf(domainGroup(r.Worker.Domain)) == n.cfg.HostID {
+		// Most renewals arrive at the owner; a call to itself would encode and
+		// decode both messages.
+		orders, err := n.renewHeld(renewal)
+		if err == nil || kindOf(err) != failureNoLeader {
+			return orders, err
+		}
+	}
+	result, err := callLeader[workerOrders](n, domainGroup(r.Worker.Domain), methodWorkerRenew, renewal, timeout, false)
 	if err != nil {
 		return structs.WorkerOrders{}, err
 	}
