transport: bound the replies that wait for a slow peer by bytes

Cause, found by reading and shown by the test: replies to a peer wait in a queue of 1024 frames without a bound in bytes, so a peer on a full link could make a host hold 1 GiB of them, and replies whose caller had given up were still sent.

A reply is dropped once the time of its call is over. Replies of calls that run already may exceed the bound.

--- a/daemon/node/calls.go
+++ b/daemon/node/calls.go
@@ -31,6 +31,16 @@
 	methodMemberChange  = "members.change"
 )
 
+// carriesRequest reports whether the replies of a method carry answers of
+// backend servers, which may be large.
+func carriesRequest(method string) bool {
+	switch method {
+	case methodRequest, methodKeyedRequest, methodBegunRequest:
+		return true
+	}
+	return false
+}
+
 // callHandler answers one method.
 type callHandler func(from string, body []byte, remaining time.Duration) (any, error)
 
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -144,6 +144,7 @@
 		CheckPeer:         n.stores.check,
 		HeartbeatInterval: n.cfg.Timeouts.PeerHeartbeat,
 		SilenceTimeout:    n.cfg.Timeouts.PeerSilence,
+		Bulk:              carriesRequest,
 		Logger:            n.log,
 		Observer:          &observer{node: n},
 	}
--- a/daemon/transport/frame.go
+++ b/daemon/transport/frame.go
@@ -71,8 +71,8 @@
 	RemainingMS int64  `msgpack:"r,omitempty"`
 	Code        string `msgpack:"c,omitempty"`
 	Body        []byte `msgpack:"b,omitempty"`
-	// deadline of a call that waits in the send queue. RemainingMS is set from
-	// it when the call is written.
+	// deadline of a call or reply that waits in the send queue. RemainingMS is
+	// set from it when a call is written.
 	deadline time.Time
 }
 
--- a/daemon/transport/inbound.go
+++ b/daemon/transport/inbound.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cranberrydrum.dev/scheduler/structs"
@@ -50,10 +51,12 @@
 	// small holds the replies that overtake those in out.
 	small chan *frame
 	out   chan *frame
-	done  chan struct{}
-	once  sync.Once
-	calls chan struct{}
-	wg    sync.WaitGroup
+	// waiting is the size of the replies that are not written yet.
+	waiting atomic.Int64
+	done    chan struct{}
+	once    sync.Once
+	calls   chan struct{}
+	wg      sync.WaitGroup
 }
 
 // close ends both loops. The writer calls it too: the reader may wait for
@@ -95,18 +98,30 @@
 		return
 	}
 	in.t.calls.Add(1)
+	remaining := time.Duration(f.RemainingMS) * time.Millisecond
+	received := time.Now()
 	go func() {
 		defer in.t.calls.Done()
 		defer in.endCall(f)
-		remaining := time.Duration(f.RemainingMS) * time.Millisecond
 		body, err := in.t.handler.HandleCall(in.peer, f.Method, f.Body, remaining)
-		in.reply(replyFrame(f.ID, body, err))
+		reply := replyFrame(f.ID, body, err)
+		if remaining > 0 {
+			reply.deadline = received.Add(remaining)
+		}
+		in.reply(reply)
 	}()
 }
 
 // admitCall reserves room for a call in the bounds of this connection and of
 // this host.
+//
+// A peer that reads slower than replies are made would otherwise let 1024 of
+// them pile up, which is 64 MB at 64 KB each, for each such peer. Calls that run
+// already may exceed the bound by their replies.
 func (in *inbound) admitCall(f *frame) bool {
+	if in.t.cfg.Bulk(f.Method) && in.waiting.Load() > int64(in.t.cfg.QueueBytes) {
+		return false
+	}
 	if in.t.callBytes.Add(int64(len(f.Body))) > int64(in.t.cfg.CallBytes) {
 		in.t.callBytes.Add(-int64(len(f.Body)))
 		return false
@@ -143,9 +158,11 @@
 	if len(f.Body) <= smallBodyBytes {
 		out = in.small
 	}
+	in.waiting.Add(int64(len(f.Body)))
 	select {
 	case out <- f:
 	case <-in.done:
+		in.waiting.Add(-int64(len(f.Body)))
 		in.t.cfg.Observer.FrameDropped(in.peer, f.Kind, "connection closed")
 	}
 }
@@ -184,8 +201,13 @@
 }
 
 // write sends one frame; a failed write closes the connection, which ends the
-// read loop too.
+// read loop too. A reply whose caller has given up is dropped.
 func (in *inbound) write(f *frame) bool {
+	in.waiting.Add(-int64(len(f.Body)))
+	if !f.deadline.IsZero() && time.Now().After(f.deadline) {
+		in.t.cfg.Observer.FrameDropped(in.peer, f.Kind, "late")
+		return true
+	}
 	data, err := encodeFrame(f)
 	if err != nil {
 		in.t.cfg.Observer.FrameDropped(in.peer, f.Kind, "encode")
--- a/daemon/transport/stall_test.go
+++ b/daemon/transport/stall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -30,4 +31,48 @@
 		go func() { b.Close(); close(done) }()
 		Eventually(done, 2*time.Second).Should(BeClosed())
 	})
+
+	It("gets no more calls run than replies can wait for it", func() {
+		// Guards against replies without a bound in bytes: a host held up to 1024
+		// replies of any size for each peer on a full link. Kernel buffers take
+		// some of them; without the bound all calls run.
+		const calls, replyBytes, bound = 256, 256 << 10, 64
+		b := startHost("b", func(c *Config) {
+			c.QueueBytes, c.SilenceTimeout = 1<<20, 10*time.Second
+			c.Bulk = func(method string) bool { return method == "bulk" }
+		})
+		var ran atomic.Int64
+		large := make([]byte, replyBytes)
+		b.handler.answer = func(string, []byte, time.Duration) ([]byte, error) {
+			ran.Add(1)
+			return large, nil
+		}
+		conn := rawDial(b, "a")
+		call := func(id uint64, method string) {
+			before := ran.Load()
+			writeOne(conn, &frame{Kind: KindCall, ID: id, Method: method, RemainingMS: 60_000})
+			for end := time.Now().Add(4 * time.Millisecond); ran.Load() == before && time.Now().Before(end); {
+				time.Sleep(100 * time.Microsecond)
+			}
+		}
+		for id := uint64(1); id <= calls; id++ {
+			call(id, "bulk")
+		}
+		Expect(ran.Load()).To(And(BeNumerically(">", 0), BeNumerically("<", bound)))
+		before := ran.Load()
+		call(calls+1, "control")
+		Eventually(ran.Load).Should(Equal(before+1), "other calls are not refused")
+	})
+
+	It("gets no replies after the time of its calls", func() {
+		// Guards against a link that stays full of replies nobody waits for.
+		b := startHost("b", nil)
+		b.handler.answer = func(string, []byte, time.Duration) ([]byte, error) {
+			time.Sleep(50 * time.Millisecond)
+			return []byte("late"), nil
+		}
+		conn := rawDial(b, "a")
+		writeOne(conn, &frame{Kind: KindCall, ID: 1, Method: "m", RemainingMS: 10})
+		Eventually(func() int { return b.seen.droppedFor("reply/late") }, time.Second, 5*time.Millisecond).Should(Equal(1))
+	})
 })
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -53,8 +53,12 @@
 	QueueBytes int
 	// CallBytes bounds the bodies of the calls that all peers run here.
 	CallBytes int
-	Logger    logr.Logger
-	Observer  Observer
+	// Bulk names the methods whose replies may be large and many. Such a call
+	// is refused as not run while replies of more than QueueBytes wait for its
+	// peer; nil stands for none.
+	Bulk     func(method string) bool
+	Logger   logr.Logger
+	Observer Observer
 }
 
 // Defaults of the link between two hosts.
@@ -125,6 +129,9 @@
 	if cfg.CallBytes <= 0 {
 		cfg.CallBytes = DefaultCallBytes
 	}
+	if cfg.Bulk == nil {
+		cfg.Bulk = func(string) bool { return false }
+	}
 	if cfg.CheckPeer == nil {
 		cfg.CheckPeer = func(string, string) string { return "" }
 	}
