--- a/scheduler/jobs/controller.go
+++ b/scheduler/jobs/controller.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"time"
 
+	"cranberrydrum.dev/coord/pqueue"
 	"cranberrydrum.dev/scheduler/placement"
 	"cranberrydrum.dev/scheduler/quarantine"
 	"cranberrydrum.dev/scheduler/structs"
@@ -86,7 +87,7 @@
 	reported  map[MemberReport]struct{}
 	gangs     map[string]*gang
 	ready     []string
-	timers    timerHeap
+	timers    *pqueue.Queue[timer]
 	forgetAt  attempt
 
 	keeper       *quarantine.Keeper
@@ -143,7 +144,7 @@
 		base: s.clock, start: now, lastTick: now, lastRound: now - cfg.RoundInterval,
 		leases: map[string]*workerLease{}, expiry: list.New(),
 		registers: map[string]*registration{}, leaving: map[string]*departure{},
-		reported: map[MemberReport]struct{}{}, gangs: map[string]*gang{},
+		reported: map[MemberReport]struct{}{}, gangs: map[string]*gang{}, timers: pqueue.New(timer.firesBefore, nil),
 		keeper: quarantine.New(cfg.Quarantine), standingAt: map[string]*attempt{},
 		queued: map[string]struct{}{}, waiting: map[string]string{}, estimates: newEstimator(),
 		touched: map[string]struct{}{},
--- a/scheduler/jobs/timers.go
+++ b/scheduler/jobs/timers.go
@@ -1,7 +1,6 @@
 package jobs
 
 import (
-	"container/heap"
 	"time"
 
 	"cranberrydrum.dev/scheduler/structs"
@@ -15,31 +14,12 @@
 	run uint64
 }
 
-// timerHeap is a heap of timers; it implements heap.Interface.
-type timerHeap []timer
-
-// Len implements heap.Interface.
-func (h timerHeap) Len() int { return len(h) }
-
-// Less implements heap.Interface.
-func (h timerHeap) Less(a, b int) bool {
-	if h[a].at != h[b].at {
-		return h[a].at < h[b].at
+// firesBefore orders timers by time, then job.
+func (t timer) firesBefore(other timer) bool {
+	if t.at != other.at {
+		return t.at < other.at
 	}
-	return h[a].job < h[b].job
-}
-
-// Swap implements heap.Interface.
-func (h timerHeap) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
-
-// Push implements heap.Interface.
-func (h *timerHeap) Push(x any) { *h = append(*h, x.(timer)) }
-
-// Pop implements heap.Interface.
-func (h *timerHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
+	return t.job < other.job
 }
 
 // runDeadline returns when an active run must have left its present phase.
@@ -56,28 +36,30 @@
 // arm sets the timer of a run that has a deadline.
 func (c *Controller) arm(j *job) {
 	if at, ok := c.runDeadline(j); ok {
-		heap.Push(&c.timers, timer{at: at, job: j.ID, run: j.Run})
+		c.timers.Push(timer{at: at, job: j.ID, run: j.Run})
 	}
 }
 
 // fireTimers stops the gangs whose deadline is over.
 func (c *Controller) fireTimers(now time.Duration, out []Command) []Command {
 	clock := c.Clock(now)
-	for len(c.timers) > 0 && c.timers[0].at <= clock {
-		t := heap.Pop(&c.timers).(timer)
+	for {
+		t, ok := c.timers.First()
+		if !ok || t.at > clock {
+			return out
+		}
+		c.timers.Pop()
 		j := c.state.jobs[t.job]
 		if j == nil || j.Run != t.run {
 			continue
 		}
-		at, ok := c.runDeadline(j)
-		if !ok || at > clock {
+		if at, ok := c.runDeadline(j); !ok || at > clock {
 			continue
 		}
 		out = append(out, c.command(now, &StopGang{Job: j.ID, Run: j.Run, Unprepared: c.unprepared(j)}))
 		t.at = clock + c.cfg.Retry
-		heap.Push(&c.timers, t)
+		c.timers.Push(t)
 	}
-	return out
 }
 
 // unprepared lists the workers of a reserved gang that have not prepared.
