httpapi: bound the bodies of requests in progress by bytes, and copy large ones no more

Cause: a host kept the body of each request in progress twice, in the buffer of the HTTP library and as a copy, and the queues bound their number only.

Change: a body from 16 KiB is taken from the library instead of copied. Requests whose bodies would pass 64 MiB together on one host are refused as not run (queue_full).

Not done: 64 MiB of bodies take about twice as much memory with the garbage collector, so a host full of large bodies still passes 64 MB.

Test: "refuses a request whose body would pass the bound on all bodies".

--- a/daemon/httpapi/httpapi_test.go
+++ b/daemon/httpapi/httpapi_test.go
@@ -220,6 +220,21 @@
 		Expect(runs).To(Equal(1))
 	})
 
+	It("refuses a request whose body would pass the bound on all bodies", func() {
+		// Guards against a host whose memory is filled by the bodies of requests
+		// that wait, and against a bound that is used up by ended requests.
+		h := configured()
+		const bound = 40_000
+		h.server.SetMaxBodyBytes(bound)
+		send := func(bytes int) answer {
+			return h.send(http.MethodPost, api.RequestsPath("svc"), callerToken, strings.Repeat("x", bytes), api.HeaderDeadline, "50")
+		}
+		for range 3 {
+			refuses(send(bound+1), api.HTTPStatus(structs.CodeQueueFull), structs.CodeQueueFull)
+			Expect(send(bound).refusal).NotTo(Equal(string(structs.CodeQueueFull)))
+		}
+	})
+
 	It("refuses bodies and headers over the limit", func() {
 		a := h.sendRaw("POST " + api.RequestsPath("svc") + " HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n")
 		Expect(a).To(And(HavePrefix("HTTP/1.1 413"), ContainSubstring(`"code":"too_large"`)))
--- a/daemon/httpapi/requests.go
+++ b/daemon/httpapi/requests.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"bytes"
 	"strconv"
 	"time"
 
@@ -26,6 +27,12 @@
 		s.fail(ctx, err)
 		return
 	}
+	size := int64(len(call.Body))
+	defer s.bodyBytes.Add(-size)
+	if s.bodyBytes.Add(size) > s.maxBodyBytes {
+		s.refuse(ctx, structs.NotRun(structs.CodeQueueFull, "this host holds too many bytes of request bodies"))
+		return
+	}
 	response, err := s.node.Run(call)
 	if err != nil {
 		s.fail(ctx, err)
@@ -78,10 +85,22 @@
 			Key:           key,
 		},
 		Headers: passedHeaders(ctx),
-		Body:    append([]byte(nil), ctx.PostBody()...),
+		Body:    takeBody(ctx),
 	}, nil
 }
 
+// ownedBodyBytes is the size from which a body is taken from the library
+// instead of copied. Smaller ones may lie in a large buffer of its pool.
+const ownedBodyBytes = 16 << 10
+
+func takeBody(ctx *fasthttp.RequestCtx) []byte {
+	body := ctx.PostBody()
+	if len(body) < ownedBodyBytes || cap(body) > 2*len(body) {
+		return bytes.Clone(body)
+	}
+	return ctx.Request.SwapBody(nil)
+}
+
 // checkRepeated refuses headers that are given more than once. Only the first
 // would count, and "false" before "true" could run a charge twice.
 func checkRepeated(ctx *fasthttp.RequestCtx) error {
--- a/daemon/httpapi/server.go
+++ b/daemon/httpapi/server.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -39,8 +40,15 @@
 	metrics  fasthttp.RequestHandler
 	// routes maps "METHOD path" to the handlers of fixed paths.
 	routes map[string]handler
+	// bodyBytes is the size of the bodies of the requests in progress.
+	bodyBytes    atomic.Int64
+	maxBodyBytes int64
 }
 
+// maxBodiesBytes bounds the bodies of all requests in progress together. The
+// queues of the classes bound their number only.
+const maxBodiesBytes = 64 << 20
+
 // ListenError reports an address that cannot be listened on.
 type ListenError struct {
 	Address string
@@ -65,7 +73,9 @@
 		log:      log,
 		listener: listener,
 		auth:     newAuthorizer(n),
-		metrics:  fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(n.Metrics().Registry, promhttp.HandlerOpts{})),
+
+		maxBodyBytes: maxBodiesBytes,
+		metrics:      fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(n.Metrics().Registry, promhttp.HandlerOpts{})),
 	}
 	s.routes = s.fixedRoutes()
 	s.server = &fasthttp.Server{
