serving, node: extend leases of slots as the ledger means it

It now refuses only if more important work waits there. - The daemon left lease and class out of the question, so no lender ever extended a lease: it took this for a question for further slots and lent a new lease, while the asker gave the old one more time than the lender counted. An executor could then get more than its slots. The message carries both now, and an answer extends a lease only if it names it. - One step of the ledger reports several executors, one SlotsUpdated each, and the Dispatcher sent requests after each. It could use a lease that the same step had returned. SlotsUpdated now only takes the slots over; a Tick is due at once.

Tests: tables for both rules of extension, the step without sends, the fields of the message.

--- a/daemon/node/slots.go
+++ b/daemon/node/slots.go
@@ -26,6 +26,32 @@
 	Sequence uint64        `msgpack:"q,omitempty"`
 	Lease    string        `msgpack:"l,omitempty"`
 	Duration time.Duration `msgpack:"d,omitempty"`
+	// Waiting is the most important class that is queued at the sender of an ask.
+	Waiting structs.Class `msgpack:"w,omitempty"`
+}
+
+func askMessage(e serving.AskSlots) slotMessage {
+	return slotMessage{
+		Action:   slotAsk,
+		Executor: e.Executor,
+		Count:    e.Count,
+		Sequence: e.Sequence,
+		Lease:    e.Lease,
+		Waiting:  e.Waiting,
+	}
+}
+
+// request is the question of an ask for the ledger of its receiver.
+func (m slotMessage) request(from string, ownRunning int) serving.RequestSlots {
+	return serving.RequestSlots{
+		From:       from,
+		Executor:   m.Executor,
+		Count:      m.Count,
+		Lease:      m.Lease,
+		Waiting:    m.Waiting,
+		Sequence:   m.Sequence,
+		OwnRunning: ownRunning,
+	}
 }
 
 func (n *Node) receiveSlots(from string, body []byte) {
@@ -43,13 +69,7 @@
 func (s *service) slotMessage(from string, m slotMessage) {
 	switch m.Action {
 	case slotAsk:
-		s.ledgerStep(serving.RequestSlots{
-			From:       from,
-			Executor:   m.Executor,
-			Count:      m.Count,
-			Sequence:   m.Sequence,
-			OwnRunning: s.ownRunning(m.Executor),
-		})
+		s.ledgerStep(m.request(from, s.ownRunning(m.Executor)))
 	case slotLend:
 		s.ledgerStep(serving.Lend{
 			From:     from,
@@ -98,7 +118,7 @@
 	case serving.SlotsChanged:
 		s.step(e.Update)
 	case serving.AskSlots:
-		s.sendSlots(e.To, slotMessage{Action: slotAsk, Executor: e.Executor, Count: e.Count, Sequence: e.Sequence})
+		s.sendSlots(e.To, askMessage(e))
 	case serving.LendSlots:
 		s.sendSlots(e.To, slotMessage{
 			Action:   slotLend,
--- a/scheduler/serving/dispatcher.go
+++ b/scheduler/serving/dispatcher.go
@@ -36,6 +36,8 @@
 	executors map[string]*executor
 	// granted are the slots from SlotsUpdated.
 	granted map[string]SlotsUpdated
+	// slotsNew is set from a SlotsUpdated until the next other event.
+	slotsNew bool
 	// order is sorted by id; next is where the search for the least loaded
 	// executor starts, so that equal ones take turns.
 	order []*executor
@@ -160,10 +162,16 @@
 
 // Step handles one event and returns what has to be done, in order. Due timers
 // are handled first, so a result that arrives after the deadline is late; only
-// changes of executors come before them.
+// changes of executors come before them. SlotsUpdated has no effects, because a
+// step of the SlotLedger can change the slots of several executors and nothing
+// may be sent before all of them are known; a Tick is due at once after it.
 func (d *Dispatcher) Step(now time.Duration, ev Event) []Effect {
 	d.effects = nil
 	d.now = now
+	if update, ok := ev.(SlotsUpdated); ok {
+		d.slotsUpdated(update)
+		return nil
+	}
 	// A due timer may send a hedge, which must respect the new state.
 	first := changesExecutors(ev)
 	if first {
@@ -175,12 +183,13 @@
 	}
 	d.refresh(now)
 	d.dispatch(now)
+	d.slotsNew = false
 	return d.effects
 }
 
 func changesExecutors(ev Event) bool {
 	switch ev.(type) {
-	case BackendUpdated, SlotsUpdated:
+	case BackendUpdated:
 		return true
 	}
 	return false
@@ -199,8 +208,6 @@
 		d.cancelled(now, ev)
 	case BackendUpdated:
 		d.backendUpdated(now, ev.Backend)
-	case SlotsUpdated:
-		d.slotsUpdated(ev)
 	case Tick:
 	}
 }
@@ -212,6 +219,9 @@
 
 // NextWake returns when the Dispatcher needs a Tick at the latest.
 func (d *Dispatcher) NextWake() (time.Duration, bool) {
+	if d.slotsNew {
+		return d.now, true
+	}
 	wake := never
 	if len(d.wakes) > 0 {
 		wake = d.wakes[0].wake
@@ -321,6 +331,7 @@
 // that are not known, too: the static share of an executor that comes back
 // could contain slots that are lent.
 func (d *Dispatcher) slotsUpdated(ev SlotsUpdated) {
+	d.slotsNew = true
 	d.granted[ev.Executor] = ev
 	if d.cfg.SlotsFromLedger && ev.Own == 0 && len(ev.Leases) == 0 {
 		delete(d.granted, ev.Executor)
--- a/scheduler/serving/dispatcher_test.go
+++ b/scheduler/serving/dispatcher_test.go
@@ -297,6 +297,18 @@
 		ginkgo.Entry("nothing known of the service times", false, 4, 0),
 	)
 
+	// Guards against an attempt on a lease that the same step of the ledger has returned.
+	ginkgo.It("sends nothing before all slots of a step of the ledger are known", func() {
+		b := newBench(1, 1, nil)
+		b.arrive(urgentA)
+		b.arrive(urgentA)
+		expect(b.d.Step(b.now, serving.SlotsUpdated{Executor: "executor-0", Own: 2})).To(gomega.BeEmpty())
+		wake, needed := b.d.NextWake()
+		expect(needed).To(gomega.BeTrue())
+		expect(wake).To(gomega.Equal(b.now))
+		expect(only[serving.Send](b.d.Step(b.now, serving.Tick{}))).To(gomega.HaveLen(1))
+	})
+
 	ginkgo.It("gives fewer slots to an executor that has become slow", func() {
 		b := newBench(3, 4, nil)
 		running := map[time.Duration][]serving.Send{}
--- a/scheduler/serving/ledger_step.go
+++ b/scheduler/serving/ledger_step.go
@@ -127,11 +127,12 @@
 	return out
 }
 
-// extend gives a lease more time if the peer's waiting work is more important
-// than that of this host. Otherwise the slots would return to this host at the
-// height of a crest, to be used for less important work.
+// extend gives a lease more time unless more important work waits here than at
+// the peer. At equal importance the peer keeps the slots: it asked for them
+// because its load is higher, and this host keeps the part that is not lendable.
+// Otherwise the slots would return to this host at the height of a crest.
 func (l *SlotLedger) extend(now time.Duration, e *ledgerExecutor, ev RequestSlots) {
-	if e.waiting != "" && indexOf(e.waiting) <= indexOf(ev.Waiting) {
+	if e.waiting != "" && indexOf(e.waiting) < indexOf(ev.Waiting) {
 		return
 	}
 	if e.lentOut() > Lendable(e.share) {
@@ -162,7 +163,10 @@
 	until := asked.at + min(ev.Duration, l.cfg.LendFor)
 	e.asked = slices.Delete(e.asked, at, at+1)
 	if asked.lease != "" {
-		e.extended(asked.lease, until)
+		// The lender counts the slots of the lease that it names.
+		if ev.Lease == asked.lease {
+			e.extended(asked.lease, until)
+		}
 		return
 	}
 	if until <= now {
--- /dev/null
+++ b/scheduler/serving/ledger_test.go
@@ -0,0 +1,54 @@
+package serving_test
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"cranberrydrum.dev/scheduler/serving"
+	"cranberrydrum.dev/scheduler/structs"
+)
+
+func newLedger() *serving.SlotLedger {
+	l := serving.NewSlotLedger(-time.Hour, serving.LedgerConfig{Self: "host-a", Hosts: hosts, Incarnation: 1})
+	l.Step(0, serving.ExecutorSlots{Executor: "e", Slots: 8})
+	return l
+}
+
+// Guards against a lease that returns to the lender at the height of a crest,
+// and against one that is kept from more important work.
+var _ = ginkgo.DescribeTable("a lease is extended unless more important work waits at the lender",
+	func(here, peer structs.Class, extended bool) {
+		l := newLedger()
+		lent := only[serving.LendSlots](l.Step(0, serving.RequestSlots{From: "host-b", Executor: "e", Count: 1, Waiting: peer, Sequence: 1}))
+		gomega.Expect(lent).To(gomega.HaveLen(1))
+		l.Step(time.Second, serving.UseReported{Use: []serving.SlotUse{{Executor: "e", Waiting: here}}})
+		again := l.Step(time.Second, serving.RequestSlots{From: "host-b", Executor: "e", Lease: lent[0].Lease, Waiting: peer, Sequence: 2})
+		gomega.Expect(len(only[serving.LendSlots](again)) == 1).To(gomega.Equal(extended))
+	},
+	ginkgo.Entry("nothing waits at the lender", structs.Class(""), structs.ClassBulk, true),
+	ginkgo.Entry("equal importance", structs.ClassNormal, structs.ClassNormal, true),
+	ginkgo.Entry("the peer's is more important", structs.ClassNormal, structs.ClassUrgent, true),
+	ginkgo.Entry("the lender's is more important", structs.ClassUrgent, structs.ClassNormal, false),
+)
+
+// Guards against more time on a lease that the lender did not extend, which it
+// would use again while it is still in use here.
+var _ = ginkgo.DescribeTable("only an answer that names the lease extends it",
+	func(lease string, until time.Duration) {
+		l := newLedger()
+		ask := only[serving.AskSlots](l.Step(0, serving.UseReported{Use: []serving.SlotUse{{Executor: "e", Wanted: 1, Waiting: structs.ClassUrgent}}}))[0]
+		l.Step(0, serving.Lend{From: "host-b", Executor: "e", Lease: "first", Count: 1, Duration: serving.DefaultLendFor, Sequence: ask.Sequence})
+		now := 3 * time.Second
+		use := serving.SlotUse{Executor: "e", Leases: map[string]int{"first": 1}, Waiting: structs.ClassUrgent}
+		ask = only[serving.AskSlots](l.Step(now, serving.UseReported{Use: []serving.SlotUse{use}}))[0]
+		gomega.Expect(ask.Lease).To(gomega.Equal("first"))
+		l.Step(now, serving.Lend{From: "host-b", Executor: "e", Lease: lease, Count: 1, Duration: serving.DefaultLendFor, Sequence: ask.Sequence})
+		// The end of the lease is the next change that the Dispatcher is told of.
+		gomega.Expect(only[serving.SlotsChanged](l.Step(until-1, serving.LedgerTick{}))).To(gomega.BeEmpty())
+		gomega.Expect(only[serving.SlotsChanged](l.Step(until, serving.LedgerTick{}))).To(gomega.HaveLen(1))
+	},
+	ginkgo.Entry("the lease", "first", 8*time.Second),
+	ginkgo.Entry("another lease", "second", 5*time.Second),
+)
