node: hand over leadership for as long as a stop waits

Cause: a stopping host handed over what it led, waited until no request was in progress, and handed over once more. If it was elected during the wait, as when the former owner is cut off at that moment, or if the leader outside the failure domain handed back, it led the request keys again. Other hosts then sent it new requests without end, the wait never ended, and the stop timeout cut what was in progress.

Change: the host hands over whenever it leads, until the wait ends.

Not done: the leader outside the failure domain can still hand back to a host that is stopping, which costs another hand-over. A stopping host could report itself with low priority.

--- a/daemon/node/groups.go
+++ b/daemon/node/groups.go
@@ -232,6 +232,21 @@
 	}
 }
 
+// handOverUntil hands over again whenever this host leads a log, until done is
+// closed.
+func (n *Node) handOverUntil(done <-chan struct{}) {
+	ticker := time.NewTicker(handOverPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+			n.handOver()
+		}
+	}
+}
+
 func (n *Node) handOverGroup(g *group.Group) {
 	deadline := n.now() + handOverTimeout
 	for n.now() < deadline {
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -418,9 +418,18 @@
 // request ends.
 const replyFlush = 100 * time.Millisecond
 
-// waitForRequests waits until no request is in progress.
+// waitForRequests waits until no request is in progress. An election or the
+// leader outside the failure domain may make this host lead meanwhile, and the
+// owner of request keys would get new requests without end, so that it hands
+// over leadership for as long as it waits.
 func (n *Node) waitForRequests(ctx context.Context) {
-	if !n.inFlight.waitIdle(ctx.Done()) {
+	done := make(chan struct{})
+	var handingOver sync.WaitGroup
+	handingOver.Go(func() { n.handOverUntil(done) })
+	idle := n.inFlight.waitIdle(ctx.Done())
+	close(done)
+	handingOver.Wait()
+	if !idle {
 		n.log.Info("requests are still in progress at the end of the stop timeout")
 	}
 }
