--- a/cmd/e2e/drain_test.go
+++ b/cmd/e2e/drain_test.go
@@ -51,6 +51,13 @@
 	}
 }
 
+// cutOneWay holds or releases what one host sends to another, which are the
+// connections that it has opened and its bytes on those of the other.
+func (c *cluster) cutOneWay(on bool, from, to string) {
+	c.links[from+">"+to].SetCutThere(on)
+	c.links[to+">"+from].Reversed().SetCutThere(on)
+}
+
 // drainUnderLoad drains one of two executors under load while a fault lasts and
 // returns when the last new request reached it, after the announcement.
 func drainUnderLoad(fault func(c *cluster), during time.Duration, heal func(c *cluster)) time.Duration {
@@ -73,7 +80,7 @@
 	announced := time.Now()
 	time.Sleep(during)
 	heal(c)
-	time.Sleep(drainWatch - during)
+	time.Sleep(time.Until(announced.Add(drainWatch)))
 	stop()
 	c.awaitServing(hosts...)
 	return leaving.Stats().LastNew.Sub(announced)
@@ -96,5 +103,18 @@
 			func(c *cluster) { c.host("oer-2").kill() }, 100*time.Millisecond, func(c *cluster) { c.host("oer-2").start() }),
 		Entry("while the two hosts are cut off from each other",
 			func(c *cluster) { c.cut(true, c.host("oer-2")) }, 4*time.Second, func(c *cluster) { c.cut(false, c.host("oer-2")) }),
+		Entry("while what the other host sends does not arrive",
+			func(c *cluster) { c.cutOneWay(true, "oer-2", "oer-1") }, 4*time.Second, func(c *cluster) { c.cutOneWay(false, "oer-2", "oer-1") }),
+		Entry("while nothing arrives at the other host",
+			func(c *cluster) { c.cutOneWay(true, "oer-1", "oer-2") }, 4*time.Second, func(c *cluster) { c.cutOneWay(false, "oer-1", "oer-2") }),
+		// The host that took the announcement forgets it, and the other one still
+		// has the backend server as up when it wakes.
+		Entry("while the other host is frozen and the one that it announced to is killed and restarted",
+			func(c *cluster) { c.host("oer-2").freeze() }, 0*time.Second, func(c *cluster) {
+				c.host("oer-1").kill()
+				c.host("oer-1").start()
+				time.Sleep(time.Second)
+				c.host("oer-2").thaw()
+			}),
 	)
 })
--- a/cmd/e2e/rules_leader_test.go
+++ b/cmd/e2e/rules_leader_test.go
@@ -1,6 +1,8 @@
 package e2e_test
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -47,3 +49,43 @@
 		return func() { c.cutTo(false, leader) }
 	})),
 )
+
+// killLeader kills the leader of the configuration as soon as one of the given
+// hosts leads it.
+func (c *cluster) killLeader(among ...*process) *process {
+	var leader *process
+	Eventually(func() bool {
+		leader = c.leader("config", among...)
+		return leader != nil && slices.Contains(among, leader)
+	}, "10s", "5ms").Should(BeTrue())
+	leader.kill()
+	return leader
+}
+
+var _ = Describe("Configuration while its leader is lost twice (P8)", func() {
+	// Guards against an accepted change that only the two lost leaders had, and
+	// against a second winner for its version: the successor is killed before it
+	// has committed much of its own, in the middle of the changes.
+	It("keeps what was accepted when the successor is killed as soon as it leads", func() {
+		c := newCluster(sixHosts)
+		c.begin(baseRules())
+		w := watchVersions(c)
+		o := startOperators(c, 3)
+		time.Sleep(500 * time.Millisecond)
+		from := time.Now()
+		first := c.killLeader(c.hosts...)
+		next := c.killLeader(c.others(first)...)
+		between := time.Since(from)
+		Eventually(func() bool {
+			return slices.Contains(c.others(first, next), c.leader("config", c.others(first, next)...))
+		}, "10s", "20ms").Should(BeTrue())
+		first.start()
+		next.start()
+		started := time.Now()
+		time.Sleep(500 * time.Millisecond)
+		o.done()
+		time.Sleep(inForceBound)
+		AddReportEntry("second loss", fmt.Sprint(next.id, " ", between, " after ", first.id), ReportEntryVisibilityAlways)
+		o.check(w, from, started, map[string]bool{first.id: true, next.id: true})
+	})
+})
