cmd/e2e: keep the lag of workers that renew directly with the owner

A worker that calls another host is told the address of the owner, which has no lag. The owner's relay now comes first in the list of the workers.

--- a/cmd/e2e/guarantee_test.go
+++ b/cmd/e2e/guarantee_test.go
@@ -1,8 +1,8 @@
 package e2e_test
 
 import (
+	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -65,14 +65,21 @@
 	}
 }
 
-// lagging returns addresses at which hosts are reached with a lag.
-func (c *cluster) lagging(urls []string) []string {
+// laggingHosts returns addresses at which hosts are reached with a lag. The
+// owner comes first, because a worker that calls another host is told the
+// direct address of the owner.
+func (c *cluster) laggingHosts(list []*process) []string {
 	var lagged []string
-	for _, url := range urls {
-		r, err := standin.NewRelay(strings.TrimPrefix(url, "http://"), standin.NewLink(reportLag, 0))
+	owner := c.owner(oerlikon)
+	for _, p := range list {
+		r, err := standin.NewRelay(p.http, standin.NewLink(reportLag, 0))
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(r.Close)
-		lagged = append(lagged, "http://"+r.Address())
+		at := len(lagged)
+		if p == owner {
+			at = 0
+		}
+		lagged = slices.Insert(lagged, at, "http://"+r.Address())
 	}
 	return lagged
 }
@@ -101,9 +108,10 @@
 	// the workers lag.
 	DescribeTable("is met with lagging reports while a worker is lost", func(cutOff bool, bound time.Duration) {
 		c := jobHosts()
-		w := startWorkersWith(c, 16, func(_ int, cfg *standin.WorkerConfig) { cfg.Hosts = c.lagging(cfg.Hosts) })
-		sizes := w.fill()
 		local := c.inDomain(oerlikon)
+		Eventually(func() string { return c.owner(oerlikon).domain }, "5s", "50ms").Should(Equal(oerlikon))
+		w := startWorkersAt(c, 16, c.laggingHosts(local))
+		sizes := w.fill()
 		if cutOff {
 			c.cut(true, local...)
 		}
