--- a/cmd/e2e/jobs_test.go
+++ b/cmd/e2e/jobs_test.go
@@ -44,8 +44,8 @@
 	return startWorkersWith(c, count, func(_ int, cfg *standin.WorkerConfig) { cfg.Hosts = urls })
 }
 
-// callBoth makes half of the workers call the second host first, so that each
-// host is the only one that some workers have heard when the other is lost.
+// callBoth makes half of the workers call the second host first. They are told
+// the address of the owner and call the two hosts again when it fails.
 func callBoth(i int, cfg *standin.WorkerConfig) {
 	if i%2 == 1 {
 		slices.Reverse(cfg.Hosts)
