placement: rebuild less after a change of a worker

Cause: any change of a worker rebuilt all indexes, 56 % of the round's time in the profile, most of it for jobs that did not move.

Change: a worker that only changes its quarantine renews the ledger and the claims. Otherwise the order of the claims and the positions of the jobs are kept.

--- a/scheduler/placement/bench_test.go
+++ b/scheduler/placement/bench_test.go
@@ -172,6 +172,22 @@
 	}
 }
 
+// BenchmarkRoundAfterWorkerLoss measures the rebuild after a worker was lost or
+// has come back.
+func BenchmarkRoundAfterWorkerLoss(b *testing.B) {
+	c := newCluster(910, 8, 110, 16000)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		if i%2 == 0 {
+			c.s.RemoveWorker("w0000")
+		} else {
+			c.s.SetWorker(structs.Worker{ID: "w0000", Rack: "r000", Accelerators: 8})
+		}
+		c.s.Round(benchNow + time.Duration(i))
+	}
+}
+
 // BenchmarkRoundBurst measures a round that places 500 single-accelerator jobs
 // of customers with free guarantees into an idle failure domain.
 func BenchmarkRoundBurst(b *testing.B) {
--- a/scheduler/placement/index.go
+++ b/scheduler/placement/index.go
@@ -13,15 +13,49 @@
 func (s *Scheduler) flush() {
 	if s.stale {
 		s.rebuild()
+	} else if len(s.requalified) > 0 {
+		s.requalify()
 	}
 	s.evaluate()
 }
 
+// requalify takes over workers that changed in nothing that moves others. The
+// jobs stay where they are, and only their claims are evaluated again.
+func (s *Scheduler) requalify() {
+	for _, id := range s.requalified {
+		at := s.index[id]
+		s.sorted[at] = s.specs[id]
+		w := &s.workers[at]
+		wasWhole := s.isWhole(w.usable)
+		w.usable = usableOf(s.sorted[at])
+		k := &s.racks[w.rack]
+		if isWhole := s.isWhole(w.usable); isWhole && !wasWhole {
+			k.healthy++
+		} else if wasWhole && !isWhole {
+			k.healthy--
+		}
+		s.refree(w)
+	}
+	s.requalified = s.requalified[:0]
+	s.ledger = guarantee.NewLedger(s.topology, s.sorted, s.rules.Guarantees)
+	s.marks = s.marks[:0]
+}
+
+// usableOf returns the accelerators of a worker that jobs may use.
+func usableOf(w structs.Worker) guarantee.Mask {
+	if w.Quarantined {
+		return 0
+	}
+	return guarantee.FullMask(w.Accelerators)
+}
+
 // rebuild derives all indexes from the rules, the workers and the jobs.
 func (s *Scheduler) rebuild() {
 	s.stale = false
+	s.requalified = s.requalified[:0]
 	s.names = slices.DeleteFunc(s.names, func(c *customer) bool { return s.dropCustomer(c) })
-	specs := s.sortedWorkers()
+	s.sorted = s.sortedWorkers()
+	specs := s.sorted
 	s.topology = s.deriveTopology(specs)
 	s.perWorker = min(max(s.topology.AcceleratorsPerWorker, 1), guarantee.MaxAccelerators)
 	stated := s.topology.Racks * s.topology.WorkersPerRack * s.topology.AcceleratorsPerWorker
@@ -80,6 +114,11 @@
 func (s *Scheduler) addWorkers(specs []structs.Worker) int {
 	total := 0
 	s.racks = s.racks[:0]
+	before, known := s.workers, s.index
+	s.moved = slices.Grow(s.moved[:0], len(before))[:len(before)]
+	for i := range s.moved {
+		s.moved[i] = noWorker
+	}
 	s.workers = make([]worker, len(specs))
 	s.index = make(map[string]int, len(specs))
 	for i, spec := range specs {
@@ -88,11 +127,13 @@
 		}
 		w := &s.workers[i]
 		w.id = spec.ID
+		if at, ok := known[spec.ID]; ok {
+			s.moved[at] = i
+			w.jobs = before[at].jobs[:0]
+		}
 		w.rack = len(s.racks) - 1
 		total += spec.Accelerators
-		if !spec.Quarantined {
-			w.usable = guarantee.FullMask(spec.Accelerators)
-		}
+		w.usable = usableOf(spec)
 		w.free = w.usable
 		s.index[spec.ID] = i
 		r := &s.racks[w.rack]
@@ -107,19 +148,20 @@
 
 // addJobs puts the running jobs on the workers and into the claims.
 func (s *Scheduler) addJobs() {
-	s.claims = s.claims[:0]
+	s.keepClaims()
 	s.marks = s.marks[:0]
 	for _, j := range s.jobs {
 		if !j.running {
 			continue
 		}
 		j.inside = false
-		s.resolve(j)
+		s.move(j)
 		for _, p := range j.parts {
 			w := &s.workers[p.Worker]
 			w.jobs = append(w.jobs, occupant{job: j, mask: p.Mask})
 		}
-		if j.customer.account != noAccount && !j.stopping {
+		if !j.claims && j.mayClaim() {
+			j.claims = true
 			s.claims = append(s.claims, j)
 		}
 	}
@@ -131,6 +173,36 @@
 	slices.SortFunc(s.claims, compareClaims)
 }
 
+// keepClaims drops the claims that are over. Those that stay are in order, which
+// makes sorting them with the new ones cheap.
+func (s *Scheduler) keepClaims() {
+	s.claims = slices.DeleteFunc(s.claims, func(j *job) bool {
+		j.claims = j.mayClaim() && s.jobs[j.id] == j
+		return !j.claims
+	})
+}
+
+// mayClaim reports whether a running job may be inside a guarantee.
+func (j *job) mayClaim() bool {
+	return j.customer.account != noAccount && !j.stopping
+}
+
+// move adjusts the accelerators of a job to the new positions of the workers.
+func (s *Scheduler) move(j *job) {
+	if len(j.parts) == 0 || len(j.parts) != len(j.members) {
+		s.resolve(j)
+		return
+	}
+	for i := range j.parts {
+		at := s.moved[j.parts[i].Worker]
+		if at == noWorker {
+			s.resolve(j)
+			return
+		}
+		j.parts[i].Worker = at
+	}
+}
+
 // isWhole reports whether a mask holds a whole worker.
 func (s *Scheduler) isWhole(mask guarantee.Mask) bool {
 	full := guarantee.FullMask(s.perWorker)
@@ -162,7 +234,7 @@
 // occupy enters a running job that is new.
 func (s *Scheduler) occupy(j *job) {
 	s.place(j)
-	if j.customer.account != noAccount && !j.stopping {
+	if j.mayClaim() {
 		s.addClaim(j)
 	}
 }
@@ -174,7 +246,7 @@
 		w.jobs = slices.DeleteFunc(w.jobs, func(o occupant) bool { return o.job == j })
 		s.refree(w)
 	}
-	if j.customer.account != noAccount && !j.stopping {
+	if j.mayClaim() {
 		s.removeClaim(j)
 	}
 }
--- a/scheduler/placement/scheduler.go
+++ b/scheduler/placement/scheduler.go
@@ -24,13 +24,18 @@
 
 	// stale asks for a rebuild of everything below, after a change of workers
 	// or rules.
-	stale     bool
-	workers   []worker // sorted by rack and ID
-	index     map[string]int
-	racks     []rack
-	perWorker int
-	capacity  int
-	ledger    *guarantee.Ledger
+	stale bool
+	// requalified lists workers that changed in nothing that moves others, such
+	// as their quarantine.
+	requalified []string
+	sorted      []structs.Worker // by rack and ID
+	workers     []worker         // sorted by rack and ID
+	index       map[string]int
+	racks       []rack
+	moved       []int // new position of each worker of the last rebuild
+	perWorker   int
+	capacity    int
+	ledger      *guarantee.Ledger
 
 	// claims holds the running jobs of customers with guarantees in the order
 	// of their claims. The first len(marks) are evaluated, and marks holds the
@@ -67,8 +72,17 @@
 	if known, ok := s.specs[w.ID]; ok && known == w {
 		return
 	}
+	if sameShape(s.specs[w.ID], w) {
+		s.requalified = append(s.requalified, w.ID)
+	} else {
+		s.stale = true
+	}
 	s.specs[w.ID] = w
-	s.stale = true
+}
+
+// sameShape reports whether two states of a worker have the same place and size.
+func sameShape(a, b structs.Worker) bool {
+	return a.ID == b.ID && a.Rack == b.Rack && a.Accelerators == b.Accelerators
 }
 
 // RemoveWorker removes a worker. Its jobs stay until they are removed or queued.
--- a/scheduler/placement/state.go
+++ b/scheduler/placement/state.go
@@ -68,6 +68,7 @@
 	stopping     bool
 	stopBy       time.Duration
 	inside       bool
+	claims       bool // is one of the claims, only within a rebuild
 
 	// stamp is the number of the round that has decided on the job, and victim
 	// the one that has chosen it to stop.
@@ -101,6 +102,9 @@
 	}
 }
 
+// noWorker marks a worker that was removed.
+const noWorker = -1
+
 // noAccount marks a customer without a guarantee.
 const noAccount = -1
 
