placement: a gang that avoids a worker of the only rack that holds it may spread

Cause: the limit of a gang to one rack counted the healthy workers of the largest rack, also those that the job avoids because it failed there. A gang of 64 whose rack of eight had a failing worker then waited for that worker to be quarantined or for another whole rack, although 104 accelerators were free.

Change: a rack counts without the workers that the job avoids. The memory of sizes that were not found in a round does not apply to a gang that may spread.

--- a/scheduler/placement/examples_test.go
+++ b/scheduler/placement/examples_test.go
@@ -130,6 +130,17 @@
 		Expect(light).To(Equal(2))
 	})
 
+	// Guards against a gang that waits for ever for the only rack that could
+	// hold it, because it avoids a worker there, while others are free.
+	It("spreads a gang that avoids a worker of the only whole rack", func() {
+		s := bench4()
+		s.SetWorker(structs.Worker{ID: "w2", Rack: "q", Accelerators: 4})
+		avoiding := queued("g", "x", structs.PriorityNormal, 8, now, 0)
+		avoiding.Avoid = []string{"w0"}
+		s.SetQueued(avoiding)
+		Expect(started(s.Round(now))).To(Equal([]string{"g"}))
+	})
+
 	// Guards against jobs that wait for ever without a reason.
 	It("names jobs that can never run", func() {
 		s := bench4()
--- a/scheduler/placement/free.go
+++ b/scheduler/placement/free.go
@@ -30,32 +30,46 @@
 
 // findFree returns the best-fitting available accelerators for a gang, or nil.
 func (r *round) findFree(j *job, account int) []guarantee.Part {
-	return r.find(j.spec.Accelerators, r.freeView(j, account))
+	return r.find(j, r.freeView(j, account))
 }
 
 // find returns the best-fitting accelerators of a view for a gang, or nil. The
 // view never shows more than the available accelerators.
-func (r *round) find(n int, look view) []guarantee.Part {
+func (r *round) find(j *job, look view) []guarantee.Part {
+	n := j.spec.Accelerators
 	if n < r.s.perWorker {
 		return r.findInWorker(n, look)
 	}
-	if r.s.fitsRack(n) {
+	if r.s.fitsRack(j) {
 		return r.findInRack(n, look)
 	}
 	return r.findWide(n, look)
 }
 
-// fitsRack reports whether a gang fits into the largest rack of healthy workers.
-func (s *Scheduler) fitsRack(n int) bool {
-	needed := (n + s.perWorker - 1) / s.perWorker
+// fitsRack reports whether a gang fits into one rack of healthy workers that it
+// does not avoid. A gang that does not may spread over racks.
+func (s *Scheduler) fitsRack(j *job) bool {
+	needed := (j.spec.Accelerators + s.perWorker - 1) / s.perWorker
 	for i := range s.racks {
-		if s.racks[i].healthy >= needed {
+		if k := &s.racks[i]; k.healthy >= needed && k.healthy-s.avoided(j, k) >= needed {
 			return true
 		}
 	}
 	return false
 }
 
+// avoided returns the number of healthy workers of a rack that a job avoids.
+func (s *Scheduler) avoided(j *job, k *rack) int {
+	n := 0
+	for _, id := range j.avoid {
+		at, known := s.index[id]
+		if known && s.isWhole(s.workers[at].usable) && slices.Contains(k.workers, at) {
+			n++
+		}
+	}
+	return n
+}
+
 // findInWorker looks for the worker with the smallest sufficient cell, in the
 // rack with the fewest whole workers, so that large cells and racks stay whole.
 func (r *round) findInWorker(n int, look view) []guarantee.Part {
--- a/scheduler/placement/reclaim.go
+++ b/scheduler/placement/reclaim.go
@@ -105,7 +105,7 @@
 		owned := func(at int, w *worker) guarantee.Mask {
 			return look(at, w) & r.s.ledger.Owned(c.account, at)
 		}
-		if parts := r.find(j.spec.Accelerators, owned); parts != nil {
+		if parts := r.find(j, owned); parts != nil {
 			return parts
 		}
 	}
@@ -125,7 +125,7 @@
 	account := j.customer.account
 	look := r.freeView(j, account)
 	level := r.s.ledger.SlotFor(account, j.spec.Accelerators)
-	return r.find(j.spec.Accelerators, func(at int, w *worker) guarantee.Mask {
+	return r.find(j, func(at int, w *worker) guarantee.Mask {
 		room := look(at, w)
 		if room == 0 {
 			return 0
@@ -196,7 +196,7 @@
 	switch {
 	case n < r.s.perWorker:
 		found = r.cellCandidates(j, look, grace)
-	case r.s.fitsRack(n):
+	case r.s.fitsRack(j):
 		for i := range r.s.racks {
 			found = r.rackCandidate(found, j, &r.s.racks[i], n, look, grace)
 		}
--- a/scheduler/placement/reserve.go
+++ b/scheduler/placement/reserve.go
@@ -176,7 +176,7 @@
 	switch {
 	case n < r.s.perWorker:
 		return r.earliestCell(j, n)
-	case r.s.fitsRack(n):
+	case r.s.fitsRack(j):
 		return r.earliestRack(j, n)
 	default:
 		return r.earliestWide(j, n)
@@ -307,10 +307,11 @@
 
 // findFreeMemo looks for available accelerators outside a guarantee. Within a
 // round a size that was not found once is not found again, because the
-// available accelerators only become fewer.
+// available accelerators only become fewer. A gang that may spread over racks,
+// because of the workers that it avoids, is looked for nevertheless.
 func (r *round) findFreeMemo(j *job) []guarantee.Part {
 	n := j.spec.Accelerators
-	if r.full[n] {
+	if r.full[n] && (len(j.avoid) == 0 || r.s.fitsRack(j)) {
 		return nil
 	}
 	parts := r.findUnbound(j)
@@ -327,7 +328,7 @@
 // where the job is less likely to be preempted.
 func (r *round) findUnbound(j *job) []guarantee.Part {
 	look := r.freeView(j, noAccount)
-	return r.find(j.spec.Accelerators, func(at int, w *worker) guarantee.Mask {
+	return r.find(j, func(at int, w *worker) guarantee.Mask {
 		room := look(at, w)
 		if room == 0 {
 			return 0
