--- a/scheduler/experiment/placement/event.go
+++ b/scheduler/experiment/placement/event.go
@@ -29,27 +29,13 @@
 	n    int // index of an arrival, fault or probe
 }
 
-// events is a heap ordered by time, kind and sequence.
-type events []event
-
-func (e events) Len() int      { return len(e) }
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e events) Less(i, j int) bool {
-	if e[i].at != e[j].at {
-		return e[i].at < e[j].at
+// happensBefore orders events by time, kind and sequence.
+func (e event) happensBefore(other event) bool {
+	if e.at != other.at {
+		return e.at < other.at
 	}
-	if e[i].kind != e[j].kind {
-		return e[i].kind < e[j].kind
+	if e.kind != other.kind {
+		return e.kind < other.kind
 	}
-	return e[i].seq < e[j].seq
-}
-
-// Push implements heap.Interface.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop implements heap.Interface.
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
+	return e.seq < other.seq
 }
--- a/scheduler/experiment/placement/sim.go
+++ b/scheduler/experiment/placement/sim.go
@@ -1,12 +1,12 @@
 package placement
 
 import (
-	"container/heap"
 	"slices"
 	"sort"
 	"strconv"
 	"time"
 
+	"cranberrydrum.dev/coord/pqueue"
 	"cranberrydrum.dev/scheduler/guarantee"
 	sched "cranberrydrum.dev/scheduler/placement"
 	"cranberrydrum.dev/scheduler/structs"
@@ -45,7 +45,7 @@
 	policy    policy
 	estimator *sched.Estimator
 	now       time.Duration
-	events    events
+	events    *pqueue.Queue[event]
 	seq       int
 	jobs      map[string]*simJob
 	free      map[string]guarantee.Mask
@@ -64,6 +64,7 @@
 		load: l, length: length, policy: p, estimator: sched.NewEstimator(),
 		jobs: map[string]*simJob{}, urgent: map[string]*simJob{}, free: map[string]guarantee.Mask{},
 		failing: map[string]bool{}, failures: map[string]map[string]bool{},
+		events: pqueue.New(event.happensBefore, nil),
 	}
 	p.SetRules(l.rules)
 	for _, w := range l.workers {
@@ -87,20 +88,25 @@
 func (s *sim) schedule(e event) {
 	s.seq++
 	e.seq = s.seq
-	heap.Push(&s.events, e)
+	s.events.Push(e)
 }
 
 // loop runs until all jobs have ended or the time is over.
 func (s *sim) loop() {
-	for len(s.events) > 0 {
-		at := s.events[0].at
+	for {
+		first, ok := s.events.First()
+		if !ok {
+			break
+		}
+		at := first.at
 		if at > s.length*drainFactor || (at > s.length && s.open == 0) {
 			break
 		}
 		s.metrics.elapse(s, at-s.now)
 		s.now = at
-		for len(s.events) > 0 && s.events[0].at == at {
-			s.handle(heap.Pop(&s.events).(event))
+		for ; ok && first.at == at; first, ok = s.events.First() {
+			s.events.Pop()
+			s.handle(first)
 		}
 		s.markQuota()
 		s.watchProbes()
--- a/scheduler/experiment/serving/simulation.go
+++ b/scheduler/experiment/serving/simulation.go
@@ -1,11 +1,11 @@
 package serving
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"strconv"
 	"time"
 
+	"cranberrydrum.dev/coord/pqueue"
 	"cranberrydrum.dev/scheduler/serving"
 	"cranberrydrum.dev/scheduler/structs"
 )
@@ -74,27 +74,11 @@
 	run      func()
 }
 
-type agenda []action
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	if a[i].at != a[j].at {
-		return a[i].at < a[j].at
+func (a action) happensBefore(other action) bool {
+	if a.at != other.at {
+		return a.at < other.at
 	}
-	return a[i].sequence < a[j].sequence
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-
-// Push implements heap.Interface.
-func (a *agenda) Push(x any) { *a = append(*a, x.(action)) }
-
-// Pop implements heap.Interface.
-func (a *agenda) Pop() any {
-	last := len(*a) - 1
-	x := (*a)[last]
-	(*a)[last] = action{}
-	*a = (*a)[:last]
-	return x
+	return a.sequence < other.sequence
 }
 
 // simulation is one run of one variant.
@@ -103,7 +87,7 @@
 	variant  Variant
 	now      time.Duration
 	sequence uint64
-	agenda   agenda
+	agenda   *pqueue.Queue[action]
 	// arrivals has a source per stream, so that all variants see the same requests.
 	arrivals  []*rand.Rand
 	hosts     []*host
@@ -120,6 +104,7 @@
 		variant:   variant,
 		executors: map[string]*executor{},
 		requests:  map[string]*request{},
+		agenda:    pqueue.New(action.happensBefore, nil),
 		streams:   shapes[variant.Shape],
 	}
 	for i := range s.streams {
@@ -180,7 +165,7 @@
 // at runs an action after a delay.
 func (s *simulation) at(delay time.Duration, run func()) {
 	s.sequence++
-	heap.Push(&s.agenda, action{at: s.now + delay, sequence: s.sequence, run: run})
+	s.agenda.Push(action{at: s.now + delay, sequence: s.sequence, run: run})
 }
 
 // run plays the load and the time after it until all deadlines have passed.
@@ -192,8 +177,12 @@
 		s.at(0, s.reportUse)
 	}
 	const drain = 2 * time.Minute
-	for len(s.agenda) > 0 && s.agenda[0].at < loadEnd+drain {
-		next := heap.Pop(&s.agenda).(action)
+	for {
+		next, ok := s.agenda.First()
+		if !ok || next.at >= loadEnd+drain {
+			return
+		}
+		s.agenda.Pop()
 		s.now = next.at
 		next.run()
 	}
--- a/scheduler/serving/admit.go
+++ b/scheduler/serving/admit.go
@@ -1,7 +1,6 @@
 package serving
 
 import (
-	"container/heap"
 	"time"
 
 	"cranberrydrum.dev/scheduler/structs"
@@ -17,7 +16,7 @@
 	d.counters.Requests++
 	r := d.newRequest(now, ev)
 	d.requests[r.id] = r
-	heap.Push(&d.wakes, r)
+	d.wakes.Push(r)
 	d.admit(now, r)
 	d.settle(r)
 }
--- a/scheduler/serving/dispatcher.go
+++ b/scheduler/serving/dispatcher.go
@@ -1,11 +1,11 @@
 package serving
 
 import (
-	"container/heap"
 	"slices"
 	"strings"
 	"time"
 
+	"cranberrydrum.dev/coord/pqueue"
 	"cranberrydrum.dev/coord/retry"
 	"cranberrydrum.dev/scheduler/structs"
 )
@@ -21,7 +21,7 @@
 	now time.Duration
 
 	requests map[string]*request
-	wakes    wakeHeap
+	wakes    *pqueue.Queue[*request]
 	queues   [classCount]classQueue
 	queued   int
 	bytes    int
@@ -68,6 +68,7 @@
 		budget:    newRetryBudget(cfg.Service.RetryBudget),
 		backoff:   newBackoff(cfg.Seed),
 		requests:  map[string]*request{},
+		wakes:     pqueue.New((*request).actsBefore, (*request).setPosition),
 		executors: map[string]*executor{},
 		granted:   map[string]SlotsUpdated{},
 		stale:     true,
@@ -223,8 +224,8 @@
 		return d.now, true
 	}
 	wake := never
-	if len(d.wakes) > 0 {
-		wake = d.wakes[0].wake
+	if r, ok := d.wakes.First(); ok {
+		wake = r.wake
 	}
 	if d.queued > 0 {
 		wake = min(wake, d.now+idleWake)
@@ -234,8 +235,12 @@
 
 // runTimers handles all requests whose next action is due.
 func (d *Dispatcher) runTimers(now time.Duration) {
-	for len(d.wakes) > 0 && d.wakes[0].wake <= now {
-		d.due(now, d.wakes[0])
+	for {
+		r, ok := d.wakes.First()
+		if !ok || r.wake > now {
+			return
+		}
+		d.due(now, r)
 	}
 }
 
@@ -270,10 +275,10 @@
 // it has had its final effect and holds no slot.
 func (d *Dispatcher) settle(r *request) {
 	if r.phase != phaseFinished || len(r.attempts) > 0 {
-		d.wakes.reschedule(r)
+		d.reschedule(r)
 		return
 	}
-	heap.Remove(&d.wakes, r.heapIndex)
+	d.wakes.Remove(r.position)
 	delete(d.requests, r.id)
 	const maxSpare = 1024
 	if len(d.spare) < maxSpare {
@@ -281,6 +286,16 @@
 	}
 }
 
+// reschedule puts a request at the place of its next action.
+func (d *Dispatcher) reschedule(r *request) {
+	wake := r.nextWake()
+	if wake == r.wake {
+		return
+	}
+	r.wake = wake
+	d.wakes.Fix(r.position)
+}
+
 // backendUpdated takes over the newest announcement of an executor.
 func (d *Dispatcher) backendUpdated(now time.Duration, b structs.Backend) {
 	if b.Service != d.cfg.Service.Name {
--- a/scheduler/serving/refresh.go
+++ b/scheduler/serving/refresh.go
@@ -91,7 +91,7 @@
 	for _, e := range d.order {
 		e.overdue = 0
 	}
-	for _, r := range d.wakes {
+	for r := range d.wakes.All() {
 		if r.flow.estimate.samples < minSamples {
 			continue
 		}
--- a/scheduler/serving/request.go
+++ b/scheduler/serving/request.go
@@ -1,7 +1,6 @@
 package serving
 
 import (
-	"container/heap"
 	"time"
 
 	"cranberrydrum.dev/scheduler/structs"
@@ -54,8 +53,8 @@
 	// reason is the refusal if forwarding fails.
 	reason structs.Code
 
-	wake      time.Duration
-	heapIndex int
+	wake     time.Duration
+	position int
 }
 
 // attempt is one try on an executor, as long as it holds a slot there.
@@ -134,44 +133,12 @@
 	return wake
 }
 
-// wakeHeap orders the requests by the time of their next action.
-type wakeHeap []*request
+func (r *request) setPosition(position int) { r.position = position }
 
-func (h wakeHeap) Len() int { return len(h) }
-func (h wakeHeap) Less(i, j int) bool {
-	if h[i].wake != h[j].wake {
-		return h[i].wake < h[j].wake
+// actsBefore orders requests by the time of their next action.
+func (r *request) actsBefore(other *request) bool {
+	if r.wake != other.wake {
+		return r.wake < other.wake
 	}
-	return h[i].id < h[j].id
-}
-func (h wakeHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].heapIndex = i
-	h[j].heapIndex = j
-}
-
-// Push implements heap.Interface.
-func (h *wakeHeap) Push(x any) {
-	r := x.(*request)
-	r.heapIndex = len(*h)
-	*h = append(*h, r)
-}
-
-// Pop implements heap.Interface.
-func (h *wakeHeap) Pop() any {
-	last := len(*h) - 1
-	r := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return r
-}
-
-// reschedule puts the request at the place of its next action.
-func (h *wakeHeap) reschedule(r *request) {
-	wake := r.nextWake()
-	if wake == r.wake {
-		return
-	}
-	r.wake = wake
-	heap.Fix(h, r.heapIndex)
+	return r.id < other.id
 }
