Read-through: three places where the same logic stood twice

- The stand-in worker built a list of one host to post a renewal; the check of one answer and its decoding are functions of their own now.
- The two ways to answer proposals up to an index share one loop.
The outcome is made only for a proposal that waits, since the call is made after each step.
- The raft tests set their flags by coord/testflags.

No change of behaviour.

--- a/coord/raft/raft_test.go
+++ b/coord/raft/raft_test.go
@@ -1,7 +1,6 @@
 package raft_test
 
 import (
-	"flag"
 	"math"
 	"os"
 	"testing"
@@ -11,18 +10,14 @@
 	. "github.com/onsi/gomega"
 
 	"cranberrydrum.dev/coord/raft"
+	"cranberrydrum.dev/coord/testflags"
 )
 
 // TestMain fixes the seed and the number of checks unless they were given.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"seed": "20261204", "checks": "2000", "steps": "60", "nofailfile": "true"} {
-		if !given["rapid."+name] {
-			_ = flag.Set("rapid."+name, value)
-		}
-	}
+	testflags.SetDefaults(map[string]string{
+		"rapid.seed": "20261204", "rapid.checks": "2000", "rapid.steps": "60", "rapid.nofailfile": "true",
+	})
 	os.Exit(m.Run())
 }
 
--- a/daemon/group/proposals.go
+++ b/daemon/group/proposals.go
@@ -55,28 +55,24 @@
 
 // replaceUpTo answers proposals whose index was applied without a result: the
 // empty entry of a new leader took their place.
-func (g *Group) replaceUpTo(applied uint64) {
-	for i, waiting := range g.waiting {
-		if i > applied {
-			continue
-		}
-		delete(g.waiting, i)
-		for _, p := range waiting {
-			p.done <- replacedOutcome()
-		}
-	}
-}
+func (g *Group) replaceUpTo(applied uint64) { g.answerUpTo(applied, replacedOutcome) }
 
 // abandonUpTo answers proposals that a snapshot has passed: whether they are
 // part of it cannot be told.
 func (g *Group) abandonUpTo(index uint64) {
+	g.answerUpTo(index, func() outcome {
+		return outcome{err: structs.Unknown(structs.CodeNotLeader, "a snapshot replaced the state")}
+	})
+}
+
+func (g *Group) answerUpTo(index uint64, answer func() outcome) {
 	for i, waiting := range g.waiting {
 		if i > index {
 			continue
 		}
 		delete(g.waiting, i)
 		for _, p := range waiting {
-			p.done <- outcome{err: structs.Unknown(structs.CodeNotLeader, "a snapshot replaced the state")}
+			p.done <- answer()
 		}
 	}
 }
--- a/daemon/standin/client.go
+++ b/daemon/standin/client.go
@@ -28,29 +28,42 @@
 // post posts a body to the first host that answers 200 and decodes the answer
 // into result unless that is nil.
 func (h *hostList) post(client *fasthttp.Client, path, token string, headers [][2]string, body []byte, result any) error {
-	reason := "no hosts"
+	var failure error = &PostError{Path: path, Reason: "no hosts"}
 	first := int(h.first.Load())
 	for i := range h.urls {
 		at := (first + i) % len(h.urls)
-		answer, status, err := post(client, h.urls[at]+path, token, headers, body)
+		answer, err := postOK(client, h.urls[at], path, token, headers, body)
 		if err != nil {
-			reason = err.Error()
-			continue
-		}
-		if status != fasthttp.StatusOK {
-			reason = "status " + strconv.Itoa(status) + ": " + string(answer)
+			failure = err
 			continue
 		}
 		h.first.Store(int64(at))
-		if result == nil {
-			return nil
-		}
-		if err := json.Unmarshal(answer, result); err != nil {
-			return &PostError{Path: path, Reason: err.Error()}
-		}
+		return decodeAnswer(path, answer, result)
+	}
+	return failure
+}
+
+// postOK posts a body to one host and returns an answer with status 200.
+func postOK(client *fasthttp.Client, host, path, token string, headers [][2]string, body []byte) ([]byte, error) {
+	answer, status, err := post(client, host+path, token, headers, body)
+	if err != nil {
+		return nil, &PostError{Path: path, Reason: err.Error()}
+	}
+	if status != fasthttp.StatusOK {
+		return nil, &PostError{Path: path, Reason: "status " + strconv.Itoa(status) + ": " + string(answer)}
+	}
+	return answer, nil
+}
+
+// decodeAnswer decodes an answer into result unless that is nil.
+func decodeAnswer(path string, answer []byte, result any) error {
+	if result == nil {
 		return nil
 	}
-	return &PostError{Path: path, Reason: reason}
+	if err := json.Unmarshal(answer, result); err != nil {
+		return &PostError{Path: path, Reason: err.Error()}
+	}
+	return nil
 }
 
 func post(client *fasthttp.Client, url, token string, headers [][2]string, body []byte) ([]byte, int, error) {
--- a/daemon/standin/worker.go
+++ b/daemon/standin/worker.go
@@ -233,6 +233,8 @@
 	}()
 }
 
+const renewPath = "/v1/workers/renew"
+
 // exchange offers a renewal to the hosts until one gives orders.
 func (w *Worker) exchange(headers [][2]string, body []byte) (structs.WorkerOrders, bool) {
 	w.mu.Lock()
@@ -240,8 +242,10 @@
 	w.mu.Unlock()
 	for _, host := range order {
 		var orders structs.WorkerOrders
-		one := hostList{urls: []string{host}}
-		err := one.post(w.client, "/v1/workers/renew", w.cfg.Token, headers, body, &orders)
+		answer, err := postOK(w.client, host, renewPath, w.cfg.Token, headers, body)
+		if err == nil {
+			err = decodeAnswer(renewPath, answer, &orders)
+		}
 		w.noteExchange(host, orders, err)
 		if err == nil {
 			return orders, true
