--- a/cmd/cranberrydrumd/main.go
+++ b/cmd/cranberrydrumd/main.go
@@ -26,6 +26,11 @@
 func main() { os.Exit(run(os.Args[1:], os.Environ())) }
 
 func run(args, env []string) int {
+	if len(args) == 1 {
+		if role, known := roles[args[0]]; known {
+			return runRole(role)
+		}
+	}
 	cfg, err := settings.Parse(args, env)
 	var help *settings.HelpRequested
 	if errors.As(err, &help) {
--- /dev/null
+++ b/cmd/cranberrydrumd/platform.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"cranberrydrum.dev/daemon/control"
+	"cranberrydrum.dev/daemon/entry"
+	"cranberrydrum.dev/daemon/logging"
+	"cranberrydrum.dev/daemon/metrics"
+	"cranberrydrum.dev/daemon/settings"
+	"cranberrydrum.dev/platform"
+)
+
+const (
+	// gcPercent trades processor time for memory; the heap is small.
+	gcPercent = 100
+	// heapShare of the machine's memory is where the collector works harder.
+	heapShare = 0.6
+	// readinessDelay is how long a stopping entry host goes on serving: the
+	// platform notices after two questions, one second apart.
+	readinessDelay = 2500 * time.Millisecond
+	metricsPath    = "/metrics"
+)
+
+// roles are the processes of a deployment on the platform.
+var roles = map[string]func(*platform.Settings, logr.Logger) error{
+	"control": runControl,
+	"entry":   runEntry,
+}
+
+// runRole runs a process whose settings the platform has written.
+func runRole(role func(*platform.Settings, logr.Logger) error) int {
+	s, err := readSettings()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "cranberrydrumd: "+err.Error())
+		return settings.ExitStatus
+	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryMB<<20)))
+	out := logging.NewBounded(os.Stdout)
+	defer out.Close()
+	log := logging.New(out, "info", "json").WithValues("node", s.Node)
+	log.Info("starting", "host", s.Host, "zone", s.Domain, "bootstrap", s.Bootstrap, "seeds", s.Seeds)
+	if err := role(s, log); err != nil {
+		log.Error(err, "the host failed")
+		return exitFailed
+	}
+	log.Info("stopped")
+	return exitDone
+}
+
+func readSettings() (*platform.Settings, error) {
+	return platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+}
+
+// seeds returns a function that reads the seeds from the settings as they are
+// now, and goes on with the last good ones if the file cannot be used.
+func seeds(s *platform.Settings, log logr.Logger) func() []string {
+	last := s.Seeds
+	return func() []string {
+		fresh, err := readSettings()
+		if err != nil {
+			log.Info("settings cannot be read; the earlier ones stay in force", "error", err.Error())
+			return last
+		}
+		last = fresh.Seeds
+		return last
+	}
+}
+
+func runControl(s *platform.Settings, log logr.Logger) error {
+	if s.DataDir == "" || s.ControlListen == "" {
+		return &platform.SettingsError{Field: "data_dir, listen.control", Reason: "missing on a control host"}
+	}
+	figures := metrics.NewPlatform()
+	node, err := control.New(control.Config{
+		Host: s.Host, PeerPort: s.PeerPort, ReportAddress: s.ControlListen, DataDir: s.DataDir, Bootstrap: s.Bootstrap,
+		Seeds: seeds(s, log), Faults: s.Faults, LowPriority: s.Remote(), Fleet: s.Fleet,
+		Executors: platform.NewExecutors(log), Logger: log, Observer: figures,
+	})
+	if err != nil {
+		return err
+	}
+	if err := node.Start(); err != nil {
+		return err
+	}
+	serveMetrics(s, figures, log)
+	server := platform.NewControlServer(node, log)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(s.ControlListen) }()
+	stop := stopSignal(log)
+	select {
+	case err := <-served:
+		return err
+	case err := <-node.Failed():
+		return err
+	case <-stop:
+	}
+	node.HandOver()
+	server.Shutdown()
+	node.Stop()
+	return nil
+}
+
+func runEntry(s *platform.Settings, log logr.Logger) error {
+	if s.CustomerListen == "" || s.ReadyListen == "" {
+		return &platform.SettingsError{Field: "listen.frontend, listen.readiness", Reason: "missing on an entry host"}
+	}
+	figures := metrics.NewPlatform()
+	node := entry.New(entry.Config{Host: s.Host, PeerPort: s.PeerPort, Seeds: seeds(s, log), Logger: log, Observer: figures})
+	if err := node.Start(); err != nil {
+		return err
+	}
+	serveMetrics(s, figures, log)
+	server := platform.NewCustomerServer(node, log)
+	served := make(chan error, 2)
+	go func() { served <- server.Serve(s.CustomerListen) }()
+	go func() { served <- server.ServeReadiness(s.ReadyListen) }()
+	stop := stopSignal(log)
+	select {
+	case err := <-served:
+		return err
+	case <-stop:
+	}
+	node.Drain()
+	time.Sleep(readinessDelay)
+	server.Shutdown()
+	node.Stop()
+	return nil
+}
+
+// stopSignal is closed when the process is asked to stop. Other signals only
+// say that the settings have changed; they are read when they are needed.
+func stopSignal(log logr.Logger) <-chan struct{} {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	stop := make(chan struct{})
+	go func() {
+		for s := range signals {
+			if s == syscall.SIGHUP {
+				log.Info("settings have changed")
+				continue
+			}
+			log.Info("stopping", "signal", s.String())
+			close(stop)
+			return
+		}
+	}()
+	return stop
+}
+
+func serveMetrics(s *platform.Settings, figures *metrics.Platform, log logr.Logger) {
+	mux := http.NewServeMux()
+	mux.Handle(metricsPath, promhttp.HandlerFor(figures.Registry(), promhttp.HandlerOpts{}))
+	server := &http.Server{Addr: s.Host + ":" + strconv.Itoa(s.MetricsPort), Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { log.Info("metrics end", "error", server.ListenAndServe().Error()) }()
+}
--- /dev/null
+++ b/scheduler/fleet/controller.go
@@ -0,0 +1,302 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"cranberrydrum.dev/scheduler/workload"
+)
+
+// forgetInterval is the time between two looks for jobs to forget.
+const forgetInterval = 5 * time.Second
+
+// proposalPatience is how long a proposal may take before it is made again.
+const proposalPatience = 2 * time.Second
+
+// Controller is the volatile part of a leader. It is made anew in each term.
+type Controller struct {
+	cfg   Settings
+	state *workload.State
+	term  uint64
+	log   logr.Logger
+	began time.Duration
+
+	executors map[string]*executor
+	// lost holds lives that have runs in the log and were not heard of.
+	lost map[workload.ExecutorKey]*executor
+	// at finds the executor that reports from an address.
+	at map[string]*executor
+
+	changes    uint64
+	nextForget time.Duration
+	nextRound  time.Duration
+	dirty      bool
+	claims     map[unitKey]*claim
+	// waiting is when the tasks of a step became runnable.
+	waiting map[unitKey]time.Duration
+	// inside holds the urgent jobs that lie within the guarantees.
+	inside map[string]bool
+	// avoid lists the executors on which a task has failed.
+	avoid map[workload.TaskKey][]string
+	out   Output
+}
+
+// New returns the controller of a leader whose state is current.
+func New(cfg Settings, state *workload.State, term uint64, now time.Duration, log logr.Logger) *Controller {
+	c := &Controller{
+		cfg: cfg, state: state, term: term, log: log, began: now,
+		executors: map[string]*executor{},
+		lost:      map[workload.ExecutorKey]*executor{},
+		at:        map[string]*executor{},
+		claims:    map[unitKey]*claim{},
+		waiting:   map[unitKey]time.Duration{},
+		avoid:     map[workload.TaskKey][]string{},
+	}
+	c.reconcile(now)
+	return c
+}
+
+// leaseSpan bounds how long runs that an unknown leader started can go on.
+func (c *Controller) leaseSpan() time.Duration {
+	return time.Duration(float64(c.cfg.Lease)*(1+clockDrift)) + leaseMargin
+}
+
+// Step does what is due. unix is the time of day at this host.
+func (c *Controller) Step(now, unix time.Duration) Output {
+	c.out = Output{}
+	if c.changes != c.state.Changes() {
+		c.reconcile(now)
+	}
+	c.expire(now, unix)
+	if now >= c.nextRound && (c.dirty || now >= c.nextRound+idleRound) {
+		c.round(now, unix)
+	}
+	c.orders(now)
+	c.holds(now)
+	c.forget(now, unix)
+	return c.out
+}
+
+// Report takes a report and says whether it came from a present executor.
+func (c *Controller) Report(now time.Duration, r Report) bool {
+	if present := c.at[r.Address]; present != nil && present.key.ID != r.Executor.ID && present.key.Born > r.Executor.Born {
+		return false
+	}
+	e := c.executors[r.Executor.ID]
+	if e != nil && r.Executor.Born < e.key.Born {
+		return false
+	}
+	if e != nil && r.Executor.Born == e.key.Born && r.Sequence <= e.sequence {
+		return true
+	}
+	if e != nil && e.key != r.Executor {
+		c.bury(now, e, "restarted")
+		e = nil
+	}
+	if e == nil {
+		e = c.meet(now, r)
+	}
+	if other := c.at[r.Address]; other != nil && other != e {
+		c.bury(now, other, "address_reused")
+	}
+	if r.Draining && !e.draining {
+		c.log.Info("executor drains", "executor", e.key.ID, "remaining_ms", r.DrainRemaining.Milliseconds())
+	}
+	c.at[r.Address] = e
+	e.adopt(now, &r)
+	c.dirty = true
+	return true
+}
+
+func (c *Controller) meet(now time.Duration, r Report) *executor {
+	e := c.lost[r.Executor]
+	delete(c.lost, r.Executor)
+	if e == nil {
+		e = c.newExecutor(now, r.Executor)
+	}
+	c.executors[r.Executor.ID] = e
+	c.log.Info("executor found", "executor", r.Executor.ID, "born", r.Executor.Born, "address", r.Address, "runs", len(e.runs))
+	return e
+}
+
+func (c *Controller) newExecutor(now time.Duration, key workload.ExecutorKey) *executor {
+	return &executor{key: key, runs: map[workload.TaskKey]*run{}, leaseEnd: c.began + c.leaseSpan()}
+}
+
+// Leave takes the farewell of an executor. born is 0 if it did not say.
+func (c *Controller) Leave(now time.Duration, id string, born int64) {
+	e := c.executors[id]
+	if e == nil || (born > 0 && born < e.key.Born) {
+		return
+	}
+	c.bury(now, e, "left")
+}
+
+// bury ends a life: whatever ran in it is over.
+func (c *Controller) bury(now time.Duration, e *executor, why string) {
+	c.log.Info("executor gone", "executor", e.key.ID, "born", e.key.Born, "reason", why, "runs", len(e.runs))
+	if c.executors[e.key.ID] == e {
+		delete(c.executors, e.key.ID)
+	}
+	if c.at[e.address] == e {
+		delete(c.at, e.address)
+	}
+	// The runs stay until their ends are applied.
+	e.leaseEnd = now
+	if len(e.runs) > 0 {
+		c.lost[e.key] = e
+	}
+	c.dirty = true
+}
+
+// reconcile brings the runs of the executors in line with the log.
+func (c *Controller) reconcile(now time.Duration) {
+	c.changes = c.state.Changes()
+	c.dirty = true
+	for _, e := range c.executors {
+		c.reconcileRuns(now, e)
+	}
+	for key, e := range c.lost {
+		c.reconcileRuns(now, e)
+		if len(e.runs) == 0 {
+			delete(c.lost, key)
+		}
+	}
+	c.state.Occupied(func(key workload.ExecutorKey) {
+		if e := c.executors[key.ID]; e != nil && e.key == key {
+			return
+		}
+		if c.lost[key] == nil {
+			e := c.newExecutor(now, key)
+			c.lost[key] = e
+			c.reconcileRuns(now, e)
+		}
+	})
+}
+
+func (c *Controller) reconcileRuns(now time.Duration, e *executor) {
+	logged := c.state.RunsOn(e.key)
+	for key, r := range e.runs {
+		if l := logged[key]; l == nil || l.Number != r.number {
+			delete(e.runs, key)
+		}
+	}
+	e.used = workload.Resources{}
+	for key, l := range logged {
+		if e.runs[key] == nil {
+			r := &run{number: l.Number, term: l.Term, movedAt: now}
+			if l.Term < c.term {
+				// The first hold of this term fences off every earlier start.
+				r.settled = now
+			}
+			e.runs[key] = r
+		}
+		if j := c.state.Job(key.Job); j != nil {
+			e.used = e.used.Add(j.Spec.Steps[key.Step].Room())
+		}
+	}
+	if e.seenEnd > e.cursor && !c.endsPending(e) {
+		e.cursor = e.seenEnd
+	}
+}
+
+// endsPending reports whether a proposed end is not applied yet.
+func (c *Controller) endsPending(e *executor) bool {
+	for _, r := range e.runs {
+		if r.end != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// expire ends the runs of executors whose lease cannot reach any more.
+func (c *Controller) expire(now, unix time.Duration) {
+	var ends []workload.End
+	for _, e := range c.executors {
+		if len(e.runs) > 0 && now >= e.leaseEnd {
+			ends = c.endAll(now, ends, e, workload.EndLapsed)
+		}
+	}
+	for _, e := range c.executors {
+		ends = c.overdue(now, ends, e)
+	}
+	for _, e := range c.lost {
+		ends = c.overdue(now, ends, e)
+		if now >= e.leaseEnd {
+			ends = c.endAll(now, ends, e, workload.EndExecutorGone)
+		}
+	}
+	c.propose(unix, ends)
+}
+
+// overdue proposes the ends again whose proposal got lost.
+func (c *Controller) overdue(now time.Duration, ends []workload.End, e *executor) []workload.End {
+	for _, r := range e.runs {
+		if r.end != nil && now-r.proposed > proposalPatience {
+			r.proposed = now
+			ends = append(ends, *r.end)
+		}
+	}
+	return ends
+}
+
+func (c *Controller) endAll(now time.Duration, ends []workload.End, e *executor, how workload.Ending) []workload.End {
+	for key, r := range e.runs {
+		if r.end != nil || (r.firstSent == 0 && r.term == c.term && how == workload.EndLapsed) {
+			continue
+		}
+		ends = append(ends, c.endOf(now, e, key, r, how, r.checkpoint))
+	}
+	return ends
+}
+
+func (c *Controller) endOf(now time.Duration, e *executor, key workload.TaskKey, r *run, how workload.Ending, checkpoint string) workload.End {
+	r.end = &workload.End{Task: key, Run: r.number, Executor: e.key, Ending: how, Checkpoint: checkpoint}
+	r.proposed = now
+	c.log.Info("run ended", "job", key.Job, "occurrence", key.Occurrence, "step", key.Step, "task", key.Index, "run", r.number,
+		"executor", e.key.ID, "ending", how.String(), "percent", r.percent, "stop_reason", r.stopWhy)
+	return *r.end
+}
+
+func (c *Controller) propose(unix time.Duration, ends []workload.End) {
+	if len(ends) > 0 {
+		c.out.Commands = append(c.out.Commands, &workload.Command{At: unix, Ends: ends})
+	}
+}
+
+// forget drops jobs whose state need not be readable any more, and what is
+// kept of tasks that are over.
+func (c *Controller) forget(now, unix time.Duration) {
+	if now < c.nextForget {
+		return
+	}
+	c.nextForget = now + forgetInterval
+	var ids []string
+	c.state.Jobs(func(j *workload.Job) {
+		if j.Phase.Ended() && unix-j.EndedAt > c.cfg.Retention+c.cfg.Retention/4 {
+			ids = append(ids, j.ID)
+		}
+	})
+	if len(ids) > 0 {
+		c.out.Commands = append(c.out.Commands, &workload.Command{At: unix, Forget: ids})
+	}
+	for key := range c.avoid {
+		if j := c.state.Job(key.Job); j == nil || j.Phase.Ended() {
+			delete(c.avoid, key)
+		}
+	}
+	for key := range c.waiting {
+		if j := c.state.Job(key.job); j == nil || j.Phase.Ended() {
+			delete(c.waiting, key)
+		}
+	}
+	for id, e := range c.executors {
+		silent := now - e.heard
+		if len(e.runs) == 0 && silent > 2*silentReports*c.cfg.ReportInterval+c.cfg.Lease {
+			c.log.Info("executor forgotten", "executor", id, "silent_ms", silent.Milliseconds())
+			c.bury(now, e, "silent")
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/fleet/executor.go
@@ -0,0 +1,136 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"cranberrydrum.dev/scheduler/workload"
+)
+
+const (
+	// clockDrift bounds how slow an executor's clock may be, from the protocol.
+	clockDrift = 0.02
+	// leaseMargin covers the time between a reading of a clock and its use.
+	leaseMargin = 50 * time.Millisecond
+	// silentReports is how many missed reports make an executor unfit for new runs.
+	silentReports = 3
+	// rackMark separates the parts of a label that names a rack.
+	rackMark = "-"
+)
+
+// run is what the leader knows of a run beyond the log.
+type run struct {
+	number int
+	term   uint64
+	// firstSent and lastSent are the times of the start calls.
+	firstSent, lastSent time.Duration
+	starting            bool
+	// settled is the time from which on a list of the executor without the run
+	// proves that it is over; 0 if a start may still be carried out.
+	settled time.Duration
+	seen    bool
+	// seenAt is when the executor first listed the run.
+	seenAt     time.Duration
+	percent    int
+	movedAt    time.Duration
+	checkpoint string
+	// stopWhy is why the run has to stop, or empty.
+	stopWhy  string
+	stopping bool
+	stopSent time.Duration
+	stopped  time.Duration
+	// end is set from the proposal of the end until it is applied.
+	end      *workload.End
+	proposed time.Duration
+	// checked is the change of the state that the run was last compared with.
+	checked uint64
+}
+
+// executor is the present life of an executor.
+type executor struct {
+	key      workload.ExecutorKey
+	service  string
+	address  string
+	zone     string
+	rack     string
+	labels   []string
+	capacity workload.Resources
+	sequence int64
+	// reported is set once it was heard of under this leader.
+	reported bool
+	heard    time.Duration
+	draining bool
+	leaves   time.Duration
+
+	// clock was read at clockAt.
+	clock, clockAt time.Duration
+	// leaseEnd is the time from which on nothing that was started can run.
+	leaseEnd time.Duration
+
+	runs map[workload.TaskKey]*run
+	used workload.Resources
+
+	holding  bool
+	holdNext time.Duration
+	// failedHolds counts holds in a row without an answer.
+	failedHolds int
+	// seenEnd is the last end that was proposed, cursor the last one that is
+	// in the log, and told the last one that the executor knows to be.
+	seenEnd, cursor, told int64
+
+	health health
+}
+
+func (e *executor) hasLabel(label string) bool { return slices.Contains(e.labels, label) }
+
+// placeable reports whether new runs may be put on the executor.
+func (e *executor) placeable(now time.Duration, cfg *Settings) bool {
+	if !e.reported || e.draining || e.failedHolds > 0 || now < e.health.until {
+		return false
+	}
+	return now-e.heard < silentReports*cfg.ReportInterval
+}
+
+// deadline returns a lease on the executor's clock and accounts for it.
+func (e *executor) deadline(now time.Duration, cfg *Settings) time.Duration {
+	if e.clockAt == 0 {
+		return 0
+	}
+	until := (e.clock + now - e.clockAt + cfg.Lease).Truncate(time.Millisecond)
+	span := time.Duration(float64(until-e.clock) * (1 + clockDrift))
+	e.leaseEnd = max(e.leaseEnd, e.clockAt+span+leaseMargin)
+	return until
+}
+
+// readClock keeps a reading of the executor's clock.
+func (e *executor) readClock(now, clock time.Duration) {
+	if clock > 0 {
+		e.clock, e.clockAt = clock, now
+	}
+}
+
+// rackOf returns the label that names a rack: the kind of a machine has no
+// number behind a dash.
+func rackOf(labels []string) string {
+	for _, l := range labels {
+		if strings.Contains(l, rackMark) {
+			return l
+		}
+	}
+	return ""
+}
+
+func (e *executor) adopt(now time.Duration, r *Report) {
+	e.service, e.address, e.zone = r.Service, r.Address, r.Zone
+	e.labels, e.rack = r.Labels, rackOf(r.Labels)
+	e.capacity = r.Capacity
+	e.sequence = r.Sequence
+	e.reported = true
+	e.heard = now
+	e.draining = r.Draining
+	if r.Draining {
+		e.leaves = now + r.DrainRemaining
+	}
+	e.readClock(now, r.Clock)
+}
--- /dev/null
+++ b/scheduler/fleet/place.go
@@ -0,0 +1,246 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"cranberrydrum.dev/scheduler/workload"
+)
+
+const (
+	// roundInterval joins the changes of one moment into one round.
+	roundInterval = 20 * time.Millisecond
+	// idleRound is the time between rounds when nothing changes, for due times
+	// and waits that end.
+	idleRound = 100 * time.Millisecond
+	// lateFactor times its objective is the time after which a job earns nothing.
+	lateFactor = 3
+)
+
+// unitKey names a step of one occurrence.
+type unitKey struct {
+	job              string
+	occurrence, step int
+}
+
+// unit is the set of tasks of a step that wait for room.
+type unit struct {
+	key   unitKey
+	job   *workload.Job
+	step  *workload.Step
+	tasks []int
+	// since is when the tasks became runnable.
+	since time.Duration
+	// class orders units before all else; 0 comes first.
+	class int
+	// guaranteed is set if the tasks lie within the guarantee of their customer.
+	guaranteed bool
+}
+
+// round places waiting tasks.
+func (c *Controller) round(now, unix time.Duration) {
+	c.dirty = false
+	c.nextRound = now + roundInterval
+	units := c.units(now, unix)
+	r := c.newRoom(now)
+	c.dropClaims(now, units)
+	var starts []workload.Start
+	for _, u := range units {
+		starts = append(starts, c.placeUnit(now, r, u)...)
+	}
+	if len(starts) > 0 {
+		c.out.Commands = append(c.out.Commands, &workload.Command{At: unix, Starts: starts})
+	}
+}
+
+// units lists what waits for room, the most urgent first.
+func (c *Controller) units(now, unix time.Duration) []*unit {
+	var units []*unit
+	c.inside = c.guaranteedJobs()
+	c.state.Jobs(func(j *workload.Job) {
+		if j.Phase.Ended() {
+			return
+		}
+		for k := range j.Occurrences {
+			if j.Occurrences[k].Remaining == 0 || unix < j.Spec.DueAt(k) {
+				continue
+			}
+			units = c.unitsOf(now, unix, units, j, k)
+		}
+	})
+	slices.SortFunc(units, compareUnits)
+	return units
+}
+
+func (c *Controller) unitsOf(now, unix time.Duration, units []*unit, j *workload.Job, k int) []*unit {
+	for i := range j.Spec.Steps {
+		if !j.Runnable(k, i) {
+			continue
+		}
+		tasks := waitingTasks(j, k, i)
+		if len(tasks) == 0 {
+			continue
+		}
+		key := unitKey{job: j.ID, occurrence: k, step: i}
+		if _, known := c.waiting[key]; !known {
+			c.waiting[key] = now
+		}
+		units = append(units, &unit{
+			key: key, job: j, step: &j.Spec.Steps[i], tasks: tasks, since: c.waiting[key],
+			class: classOf(j, k, unix), guaranteed: c.inside[j.ID],
+		})
+	}
+	return units
+}
+
+// waitingTasks returns the tasks of a step that have no run; a gang waits as a
+// whole, once the last run of every member is over.
+func waitingTasks(j *workload.Job, k, i int) []int {
+	step := &j.Occurrences[k].Steps[i]
+	var tasks []int
+	for n := range step.Tasks {
+		if t := &step.Tasks[n]; !t.Done && t.Run == nil {
+			tasks = append(tasks, n)
+		}
+	}
+	if j.Spec.Steps[i].Gang && len(tasks) < len(step.Tasks) {
+		return nil
+	}
+	return tasks
+}
+
+// classOf puts jobs that can earn nothing any more behind all others.
+func classOf(j *workload.Job, k int, unix time.Duration) int {
+	begin := max(j.Submitted, j.Spec.DueAt(k))
+	if unix-begin > lateFactor*objective(j) {
+		return 1
+	}
+	return 0
+}
+
+// objective is the time in which a job should complete.
+func objective(j *workload.Job) time.Duration {
+	return time.Duration(j.Stretch*float64(chain(&j.Spec))) + j.Target
+}
+
+// chain is the longest chain of estimated work.
+func chain(s *workload.Spec) time.Duration {
+	longest := time.Duration(0)
+	ends := make([]time.Duration, len(s.Steps))
+	for i := range s.Steps {
+		for _, d := range s.Steps[i].DependsOn {
+			ends[i] = max(ends[i], ends[d])
+		}
+		ends[i] += s.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+func compareUnits(a, b *unit) int {
+	switch {
+	case a.guaranteed != b.guaranteed:
+		if a.guaranteed {
+			return -1
+		}
+		return 1
+	case a.class != b.class:
+		return a.class - b.class
+	case a.job.Priority != b.job.Priority:
+		return a.job.Priority - b.job.Priority
+	case a.job.Sequence != b.job.Sequence:
+		if a.job.Sequence < b.job.Sequence {
+			return -1
+		}
+		return 1
+	case a.key.occurrence != b.key.occurrence:
+		return a.key.occurrence - b.key.occurrence
+	}
+	return a.key.step - b.key.step
+}
+
+// guaranteedJobs returns the urgent jobs that lie within the guarantees.
+func (c *Controller) guaranteedJobs() map[string]bool {
+	var urgent []*workload.Job
+	c.state.Jobs(func(j *workload.Job) {
+		if !j.Phase.Ended() && j.Priority == 0 && c.state.Guaranteed(j.Customer) > 0 {
+			urgent = append(urgent, j)
+		}
+	})
+	slices.SortFunc(urgent, func(a, b *workload.Job) int {
+		if a.Sequence < b.Sequence {
+			return -1
+		}
+		return 1
+	})
+	inside := map[string]bool{}
+	used := map[string]int64{}
+	for _, j := range urgent {
+		need := widestGPU(j)
+		if used[j.Customer]+need <= c.state.Guaranteed(j.Customer) {
+			used[j.Customer] += need
+			inside[j.ID] = true
+		}
+	}
+	return inside
+}
+
+// widestGPU is the number of accelerators that the widest step of a job needs.
+func widestGPU(j *workload.Job) int64 {
+	widest := int64(0)
+	for i := range j.Spec.Steps {
+		widest = max(widest, int64(j.Spec.Steps[i].Count)*j.Spec.Steps[i].Need.GPU)
+	}
+	return widest
+}
+
+// placeUnit starts as many tasks of a unit as fit, or claims room for them.
+func (c *Controller) placeUnit(now time.Duration, r *room, u *unit) []workload.Start {
+	r.withdraw(c.claims[u.key])
+	places, ok := c.seat(now, r, u)
+	if !ok && u.job.Priority == 0 {
+		return c.reclaim(now, r, u, places)
+	}
+	if u.step.Gang && !ok {
+		r.restore(u, places)
+		r.charge(c.claims[u.key])
+		return nil
+	}
+	return c.start(u, places)
+}
+
+// place is a task with the executor that it is put on.
+type place struct {
+	task     int
+	executor *executor
+	victims  []*victim
+}
+
+// start turns places into decisions.
+func (c *Controller) start(u *unit, places []place) []workload.Start {
+	if len(places) == len(u.tasks) {
+		delete(c.claims, u.key)
+	}
+	tasks := u.job.Occurrences[u.key.occurrence].Steps[u.key.step].Tasks
+	number := 0
+	for _, n := range u.tasks {
+		number = max(number, tasks[n].LastRun)
+	}
+	starts := make([]workload.Start, 0, len(places))
+	for _, p := range places {
+		run := tasks[p.task].LastRun + 1
+		if u.step.Gang {
+			run = number + 1
+		}
+		starts = append(starts, workload.Start{
+			Task:     workload.TaskKey{Job: u.key.job, Occurrence: u.key.occurrence, Step: u.key.step, Index: p.task},
+			Run:      run,
+			Executor: p.executor.key,
+		})
+	}
+	if len(starts) > 0 {
+		c.log.Info("tasks placed", "job", u.key.job, "occurrence", u.key.occurrence, "step", u.key.step, "tasks", len(starts), "waiting", len(u.tasks)-len(starts),
+			"priority", u.job.Priority, "guaranteed", u.guaranteed, "config_version", c.state.Config().Version)
+	}
+	return starts
+}
--- /dev/null
+++ b/scheduler/fleet/room.go
@@ -0,0 +1,233 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"cranberrydrum.dev/scheduler/workload"
+)
+
+// room is the free room of the executors during one round.
+type room struct {
+	executors []*executor
+	free      map[*executor]workload.Resources
+	// racks groups the executors by rack.
+	racks map[string][]*executor
+	// perStep counts the tasks of a step on an executor, for its bound.
+	perStep map[unitKey]map[*executor]int
+}
+
+func (c *Controller) newRoom(now time.Duration) *room {
+	r := &room{free: map[*executor]workload.Resources{}, racks: map[string][]*executor{}, perStep: map[unitKey]map[*executor]int{}}
+	for _, e := range c.executors {
+		if !e.placeable(now, &c.cfg) {
+			continue
+		}
+		r.executors = append(r.executors, e)
+		r.racks[e.rack] = append(r.racks[e.rack], e)
+		r.free[e] = e.capacity.Sub(e.used)
+	}
+	slices.SortFunc(r.executors, func(a, b *executor) int {
+		if a.key.ID < b.key.ID {
+			return -1
+		}
+		return 1
+	})
+	for _, cl := range c.claims {
+		r.charge(cl)
+	}
+	return r
+}
+
+// take occupies room for a task.
+func (r *room) take(u *unit, e *executor) {
+	r.free[e] = r.free[e].Sub(u.step.Room())
+	if u.step.PerExecutor > 0 {
+		r.countOf(u)[e]++
+	}
+}
+
+// restore gives back the room of places that are not used.
+func (r *room) restore(u *unit, places []place) {
+	for _, p := range places {
+		r.free[p.executor] = r.free[p.executor].Add(u.step.Room())
+		if u.step.PerExecutor > 0 {
+			r.countOf(u)[p.executor]--
+		}
+	}
+}
+
+// charge keeps the room of a claim away from others.
+func (r *room) charge(cl *claim) { r.apply(cl, -1) }
+
+// withdraw makes the room of a claim available to its holder.
+func (r *room) withdraw(cl *claim) { r.apply(cl, 1) }
+
+func (r *room) apply(cl *claim, sign int64) {
+	if cl == nil {
+		return
+	}
+	for _, e := range cl.on {
+		need := workload.Resources{CPU: sign * cl.need.CPU, MemoryMB: sign * cl.need.MemoryMB, GPU: sign * cl.need.GPU}
+		if _, present := r.free[e]; present {
+			r.free[e] = r.free[e].Add(need)
+		}
+	}
+}
+
+// countOf returns how many tasks of the unit's step each executor has.
+func (r *room) countOf(u *unit) map[*executor]int {
+	if counts := r.perStep[u.key]; counts != nil {
+		return counts
+	}
+	counts := map[*executor]int{}
+	r.perStep[u.key] = counts
+	for i := range u.job.Occurrences[u.key.occurrence].Steps[u.key.step].Tasks {
+		t := &u.job.Occurrences[u.key.occurrence].Steps[u.key.step].Tasks[i]
+		if t.Run == nil {
+			continue
+		}
+		for _, e := range r.executors {
+			if e.key == t.Run.Executor {
+				counts[e]++
+			}
+		}
+	}
+	return counts
+}
+
+// allows reports whether the constraints of a step let it run on an executor.
+func (r *room) allows(u *unit, e *executor) bool {
+	if e.service != u.job.Service || (u.step.Requires != "" && !e.hasLabel(u.step.Requires)) {
+		return false
+	}
+	return u.step.PerExecutor == 0 || r.countOf(u)[e] < u.step.PerExecutor
+}
+
+// seat finds executors with free room for the tasks of a unit and occupies it.
+// It reports whether all tasks found a place. Tasks go to other racks only
+// when their patience has ended.
+func (c *Controller) seat(now time.Duration, r *room, u *unit) ([]place, bool) {
+	far := now-u.since > patience(u.job, u.step)
+	if u.step.SameRack && u.step.Gang && len(u.tasks) > 1 {
+		for _, rack := range r.racksFor(u) {
+			places, ok := c.seatOn(r, u, r.racks[rack])
+			if ok {
+				return places, true
+			}
+			r.restore(u, places)
+		}
+		if !far && r.fitsRack(u) {
+			return nil, false
+		}
+	}
+	if u.step.DataRack != "" && !far && len(r.racks[u.step.DataRack]) > 0 {
+		return c.seatOn(r, u, r.racks[u.step.DataRack])
+	}
+	return c.seatOn(r, u, r.executors)
+}
+
+// patience is how long tasks wait for the rack on which they are faster: what
+// the objective leaves beside the work itself, halved.
+func patience(j *workload.Job, step *workload.Step) time.Duration {
+	spare := time.Duration((j.Stretch-1)*float64(step.Estimate)) + j.Target
+	return max(0, spare/2)
+}
+
+// racksFor orders the racks by how well they suit a unit.
+func (r *room) racksFor(u *unit) []string {
+	free := map[string]int64{}
+	var names []string
+	for name, members := range r.racks {
+		names = append(names, name)
+		for _, e := range members {
+			free[name] += r.free[e].GPU
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		switch {
+		case (a == u.step.DataRack) != (b == u.step.DataRack):
+			if a == u.step.DataRack {
+				return -1
+			}
+			return 1
+		case free[a] != free[b]:
+			return int(free[a] - free[b])
+		case a < b:
+			return -1
+		}
+		return 1
+	})
+	return names
+}
+
+// fitsRack reports whether some rack could hold the unit if it were empty.
+func (r *room) fitsRack(u *unit) bool {
+	for _, members := range r.racks {
+		n := 0
+		for _, e := range members {
+			n += slots(e.capacity, u.step.Room())
+		}
+		if n >= len(u.tasks) {
+			return true
+		}
+	}
+	return false
+}
+
+// slots is how many times need fits into an amount of room.
+func slots(free, need workload.Resources) int {
+	n := int64(maxPerExecutor)
+	if need.CPU > 0 {
+		n = min(n, free.CPU/need.CPU)
+	}
+	if need.MemoryMB > 0 {
+		n = min(n, free.MemoryMB/need.MemoryMB)
+	}
+	if need.GPU > 0 {
+		n = min(n, free.GPU/need.GPU)
+	}
+	return int(max(n, 0))
+}
+
+// maxPerExecutor bounds tasks that need no room at all.
+const maxPerExecutor = 64
+
+// seatOn puts each task on the executor that is left with the least room.
+func (c *Controller) seatOn(r *room, u *unit, executors []*executor) ([]place, bool) {
+	places := make([]place, 0, len(u.tasks))
+	need := u.step.Room()
+	for _, n := range u.tasks {
+		key := workload.TaskKey{Job: u.key.job, Occurrence: u.key.occurrence, Step: u.key.step, Index: n}
+		avoid := c.avoid[key]
+		var best *executor
+		for _, e := range executors {
+			if !need.Fits(r.free[e]) || !r.allows(u, e) || slices.Contains(avoid, e.key.ID) {
+				continue
+			}
+			if best == nil || better(u, r, e, best) {
+				best = e
+			}
+		}
+		if best == nil {
+			if u.step.Gang {
+				return places, false
+			}
+			continue
+		}
+		r.take(u, best)
+		places = append(places, place{task: n, executor: best})
+	}
+	return places, len(places) == len(u.tasks)
+}
+
+// better reports whether a suits a task better than b.
+func better(u *unit, r *room, a, b *executor) bool {
+	if near := u.step.DataRack; near != "" && (a.rack == near) != (b.rack == near) {
+		return a.rack == near
+	}
+	if r.free[a].GPU != r.free[b].GPU {
+		return r.free[a].GPU < r.free[b].GPU
+	}
+	return r.free[a].CPU < r.free[b].CPU
+}
--- /dev/null
+++ b/scheduler/workload/command.go
@@ -0,0 +1,99 @@
+package workload
+
+import (
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"cranberrydrum.dev/coord/codec"
+)
+
+// Ending says how a run ended.
+type Ending uint8
+
+// Endings of runs.
+const (
+	EndDone Ending = iota + 1
+	// EndFailed counts against the attempts of the task.
+	EndFailed
+	EndStopped
+	EndLapsed
+	// EndBroken is the end of a gang member because another one ended.
+	EndBroken
+	// EndAlone is the end of a gang member that waited for the others in vain.
+	EndAlone
+	// EndNeverBegun is the end of a run that is known not to have begun.
+	EndNeverBegun
+	// EndExecutorGone is the end of a run together with its executor.
+	EndExecutorGone
+)
+
+// String returns the name used in logs.
+func (e Ending) String() string {
+	names := [...]string{"unknown", "done", "failed", "stopped", "lapsed", "broken", "alone", "never_begun", "executor_gone"}
+	if int(e) >= len(names) {
+		return names[0]
+	}
+	return names[e]
+}
+
+// Start is the decision to run a task on an executor.
+type Start struct {
+	Task     TaskKey     `msgpack:"t"`
+	Run      int         `msgpack:"r"`
+	Executor ExecutorKey `msgpack:"e"`
+}
+
+// End is the end of a run.
+type End struct {
+	Task       TaskKey     `msgpack:"t"`
+	Run        int         `msgpack:"r"`
+	Executor   ExecutorKey `msgpack:"e"`
+	Ending     Ending      `msgpack:"h"`
+	Checkpoint string      `msgpack:"c,omitempty"`
+}
+
+// Command is an entry of the replicated log. Exactly one part is set, apart
+// from At, which is the Unix time at the leader that proposed it.
+type Command struct {
+	At        time.Duration `msgpack:"a"`
+	Configure *Config       `msgpack:"g,omitempty"`
+	Submit    *Job          `msgpack:"j,omitempty"`
+	Cancel    string        `msgpack:"c,omitempty"`
+	Starts    []Start       `msgpack:"s,omitempty"`
+	Ends      []End         `msgpack:"e,omitempty"`
+	Forget    []string      `msgpack:"f,omitempty"`
+}
+
+// Encode returns the command as it stands in the log.
+func (c *Command) Encode() ([]byte, error) { return msgpack.Marshal(c) }
+
+// DecodeCommand reads a log entry.
+func DecodeCommand(data []byte) (*Command, error) {
+	c := &Command{}
+	if err := codec.Unmarshal(data, c); err != nil {
+		return nil, &CommandError{Cause: err}
+	}
+	return c, nil
+}
+
+// Result answers a command.
+type Result byte
+
+// Results of commands.
+const (
+	ResultDone Result = iota + 1
+	// ResultKnown answers a submission of a job that was accepted before, and
+	// a configuration that is not newer than the present one.
+	ResultKnown
+	ResultUnknownJob
+	ResultInvalid
+)
+
+// DecodeResult reads the answer of Apply.
+func DecodeResult(data []byte) Result {
+	if len(data) != 1 {
+		return ResultInvalid
+	}
+	return Result(data[0])
+}
--- /dev/null
+++ b/scheduler/workload/errors.go
@@ -0,0 +1,33 @@
+package workload
+
+import "strconv"
+
+// SpecError reports a job that cannot be accepted.
+type SpecError struct {
+	Step   int
+	Field  string
+	Reason string
+}
+
+// Error implements error.
+func (e *SpecError) Error() string {
+	return "step " + strconv.Itoa(e.Step) + ": " + e.Field + ": " + e.Reason
+}
+
+// ConfigError reports a configuration that cannot take effect.
+type ConfigError struct {
+	Item   string
+	Reason string
+}
+
+// Error implements error.
+func (e *ConfigError) Error() string { return "configuration: " + e.Item + ": " + e.Reason }
+
+// CommandError reports a log entry that cannot be decoded.
+type CommandError struct{ Cause error }
+
+// Error implements error.
+func (e *CommandError) Error() string { return "command: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *CommandError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/scheduler/workload/job.go
@@ -0,0 +1,142 @@
+package workload
+
+import "time"
+
+// Phase is how far a job is.
+type Phase uint8
+
+// Phases of jobs.
+const (
+	Queued Phase = iota
+	Running
+	Completed
+	Failed
+	Cancelled
+)
+
+// String returns the name used in logs.
+func (p Phase) String() string {
+	return [...]string{"queued", "running", "completed", "failed", "cancelled"}[p]
+}
+
+// Ended reports whether the phase is final.
+func (p Phase) Ended() bool { return p >= Completed }
+
+// TaskKey names a task.
+type TaskKey struct {
+	Job        string `msgpack:"j"`
+	Occurrence int    `msgpack:"k"`
+	Step       int    `msgpack:"s"`
+	Index      int    `msgpack:"i"`
+}
+
+// ExecutorKey names one life of an executor.
+type ExecutorKey struct {
+	ID string `msgpack:"i"`
+	// Born is the Unix time in milliseconds at which that life began.
+	Born int64 `msgpack:"b"`
+}
+
+// Run is a start of a task that may be at work on its executor. It occupies
+// room there until its end is in the log.
+type Run struct {
+	Number   int         `msgpack:"n"`
+	Executor ExecutorKey `msgpack:"e"`
+	// Term is the term of the leader that decided the run.
+	Term uint64 `msgpack:"t"`
+}
+
+// Task is one unit of work of a step.
+type Task struct {
+	Done bool `msgpack:"d,omitempty"`
+	// LastRun is the highest run number used.
+	LastRun int `msgpack:"l,omitempty"`
+	// Failures counts the runs that ended as failed.
+	Failures   int    `msgpack:"f,omitempty"`
+	Checkpoint string `msgpack:"c,omitempty"`
+	Run        *Run   `msgpack:"r,omitempty"`
+}
+
+// StepState is the progress of a step in one occurrence.
+type StepState struct {
+	Tasks []Task `msgpack:"t"`
+	// Remaining counts the tasks that are not done.
+	Remaining int `msgpack:"r"`
+	// FailedRun is the last run number of a gang that was counted as failed.
+	FailedRun int `msgpack:"f,omitempty"`
+	Failures  int `msgpack:"x,omitempty"`
+	// BrokenRun is the last run number of a gang of which a member ended
+	// without the gang being done.
+	BrokenRun int `msgpack:"b,omitempty"`
+}
+
+// Occurrence is one repetition of the steps of a job.
+type Occurrence struct {
+	Steps     []StepState `msgpack:"s"`
+	Remaining int         `msgpack:"r"`
+}
+
+// Job is an accepted job.
+type Job struct {
+	ID       string `msgpack:"i"`
+	Queue    string `msgpack:"q"`
+	Service  string `msgpack:"v"`
+	Customer string `msgpack:"c"`
+	Priority int    `msgpack:"p"`
+	// MaxAttempts bounds the failed runs of a task; 0 is no bound.
+	MaxAttempts int           `msgpack:"m"`
+	Stretch     float64       `msgpack:"x"`
+	Target      time.Duration `msgpack:"t"`
+	// Submitted is the Unix time at which the leader accepted the job.
+	Submitted time.Duration `msgpack:"u"`
+	Spec      Spec          `msgpack:"s"`
+
+	Phase   Phase `msgpack:"h"`
+	Started bool  `msgpack:"b"`
+	// EndedAt is the Unix time of the command that ended the job.
+	EndedAt     time.Duration `msgpack:"e,omitempty"`
+	Occurrences []Occurrence  `msgpack:"o"`
+	Remaining   int           `msgpack:"r"`
+	// Sequence orders jobs by their acceptance.
+	Sequence uint64 `msgpack:"n"`
+}
+
+// prepare lays out the tasks of an accepted job.
+func (j *Job) prepare() {
+	j.Remaining = j.Spec.Occurrences()
+	j.Occurrences = make([]Occurrence, j.Remaining)
+	for k := range j.Occurrences {
+		o := &j.Occurrences[k]
+		o.Remaining = len(j.Spec.Steps)
+		o.Steps = make([]StepState, len(j.Spec.Steps))
+		for i, step := range j.Spec.Steps {
+			o.Steps[i] = StepState{Tasks: make([]Task, step.Count), Remaining: step.Count}
+		}
+	}
+}
+
+// Runnable reports whether all steps that a step depends on are done.
+func (j *Job) Runnable(occurrence, step int) bool {
+	o := &j.Occurrences[occurrence]
+	for _, d := range j.Spec.Steps[step].DependsOn {
+		if o.Steps[d].Remaining > 0 {
+			return false
+		}
+	}
+	return o.Steps[step].Remaining > 0
+}
+
+// Task returns a task, or nil if the job has none of that name.
+func (j *Job) Task(key TaskKey) *Task {
+	if key.Occurrence < 0 || key.Occurrence >= len(j.Occurrences) {
+		return nil
+	}
+	steps := j.Occurrences[key.Occurrence].Steps
+	if key.Step < 0 || key.Step >= len(steps) {
+		return nil
+	}
+	if key.Index < 0 || key.Index >= len(steps[key.Step].Tasks) {
+		return nil
+	}
+	return &steps[key.Step].Tasks[key.Index]
+}
