Placement: count proposed runs in the room

Change: decided runs are kept until the state has taken or dropped them, and commands that the log refuses are proposed again.

--- a/daemon/control/owner.go
+++ b/daemon/control/owner.go
@@ -30,6 +30,8 @@
 	controller *fleet.Controller
 	term       uint64
 	commands   []*workload.Command
+	// refused holds encoded commands that the log did not take yet.
+	refused [][]byte
 	// do runs a function on the goroutine of the group.
 	do func(func(now time.Duration)) bool
 	// lease checks at this moment that no other host can lead.
@@ -44,13 +46,13 @@
 		if o.controller != nil {
 			o.log.Info("leadership lost", "term", o.term)
 		}
-		o.controller, o.commands = nil, nil
+		o.controller, o.commands, o.refused = nil, nil, nil
 		return nil
 	}
 	if o.controller == nil || o.term != view.Status.Term {
 		o.term = view.Status.Term
 		o.controller = fleet.New(o.cfg, o.state, o.term, now, o.log)
-		o.commands = nil
+		o.commands, o.refused = nil, nil
 		o.log.Info("leadership taken", "term", o.term, "config_version", o.state.Config().Version)
 	}
 	o.take(o.controller.Step(now, clock.Unix()))
@@ -66,7 +68,8 @@
 }
 
 func (o *owner) encode() [][]byte {
-	var encoded [][]byte
+	encoded := o.refused
+	o.refused = nil
 	for _, c := range o.commands {
 		data, err := c.Encode()
 		if err != nil {
@@ -79,6 +82,9 @@
 	return encoded
 }
 
+// KeepRefused implements group.RefusalKeeper.
+func (o *owner) KeepRefused(commands [][]byte) { o.refused = commands }
+
 // perform makes a call and hands its answer to the controller that asked.
 func (o *owner) perform(asked *fleet.Controller, call fleet.Call) {
 	answer := fleet.Answer{Verdict: fleet.VerdictUnknown, Reason: "stale_decision"}
--- a/daemon/group/group.go
+++ b/daemon/group/group.go
@@ -39,6 +39,13 @@
 	Step(now time.Duration, view View) [][]byte
 }
 
+// RefusalKeeper is an owner that wants its refused commands back, to return them
+// again from a later step. Commands that were not refused are applied, unless
+// this host loses its leadership.
+type RefusalKeeper interface {
+	KeepRefused(commands [][]byte)
+}
+
 // View is what an owner needs to know about its log.
 type View struct {
 	Status raft.Status
@@ -403,7 +410,10 @@
 	if len(commands) == 0 {
 		return
 	}
-	_, out, err := g.cfg.Replica.ProposeBatch(g.cfg.Now(), commands)
+	tickets, out, err := g.cfg.Replica.ProposeBatch(g.cfg.Now(), commands)
+	if keeper, ok := g.cfg.Owner.(RefusalKeeper); ok && len(tickets) < len(commands) {
+		keeper.KeepRefused(commands[len(tickets):])
+	}
 	g.handleProposed(out, err)
 }
 
--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -94,7 +94,7 @@
 	}
 	if r.firstSent == 0 && r.term == c.term {
 		r.settled = now
-		c.propose(0, []workload.End{c.endOf(now, e, key, r, workload.EndNeverBegun, "")})
+		c.propose(0, []workload.End{c.endOf(e, key, r, workload.EndNeverBegun, "")})
 		return
 	}
 	r.stopping = true
@@ -184,7 +184,7 @@
 			return
 		}
 		e.health.pause(now)
-		c.propose(unix, []workload.End{c.endOf(now, e, call.Task, r, workload.EndNeverBegun, "")})
+		c.propose(unix, []workload.End{c.endOf(e, call.Task, r, workload.EndNeverBegun, "")})
 	}
 }
 
@@ -221,7 +221,7 @@
 		if r.end != nil || listed[key] == r.number || r.settled == 0 || r.settled >= call.IssuedAt {
 			continue
 		}
-		ends = append(ends, c.endOf(now, e, key, r, workload.EndNeverBegun, r.checkpoint))
+		ends = append(ends, c.endOf(e, key, r, workload.EndNeverBegun, r.checkpoint))
 	}
 	if e.seenEnd > e.cursor && len(ends) == 0 && !c.endsPending(e) {
 		e.cursor = e.seenEnd
@@ -262,7 +262,7 @@
 		if e.health.observe(now, end.Task.Job, end.Ending) {
 			c.log.Info("executor quarantined", "executor", e.key.ID, "for_ms", (e.health.until - now).Milliseconds(), "reason", "different jobs failed")
 		}
-		ends = append(ends, c.endOf(now, e, end.Task, r, end.Ending, end.Checkpoint))
+		ends = append(ends, c.endOf(e, end.Task, r, end.Ending, end.Checkpoint))
 	}
 	return ends
 }
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -11,9 +11,6 @@
 // forgetInterval is the time between two looks for jobs to forget.
 const forgetInterval = 5 * time.Second
 
-// proposalPatience is how long a proposal may take before it is made again.
-const proposalPatience = 2 * time.Second
-
 // Controller is the volatile part of a leader. It is made anew in each term.
 type Controller struct {
 	cfg   Settings
@@ -33,6 +30,8 @@
 	nextRound  time.Duration
 	dirty      bool
 	claims     map[unitKey]*claim
+	// decided holds the runs that are proposed and not applied yet.
+	decided map[workload.TaskKey]workload.Start
 	// waiting is when the tasks of a step became runnable.
 	waiting map[unitKey]time.Duration
 	// inside holds the urgent jobs that lie within the guarantees.
@@ -50,6 +49,7 @@
 		lost:      map[workload.ExecutorKey]*executor{},
 		at:        map[string]*executor{},
 		claims:    map[unitKey]*claim{},
+		decided:   map[workload.TaskKey]workload.Start{},
 		waiting:   map[unitKey]time.Duration{},
 		avoid:     map[workload.TaskKey][]string{},
 	}
@@ -154,6 +154,13 @@
 func (c *Controller) reconcile(now time.Duration) {
 	c.changes = c.state.Changes()
 	c.dirty = true
+	for key, d := range c.decided {
+		// The state has taken or dropped the decision once the run number is
+		// used or the job is over.
+		if j, t := c.state.TaskOf(key); t == nil || j.Phase.Ended() || t.LastRun >= d.Run {
+			delete(c.decided, key)
+		}
+	}
 	for _, e := range c.executors {
 		c.reconcileRuns(now, e)
 	}
@@ -216,45 +223,29 @@
 	var ends []workload.End
 	for _, e := range c.executors {
 		if len(e.runs) > 0 && now >= e.leaseEnd {
-			ends = c.endAll(now, ends, e, workload.EndLapsed)
+			ends = c.endAll(ends, e, workload.EndLapsed)
 		}
 	}
-	for _, e := range c.executors {
-		ends = c.overdue(now, ends, e)
-	}
 	for _, e := range c.lost {
-		ends = c.overdue(now, ends, e)
 		if now >= e.leaseEnd {
-			ends = c.endAll(now, ends, e, workload.EndExecutorGone)
+			ends = c.endAll(ends, e, workload.EndExecutorGone)
 		}
 	}
 	c.propose(unix, ends)
 }
 
-// overdue proposes the ends again whose proposal got lost.
-func (c *Controller) overdue(now time.Duration, ends []workload.End, e *executor) []workload.End {
-	for _, r := range e.runs {
-		if r.end != nil && now-r.proposed > proposalPatience {
-			r.proposed = now
-			ends = append(ends, *r.end)
-		}
-	}
-	return ends
-}
-
-func (c *Controller) endAll(now time.Duration, ends []workload.End, e *executor, how workload.Ending) []workload.End {
+func (c *Controller) endAll(ends []workload.End, e *executor, how workload.Ending) []workload.End {
 	for key, r := range e.runs {
 		if r.end != nil || (r.firstSent == 0 && r.term == c.term && how == workload.EndLapsed) {
 			continue
 		}
-		ends = append(ends, c.endOf(now, e, key, r, how, r.checkpoint))
+		ends = append(ends, c.endOf(e, key, r, how, r.checkpoint))
 	}
 	return ends
 }
 
-func (c *Controller) endOf(now time.Duration, e *executor, key workload.TaskKey, r *run, how workload.Ending, checkpoint string) workload.End {
+func (c *Controller) endOf(e *executor, key workload.TaskKey, r *run, how workload.Ending, checkpoint string) workload.End {
 	r.end = &workload.End{Task: key, Run: r.number, Executor: e.key, Ending: how, Checkpoint: checkpoint}
-	r.proposed = now
 	c.log.Info("run ended", "job", key.Job, "occurrence", key.Occurrence, "step", key.Step, "task", key.Index, "run", r.number,
 		"executor", e.key.ID, "ending", how.String(), "percent", r.percent, "stop_reason", r.stopWhy)
 	return *r.end
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -41,8 +41,7 @@
 	stopSent time.Duration
 	stopped  time.Duration
 	// end is set from the proposal of the end until it is applied.
-	end      *workload.End
-	proposed time.Duration
+	end *workload.End
 	// checked is the change of the state that the run was last compared with.
 	checked uint64
 }
--- a/scheduler/fleet/place.go
+++ b/scheduler/fleet/place.go
@@ -77,7 +77,7 @@
 		if !j.Runnable(k, i) {
 			continue
 		}
-		tasks := waitingTasks(j, k, i)
+		tasks := c.waitingTasks(j, k, i)
 		if len(tasks) == 0 {
 			continue
 		}
@@ -95,11 +95,15 @@
 
 // waitingTasks returns the tasks of a step that have no run; a gang waits as a
 // whole, once the last run of every member is over.
-func waitingTasks(j *workload.Job, k, i int) []int {
+func (c *Controller) waitingTasks(j *workload.Job, k, i int) []int {
 	step := &j.Occurrences[k].Steps[i]
 	var tasks []int
 	for n := range step.Tasks {
-		if t := &step.Tasks[n]; !t.Done && t.Run == nil {
+		t := &step.Tasks[n]
+		if t.Done || t.Run != nil {
+			continue
+		}
+		if _, decided := c.decided[workload.TaskKey{Job: j.ID, Occurrence: k, Step: i, Index: n}]; !decided {
 			tasks = append(tasks, n)
 		}
 	}
@@ -232,11 +236,9 @@
 		if u.step.Gang {
 			run = number + 1
 		}
-		starts = append(starts, workload.Start{
-			Task:     workload.TaskKey{Job: u.key.job, Occurrence: u.key.occurrence, Step: u.key.step, Index: p.task},
-			Run:      run,
-			Executor: p.executor.key,
-		})
+		key := workload.TaskKey{Job: u.key.job, Occurrence: u.key.occurrence, Step: u.key.step, Index: p.task}
+		c.decided[key] = workload.Start{Task: key, Run: run, Executor: p.executor.key}
+		starts = append(starts, c.decided[key])
 	}
 	if len(starts) > 0 {
 		c.log.Info("tasks placed", "job", u.key.job, "occurrence", u.key.occurrence, "step", u.key.step, "tasks", len(starts), "waiting", len(u.tasks)-len(starts),
--- a/scheduler/fleet/room.go
+++ b/scheduler/fleet/room.go
@@ -15,10 +15,11 @@
 	racks map[string][]*executor
 	// perStep counts the tasks of a step on an executor, for its bound.
 	perStep map[unitKey]map[*executor]int
+	decided map[workload.TaskKey]workload.Start
 }
 
 func (c *Controller) newRoom(now time.Duration) *room {
-	r := &room{free: map[*executor]workload.Resources{}, racks: map[string][]*executor{}, perStep: map[unitKey]map[*executor]int{}}
+	r := &room{free: map[*executor]workload.Resources{}, racks: map[string][]*executor{}, perStep: map[unitKey]map[*executor]int{}, decided: c.decided}
 	for _, e := range c.executors {
 		if !e.placeable(now, &c.cfg) {
 			continue
@@ -33,6 +34,16 @@
 		}
 		return 1
 	})
+	for key, d := range c.decided {
+		e := c.executors[d.Executor.ID]
+		j := c.state.Job(key.Job)
+		if e == nil || j == nil {
+			continue
+		}
+		if _, listed := r.free[e]; listed {
+			r.free[e] = r.free[e].Sub(j.Spec.Steps[key.Step].Room())
+		}
+	}
 	for _, cl := range c.claims {
 		r.charge(cl)
 	}
@@ -93,6 +104,16 @@
 			}
 		}
 	}
+	for key, d := range r.decided {
+		if (unitKey{job: key.Job, occurrence: key.Occurrence, step: key.Step}) != u.key {
+			continue
+		}
+		for _, e := range r.executors {
+			if e.key == d.Executor {
+				counts[e]++
+			}
+		}
+	}
 	return counts
 }
 
