control: keep the controller while the term lasts

Ruled out: lapsed leases (none ended before 22 s), the cursor of ends. Change: the controller is made anew only with a new term; without the lease it only listens.

--- a/daemon/control/owner.go
+++ b/daemon/control/owner.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-logr/logr"
 
+	"cranberrydrum.dev/coord/raft"
 	"cranberrydrum.dev/daemon/clock"
 	"cranberrydrum.dev/daemon/group"
 	"cranberrydrum.dev/scheduler/fleet"
@@ -42,14 +43,16 @@
 
 // Step implements group.Owner.
 func (o *owner) Step(now time.Duration, view group.View) [][]byte {
-	if !view.Ready {
-		if o.controller != nil {
-			o.log.Info("leadership lost", "term", o.term)
-		}
+	if o.controller != nil && (o.term != view.Status.Term || view.Status.Role != raft.RoleLeader) {
+		o.log.Info("leadership lost", "term", o.term)
 		o.controller, o.commands, o.refused = nil, nil, nil
+	}
+	if !view.Ready {
+		// Without the lease nothing is decided. The controller is kept as long
+		// as the term lasts: it knows which starts of this term are in doubt.
 		return nil
 	}
-	if o.controller == nil || o.term != view.Status.Term {
+	if o.controller == nil {
 		o.term = view.Status.Term
 		o.controller = fleet.New(o.cfg, o.state, o.term, now, o.log)
 		o.commands, o.refused = nil, nil
