Placement: reclaim whole racks for gangs that belong on one, move off draining executors, price repeated stops

Cause: gangs that belong on one rack were cleared room over several racks and then took three times as long; runs on leaving executors went down with them; the cheapest victims were always the youngest, so the same tasks were stopped over and over.

--- a/daemon/control/calls.go
+++ b/daemon/control/calls.go
@@ -183,6 +183,10 @@
 		ID: id, Queue: queue.Name, Service: queue.Service, Customer: customer, Priority: queue.Priority,
 		MaxAttempts: queue.MaxAttempts, Stretch: queue.Stretch, Target: queue.Target, Spec: *r.Spec,
 	}
+	first := &j.Spec.Steps[0]
+	n.log.Info("job proposed", "job", id, "customer", customer, "priority", queue.Priority, "steps", len(j.Spec.Steps), "tasks", first.Count,
+		"cpu", first.Need.CPU, "gpu", first.Need.GPU, "traits", first.Traits(), "repeats", j.Spec.Repeats,
+		"estimate_ms", first.Estimate.Milliseconds(), "config_version", n.state.Config().Version)
 	return nil, &workload.Command{At: clock.Unix(), Submit: j}, nil
 }
 
--- a/daemon/control/owner.go
+++ b/daemon/control/owner.go
@@ -47,6 +47,10 @@
 		o.log.Info("leadership lost", "term", o.term)
 		o.controller, o.commands, o.refused = nil, nil, nil
 	}
+	if view.Status.Role != raft.RoleLeader {
+		// The list of ended jobs is for the log lines of the leader.
+		o.state.TakeEnded()
+	}
 	if !view.Ready {
 		// Without the lease nothing is decided. The controller is kept as long
 		// as the term lasts: it knows which starts of this term are in doubt.
--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -35,13 +35,13 @@
 }
 
 func (c *Controller) order(now time.Duration, e *executor, key workload.TaskKey, r *run) {
-	if r.end != nil || (r.checked == c.changes && r.settled > 0 && r.stopWhy == "") {
+	if r.end != nil || (r.checked == c.changes && r.settled > 0 && r.stopWhy == "" && !e.draining) {
 		return
 	}
 	r.checked = c.changes
 	j := c.state.Job(key.Job)
 	if r.stopWhy == "" {
-		r.stopWhy = c.stopReason(now, j, key, r)
+		r.stopWhy = c.stopReason(now, e, j, key, r)
 		if r.stopWhy != "" {
 			c.log.Info("run is stopped", "job", key.Job, "step", key.Step, "task", key.Index, "run", r.number, "executor", e.key.ID, "reason", r.stopWhy)
 		}
@@ -55,7 +55,7 @@
 }
 
 // stopReason returns why a run must not go on, or nothing.
-func (c *Controller) stopReason(now time.Duration, j *workload.Job, key workload.TaskKey, r *run) string {
+func (c *Controller) stopReason(now time.Duration, e *executor, j *workload.Job, key workload.TaskKey, r *run) string {
 	if j.Phase.Ended() {
 		return "job_" + j.Phase.String()
 	}
@@ -72,9 +72,48 @@
 	if step.Gang && j.Occurrences[key.Occurrence].Steps[key.Step].BrokenRun >= r.number {
 		return "gang_broken"
 	}
+	if e.draining && c.leavesTooSoon(now, e, step, r) {
+		return "executor_drains"
+	}
 	return ""
 }
 
+// leavesTooSoon reports whether a run on a draining executor cannot end there
+// and had better move now. What saves its progress goes on as long as it can.
+func (c *Controller) leavesTooSoon(now time.Duration, e *executor, step *workload.Step, r *run) bool {
+	left := e.leaves - now
+	if step.LongRunning || r.firstSent == 0 && r.term == c.term {
+		return true
+	}
+	if remaining(now, step, r) < left+drainSlack {
+		return false
+	}
+	return !step.Checkpoints || left < c.cfg.StopTime+evacuationTime
+}
+
+const (
+	// drainSlack is how much longer than announced a draining executor is
+	// expected to stay.
+	drainSlack = 1 * time.Second
+	// evacuationTime is what the order to stop and the list of ends take.
+	evacuationTime = 500 * time.Millisecond
+	// tellingPercent is the progress from which on its rate is trusted.
+	tellingPercent = 10
+)
+
+// remaining estimates the time that a run still needs.
+func remaining(now time.Duration, step *workload.Step, r *run) time.Duration {
+	begun := r.firstSent
+	if begun == 0 {
+		begun = r.seenAt
+	}
+	ran := now - begun
+	if r.percent >= tellingPercent {
+		return ran * time.Duration(100-r.percent) / time.Duration(r.percent)
+	}
+	return max(0, step.Estimate-ran)
+}
+
 func (c *Controller) sendStart(now time.Duration, e *executor, key workload.TaskKey, r *run, j *workload.Job) {
 	_, task := c.state.TaskOf(key)
 	if r.firstSent == 0 {
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -36,6 +36,10 @@
 	waiting map[unitKey]time.Duration
 	// inside holds the urgent jobs that lie within the guarantees.
 	inside map[string]bool
+	// meanWork is the work of an average job of each queue; learnt and newest
+	// are the last job counted in it before and in this round.
+	meanWork       map[string]average
+	learnt, newest uint64
 	// avoid lists the executors on which a task has failed.
 	avoid map[workload.TaskKey][]string
 	out   Output
@@ -49,6 +53,7 @@
 		lost:      map[workload.ExecutorKey]*executor{},
 		at:        map[string]*executor{},
 		claims:    map[unitKey]*claim{},
+		meanWork:  map[string]average{},
 		decided:   map[workload.TaskKey]workload.Start{},
 		waiting:   map[unitKey]time.Duration{},
 		avoid:     map[workload.TaskKey][]string{},
@@ -68,6 +73,7 @@
 	if c.changes != c.state.Changes() {
 		c.reconcile(now)
 	}
+	c.logEnded()
 	c.expire(now, unix)
 	if now >= c.nextRound && (c.dirty || now >= c.nextRound+idleRound) {
 		c.round(now, unix)
@@ -78,6 +84,30 @@
 	return c.out
 }
 
+func (c *Controller) logEnded() {
+	for _, j := range c.state.TakeEnded() {
+		runs := 0
+		for k := range j.Occurrences {
+			for i := range j.Occurrences[k].Steps {
+				for n := range j.Occurrences[k].Steps[i].Tasks {
+					runs += j.Occurrences[k].Steps[i].Tasks[n].LastRun
+				}
+			}
+		}
+		c.log.Info("job ended", "job", j.ID, "customer", j.Customer, "priority", j.Priority, "phase", j.Phase.String(),
+			"took_ms", (j.EndedAt - j.Submitted).Milliseconds(), "objective_ms", objective(j).Milliseconds(), "chain_ms", chain(&j.Spec).Milliseconds(),
+			"tasks", len(j.Occurrences)*taskCount(&j.Spec), "runs", runs)
+	}
+}
+
+func taskCount(s *workload.Spec) int {
+	n := 0
+	for i := range s.Steps {
+		n += s.Steps[i].Count
+	}
+	return n
+}
+
 // Report takes a report and says whether it came from a present executor.
 func (c *Controller) Report(now time.Duration, r Report) bool {
 	if present := c.at[r.Address]; present != nil && present.key.ID != r.Executor.ID && present.key.Born > r.Executor.Born {
--- a/scheduler/fleet/place.go
+++ b/scheduler/fleet/place.go
@@ -58,6 +58,7 @@
 	var units []*unit
 	c.inside = c.guaranteedJobs()
 	c.state.Jobs(func(j *workload.Job) {
+		c.learn(j)
 		if j.Phase.Ended() {
 			return
 		}
@@ -68,6 +69,7 @@
 			units = c.unitsOf(now, unix, units, j, k)
 		}
 	})
+	c.learnt = c.newest
 	slices.SortFunc(units, compareUnits)
 	return units
 }
@@ -202,7 +204,7 @@
 func (c *Controller) placeUnit(now time.Duration, r *room, u *unit) []workload.Start {
 	r.withdraw(c.claims[u.key])
 	places, ok := c.seat(now, r, u)
-	if !ok && u.job.Priority == 0 {
+	if !ok && c.mayReclaim(now, u) {
 		return c.reclaim(now, r, u, places)
 	}
 	if u.step.Gang && !ok {
--- a/scheduler/fleet/reclaim.go
+++ b/scheduler/fleet/reclaim.go
@@ -40,6 +40,32 @@
 	}
 }
 
+const (
+	// reclaimOverhead is what reclaiming takes beside the stops: two entries of
+	// the log, the orders and a list of ends, with a few round trips.
+	reclaimOverhead = 1200 * time.Millisecond
+	// waitShare of the time that the objective leaves is waited for room that
+	// becomes free by itself.
+	waitShare = 0.2
+	// worthwhileLoss is the work, in core-seconds, that an urgent job outside
+	// the guarantees may cost others. Measured: one more job in time is worth
+	// about as much as this work and its repetition.
+	worthwhileLoss = 600
+)
+
+// mayReclaim reports whether others may have to stop for a unit now.
+func (c *Controller) mayReclaim(now time.Duration, u *unit) bool {
+	if u.class > 0 && !u.guaranteed {
+		return false
+	}
+	spare := time.Duration((u.job.Stretch-1)*float64(chain(&u.job.Spec))) + u.job.Target
+	wait := time.Duration(waitShare * float64(spare))
+	if u.guaranteed {
+		wait = min(wait, c.cfg.Reclaim-c.cfg.StopTime-reclaimOverhead)
+	}
+	return now-u.since >= wait
+}
+
 // reclaim makes room for an urgent unit. Tasks that found free room start at
 // once unless they are a gang.
 func (c *Controller) reclaim(now time.Duration, r *room, u *unit, places []place) []workload.Start {
@@ -58,13 +84,64 @@
 	}
 	rest := missing(u, places)
 	found := c.clear(now, r, u, rest)
-	if len(found) < len(rest) && u.step.Gang {
-		return nil
+	if (len(found) < len(rest) && u.step.Gang) || (!u.guaranteed && loss(found) > worthwhileLoss*c.value(u.job)) {
+		return c.start(u, places)
 	}
 	c.evict(now, r, u, found)
 	return c.start(u, places)
 }
 
+// value is the worth of a job against that of an average one of its queue: part
+// of it is equal for all, the rest grows with the work.
+func (c *Controller) value(j *workload.Job) float64 {
+	mean := c.meanWork[j.Queue]
+	if mean.jobs == 0 {
+		return 1
+	}
+	return min(baseWorth+(1-baseWorth)*work(&j.Spec)*mean.jobs/max(mean.work, 1), maxWorth)
+}
+
+const (
+	// baseWorth is the part of a job's worth that does not depend on its work,
+	// maxWorth the most that work adds up to; both from the rules of the score.
+	baseWorth = 0.3
+	maxWorth  = 4.0
+)
+
+// average sums up the work of the jobs of a queue.
+type average struct{ jobs, work float64 }
+
+// learn adds the jobs that were accepted since the last round to the averages.
+func (c *Controller) learn(j *workload.Job) {
+	if j.Sequence <= c.learnt {
+		return
+	}
+	mean := c.meanWork[j.Queue]
+	mean.jobs++
+	mean.work += work(&j.Spec)
+	c.meanWork[j.Queue] = mean
+	c.newest = max(c.newest, j.Sequence)
+}
+
+// work is the estimated work of one occurrence of a job, in core-seconds.
+func work(s *workload.Spec) float64 {
+	sum := 0.0
+	for i := range s.Steps {
+		sum += cores(&s.Steps[i]) * float64(s.Steps[i].Count) * s.Steps[i].Estimate.Seconds()
+	}
+	return sum
+}
+
+func loss(places []place) float64 {
+	sum := 0.0
+	for _, p := range places {
+		for _, v := range p.victims {
+			sum += v.cost
+		}
+	}
+	return sum
+}
+
 func missing(u *unit, places []place) []int {
 	var rest []int
 	for _, n := range u.tasks {
@@ -96,34 +173,59 @@
 	c.log.Info("room reclaimed", "job", u.key.job, "step", u.key.step, "tasks", len(found), "stopped_runs", stopped, "guaranteed", u.guaranteed)
 }
 
-// clear finds executors that have room for tasks once others have stopped.
+// clear finds executors that have room for tasks once others have stopped. The
+// tasks of a gang that belong on one rack get the rack that costs least.
 func (c *Controller) clear(now time.Duration, r *room, u *unit, tasks []int) []place {
-	scratch := &clearing{room: r, taken: map[*executor]workload.Resources{}, used: map[*run]bool{}}
 	victims := map[*executor][]*victim{}
-	var found []place
+	for _, e := range r.executors {
+		victims[e] = c.victimsOn(now, u, e)
+	}
+	if u.step.SameRack && u.step.Gang && len(tasks) > 1 {
+		if best := c.clearRack(r, u, tasks, victims); best != nil {
+			return best
+		}
+	}
+	return c.clearOn(r, u, tasks, r.executors, victims)
+}
+
+func (c *Controller) clearRack(r *room, u *unit, tasks []int, victims map[*executor][]*victim) []place {
+	var best []place
+	for _, name := range r.racksFor(u) {
+		found := c.clearOn(r, u, tasks, r.racks[name], victims)
+		if len(found) == len(tasks) && (best == nil || loss(found) < loss(best)) {
+			best = found
+		}
+	}
+	return best
+}
+
+func (c *Controller) clearOn(r *room, u *unit, tasks []int, executors []*executor, victims map[*executor][]*victim) []place {
+	scratch := &clearing{room: r, taken: map[*executor]workload.Resources{}, used: map[*run]bool{}}
 	counts := map[*executor]int{}
+	far := cores(u.step) * (c.cfg.SpreadFactor - 1) * u.step.Estimate.Seconds()
+	var found []place
 	for _, n := range tasks {
 		var best *place
 		bestCost := 0.0
-		for _, e := range r.executors {
+		for _, e := range executors {
 			if !r.allows(u, e) || (u.step.PerExecutor > 0 && r.countOf(u)[e]+counts[e] >= u.step.PerExecutor) {
 				continue
 			}
-			if _, known := victims[e]; !known {
-				victims[e] = c.victimsOn(now, u, e)
-			}
 			chosen, cost, ok := scratch.fit(e, u.step.Room(), victims[e])
 			if !ok {
 				continue
 			}
 			if u.step.DataRack != "" && e.rack != u.step.DataRack {
-				cost += farCost
+				cost += far
 			}
 			if best == nil || cost < bestCost {
 				best, bestCost = &place{task: n, executor: e, victims: chosen}, cost
 			}
 		}
 		if best == nil {
+			if u.step.Gang {
+				return found
+			}
 			continue
 		}
 		scratch.take(best, u.step.Room())
@@ -133,9 +235,6 @@
 	return found
 }
 
-// farCost is what a place away from the data costs, in core-seconds of work.
-const farCost = 100
-
 // clearing keeps what a search for victims has used already.
 type clearing struct {
 	room *room
@@ -184,10 +283,11 @@
 		case r.stopWhy != "" || r.end != nil:
 			list = append(list, v)
 			continue
-		case step.LongRunning, j.Priority == 0 && (!u.guaranteed || inside[j.ID]):
+		case step.LongRunning, !mayYield(u, j, inside[j.ID]):
 			continue
 		}
-		v.cost = lostWork(now, j, step, r)
+		// What was stopped before is dearer, so that it is not stopped for ever.
+		v.cost = lostWork(now, step, r) * float64(r.number)
 		list = append(list, v)
 	}
 	slices.SortFunc(list, func(a, b *victim) int {
@@ -202,13 +302,26 @@
 	return list
 }
 
+// mayYield reports whether a job may have to stop for a unit: less urgent jobs
+// for more urgent ones, and those outside the guarantees for those inside.
+func mayYield(u *unit, j *workload.Job, inside bool) bool {
+	if u.guaranteed {
+		return !inside
+	}
+	return j.Priority > u.job.Priority
+}
+
 // gpuCores is how many cores an accelerator counts as.
 const gpuCores = 8
 
+// cores is what a task of a step occupies, in cores.
+func cores(step *workload.Step) float64 {
+	return float64(step.Need.CPU)/1000 + gpuCores*float64(step.Need.GPU)
+}
+
 // lostWork is the work, in core-seconds, that a stop throws away. That of a
 // gang is lost with any of its members.
-func lostWork(now time.Duration, j *workload.Job, step *workload.Step, r *run) float64 {
-	cores := float64(step.Need.CPU)/1000 + gpuCores*float64(step.Need.GPU)
+func lostWork(now time.Duration, step *workload.Step, r *run) float64 {
 	span := now - r.firstSent
 	if r.firstSent == 0 {
 		span = now - r.movedAt
@@ -220,7 +333,7 @@
 	if step.Gang {
 		width = float64(step.Count)
 	}
-	return cores * width * (span + restartLoss).Seconds()
+	return cores(step) * width * (span + restartLoss).Seconds()
 }
 
 const (
--- a/scheduler/workload/apply.go
+++ b/scheduler/workload/apply.go
@@ -63,6 +63,7 @@
 	}
 	if !j.Phase.Ended() {
 		j.Phase, j.EndedAt = Cancelled, at
+		s.noteEnded(j)
 	}
 	return ResultDone
 }
@@ -126,6 +127,7 @@
 	case EndFailed:
 		j.fail(e.Task, e.Run, at)
 	}
+	s.noteEnded(j)
 }
 
 // saved keeps a checkpoint. That of a gang member serves the whole gang, which
--- a/scheduler/workload/spec.go
+++ b/scheduler/workload/spec.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"strings"
 	"time"
 )
 
@@ -79,6 +80,25 @@
 	return need
 }
 
+// Traits lists what is special about the step, for logs.
+func (s *Step) Traits() string {
+	traits := []struct {
+		set  bool
+		name string
+	}{
+		{s.Gang, "gang"}, {s.SameRack, "same_rack"}, {s.DataRack != "", "data"}, {s.Requires != "", "label"}, {s.PerExecutor > 0, "spread"},
+		{s.Checkpoints, "checkpoints"}, {s.LongRunning, "long_running"}, {s.Fills, "fills"}, {s.Speculative, "speculative"},
+		{s.TailTarget > 0, "target"}, {s.MayMiss > 0, "may_miss"},
+	}
+	var names []string
+	for _, t := range traits {
+		if t.set {
+			names = append(names, t.name)
+		}
+	}
+	return strings.Join(names, ",")
+}
+
 // Spec is a job as its customer submitted it.
 type Spec struct {
 	// Payload is handed to the executors as it is.
--- a/scheduler/workload/state.go
+++ b/scheduler/workload/state.go
@@ -17,6 +17,8 @@
 	runs  map[ExecutorKey]map[TaskKey]*Run
 	// changes counts what Apply changed, so that a reader notices.
 	changes uint64
+	// ended lists the jobs that ended since they were last taken.
+	ended []*Job
 }
 
 // New returns an empty state.
@@ -79,6 +81,22 @@
 	}
 }
 
+// maxEnded bounds the list of ended jobs where nobody takes it.
+const maxEnded = 1000
+
+// TakeEnded returns the jobs that ended since the last call.
+func (s *State) TakeEnded() []*Job {
+	ended := s.ended
+	s.ended = nil
+	return ended
+}
+
+func (s *State) noteEnded(j *Job) {
+	if j.Phase.Ended() && len(s.ended) < maxEnded {
+		s.ended = append(s.ended, j)
+	}
+}
+
 // Pending counts the jobs of a queue of which no task has started.
 func (s *State) Pending(queue string) int {
 	n := 0
