group: one sync for all that waits; entry hosts stay unready once they drain

Change: the goroutine handles what waits already before it proposes, and proposals of hosts and of the owner share one entry batch.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -62,8 +62,8 @@
 	transport *transport.Transport
 	stop      chan struct{}
 	wg        sync.WaitGroup
-	ready     atomic.Bool
-	inFlight  atomic.Int64
+	known     atomic.Bool
+	draining  atomic.Bool
 
 	mu     sync.Mutex
 	hosts  []string
@@ -104,10 +104,10 @@
 }
 
 // Ready reports whether the host has found the system and is not stopping.
-func (n *Node) Ready() bool { return n.ready.Load() }
+func (n *Node) Ready() bool { return n.known.Load() && !n.draining.Load() }
 
-// Drain makes the host report that it is not ready.
-func (n *Node) Drain() { n.ready.Store(false) }
+// Drain makes the host report that it is not ready, for good.
+func (n *Node) Drain() { n.draining.Store(true) }
 
 // Stop ends the host. Requests must have ended.
 func (n *Node) Stop() {
@@ -140,7 +140,9 @@
 	for {
 		if n.ask() {
 			missed = 0
-			n.becomeReady()
+			if !n.known.Swap(true) {
+				n.log.Info("ready")
+			}
 		} else if missed++; missed >= lostPolls {
 			n.learn(n.cfg.Seeds())
 		}
@@ -152,16 +154,6 @@
 	}
 }
 
-func (n *Node) becomeReady() {
-	select {
-	case <-n.stop:
-	default:
-		if !n.ready.Swap(true) {
-			n.log.Info("ready")
-		}
-	}
-}
-
 // ask asks a control host for the leader and reports whether one is known.
 func (n *Node) ask() bool {
 	host := n.target()
--- a/daemon/group/group.go
+++ b/daemon/group/group.go
@@ -84,7 +84,9 @@
 
 	// waiting maps an index to the proposals that were given it, in order of
 	// their terms. Only the goroutine of the group uses it.
-	waiting  map[uint64][]*proposal
+	waiting map[uint64][]*proposal
+	// queued holds the proposals that the next step proposes.
+	queued   []*proposal
 	restored bool
 	failure  error
 	// standing and refresh decide when the status is published again, because
@@ -293,12 +295,34 @@
 		case m := <-g.inbox:
 			g.receive(m)
 		case p := <-g.proposals:
-			g.propose(g.collect(p))
+			g.queued = append(g.queued, p)
 		case job := <-g.jobs:
 			job(g.cfg.Now())
 		}
+		g.drain()
 		g.step()
 	}
+	g.refuseQueued()
+}
+
+// drain handles what waits already, so that all of it shares one step and one
+// sync. A sync takes longer than anything else here, and work piles up meanwhile.
+func (g *Group) drain() {
+	for range maxBatch {
+		if g.failure != nil {
+			return
+		}
+		select {
+		case m := <-g.inbox:
+			g.receive(m)
+		case p := <-g.proposals:
+			g.queued = append(g.queued, p)
+		case job := <-g.jobs:
+			job(g.cfg.Now())
+		default:
+			return
+		}
+	}
 }
 
 func (g *Group) tickInterval() time.Duration {
@@ -326,25 +350,18 @@
 	g.handle(out, err)
 }
 
-// collect takes the proposals that wait already, so that they share one sync.
-func (g *Group) collect(first *proposal) []*proposal {
-	batch := []*proposal{first}
-	for len(batch) < maxBatch {
-		select {
-		case p := <-g.proposals:
-			batch = append(batch, p)
-		default:
-			return batch
-		}
+// propose proposes what hosts and the owner ask for with a single sync.
+func (g *Group) propose(owned [][]byte) {
+	batch := g.queued
+	g.queued = nil
+	if len(batch)+len(owned) == 0 {
+		return
 	}
-	return batch
-}
-
-func (g *Group) propose(batch []*proposal) {
-	commands := make([][]byte, len(batch))
-	for i, p := range batch {
-		commands[i] = p.command
+	commands := make([][]byte, 0, len(batch)+len(owned))
+	for _, p := range batch {
+		commands = append(commands, p.command)
 	}
+	commands = append(commands, owned...)
 	tickets, out, err := g.cfg.Replica.ProposeBatch(g.cfg.Now(), commands)
 	for i, p := range batch {
 		if i < len(tickets) {
@@ -353,9 +370,21 @@
 		}
 		p.done <- outcome{err: refusalOf(err)}
 	}
+	if keeper, ok := g.cfg.Owner.(RefusalKeeper); ok {
+		accepted := max(0, len(tickets)-len(batch))
+		keeper.KeepRefused(owned[accepted:])
+	}
 	g.handleProposed(out, err)
 }
 
+// refuseQueued ends the proposals that a failed log did not take.
+func (g *Group) refuseQueued() {
+	for _, p := range g.queued {
+		p.done <- outcome{err: structs.NotRun(structs.CodeStopping, "the replicated log has failed")}
+	}
+	g.queued = nil
+}
+
 // handleProposed processes the output of a proposal, which a refusal does not
 // make void.
 func (g *Group) handleProposed(out replica.Output, err error) {
@@ -403,18 +432,11 @@
 	view := View{Status: g.status, Lease: ready || g.cfg.Replica.HoldsLease(now), Ready: ready, Restored: g.restored}
 	g.lease.Store(ready)
 	g.restored = false
-	if g.cfg.Owner == nil {
-		return
-	}
-	commands := g.cfg.Owner.Step(now, view)
-	if len(commands) == 0 {
-		return
-	}
-	tickets, out, err := g.cfg.Replica.ProposeBatch(g.cfg.Now(), commands)
-	if keeper, ok := g.cfg.Owner.(RefusalKeeper); ok && len(tickets) < len(commands) {
-		keeper.KeepRefused(commands[len(tickets):])
+	var owned [][]byte
+	if g.cfg.Owner != nil {
+		owned = g.cfg.Owner.Step(now, view)
 	}
-	g.handleProposed(out, err)
+	g.propose(owned)
 }
 
 // publish updates the status if the replica stands elsewhere than when it was
