--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -14,8 +14,10 @@
 	holdWait = 2 * time.Second
 	// holdSlack is how much longer than the wait an answer may take.
 	holdSlack = 700 * time.Millisecond
-	// holdRetry is the pause after a hold without an answer.
-	holdRetry = 200 * time.Millisecond
+	// holdRetry is the pause after a hold without an answer; it grows with each
+	// further one up to maxRetryFactor times.
+	holdRetry      = 200 * time.Millisecond
+	maxRetryFactor = 5
 	// extendingHolds is how many holds in a row without an answer still extend
 	// the lease; then it must run out, since what runs cannot be seen.
 	extendingHolds = 2
@@ -153,7 +155,9 @@
 			continue
 		}
 		unfinished := e.seenEnd > e.cursor
-		if unfinished || (len(e.runs) == 0 && e.told >= e.cursor) {
+		// An executor that did not answer gets no runs until it answers again.
+		idle := len(e.runs) == 0 && e.told >= e.cursor && e.failedHolds == 0
+		if unfinished || idle {
 			continue
 		}
 		c.hold(now, e)
@@ -243,7 +247,7 @@
 	e.holding = false
 	if a.Verdict != VerdictAccepted || !a.Complete {
 		e.failedHolds++
-		e.holdNext = now + holdRetry
+		e.holdNext = now + holdRetry*time.Duration(min(e.failedHolds, maxRetryFactor))
 		c.log.Info("hold not answered", "executor", e.key.ID, "verdict", a.Verdict.String(), "reason", a.Reason, "failures", e.failedHolds,
 			"runs", len(e.runs), "lease_left_ms", (e.leaseEnd - now).Milliseconds())
 		return
--- /dev/null
+++ b/scheduler/fleet/fleet_test.go
@@ -0,0 +1,68 @@
+package fleet_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"cranberrydrum.dev/scheduler/workload"
+)
+
+// TestMain fixes the seed and the number of checks unless they were given.
+// A longer run: go test ./scheduler/fleet -rapid.checks=2000 -rapid.seed=N.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"seed": "20261204", "checks": "40", "nofailfile": "true"} {
+		if !given["rapid."+name] {
+			_ = flag.Set("rapid."+name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func TestFleet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fleet")
+}
+
+// TestModel plays random jobs and faults. It guards against two runs of a task
+// at once, a start after an acknowledged end, more on an executor than it has
+// room for, a step before those it depends on, and jobs that never end.
+func TestModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := func(most float64, label string) float64 { return most * float64(rapid.IntRange(0, 4).Draw(t, label)) / 4 }
+		f := faults{
+			loseAnswer: share(0.2, "loseAnswer"), late: share(0.15, "late"), fail: share(0.1, "fail"),
+			crash: share(0.05, "crash"), cut: share(0.1, "cut"), newLeader: share(0.3, "newLeader"),
+		}
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), 4, f)
+		w.run(3 * time.Second)
+		var ids []string
+		for n := range 14 {
+			ids = append(ids, w.submit(n+1))
+			w.run(time.Duration(w.rng.IntN(2000)) * time.Millisecond)
+		}
+		w.run(10 * time.Second)
+		w.faults = faults{}
+		for _, e := range w.executors {
+			e.cut = false
+		}
+		w.run(tailTime)
+		if w.broken != "" {
+			t.Fatal(w.broken)
+		}
+		for _, id := range ids {
+			if j := w.state.Job(id); j.Phase != workload.Completed {
+				t.Fatal(fmt.Sprintf("job %s is %s at the end: %+v", id, j.Phase, j.Occurrences))
+			}
+		}
+	})
+}
