--- a/cmd/cranberrydrumd/platform.go
+++ b/cmd/cranberrydrumd/platform.go
@@ -78,38 +78,59 @@
 	}
 }
 
+// storagePause is the time between two attempts to open a log whose disk failed:
+// long enough for a full or stuck disk not to keep the processor busy.
+const storagePause = 500 * time.Millisecond
+
 func runControl(s *platform.Settings, log logr.Logger) error {
 	if s.DataDir == "" || s.ControlListen == "" {
 		return &platform.SettingsError{Field: "data_dir, listen.control", Reason: "missing on a control host"}
 	}
 	figures := metrics.NewPlatform()
-	node, err := control.New(control.Config{
+	serveMetrics(s, figures, log)
+	cfg := control.Config{
 		Host: s.Host, PeerPort: s.PeerPort, ReportAddress: s.ControlListen, DataDir: s.DataDir, Bootstrap: s.Bootstrap,
 		Seeds: seeds(s, log), Faults: s.Faults, LowPriority: s.Remote(), Fleet: s.Fleet,
 		Executors: platform.NewExecutors(log), Logger: log, Observer: figures,
-	})
+	}
+	stop := stopSignal(log)
+	for {
+		err := serveControl(cfg, s.ControlListen, stop)
+		if err == nil {
+			return nil
+		}
+		// A disk that fails may work again; what it holds is read anew then.
+		log.Error(err, "the control host starts again")
+		select {
+		case <-stop:
+			return nil
+		case <-time.After(storagePause):
+		}
+	}
+}
+
+// serveControl runs a control host until it is asked to stop or its log fails.
+func serveControl(cfg control.Config, address string, stop <-chan struct{}) error {
+	node, err := control.New(cfg)
 	if err != nil {
 		return err
 	}
 	if err := node.Start(); err != nil {
+		node.Stop()
 		return err
 	}
-	serveMetrics(s, figures, log)
-	server := platform.NewControlServer(node, log)
+	server := platform.NewControlServer(node, cfg.Logger)
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(s.ControlListen) }()
-	stop := stopSignal(log)
+	go func() { served <- server.Serve(address) }()
 	select {
-	case err := <-served:
-		return err
-	case err := <-node.Failed():
-		return err
+	case err = <-served:
+	case err = <-node.Failed():
 	case <-stop:
+		node.HandOver()
 	}
-	node.HandOver()
 	server.Shutdown()
 	node.Stop()
-	return nil
+	return err
 }
 
 func runEntry(s *platform.Settings, log logr.Logger) error {
