Placement: keep the room that urgent jobs needed lately

Ruled out: how long urgent jobs wait before they reclaim (0.1 to 0.4 of the spare time made no difference beyond the noise). Change: the decaying peak of the urgent need decides how many executors take urgent tasks only; members of a gang that is broken anyway cost nothing more; a rack is cleared only where that is worth its loss.

--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -40,6 +40,8 @@
 	// are the last job counted in it before and in this round.
 	meanWork       map[string]average
 	learnt, newest uint64
+	// demands follows the urgent need of each service.
+	demands map[string]*demand
 	// avoid lists the executors on which a task has failed.
 	avoid map[workload.TaskKey][]string
 	out   Output
@@ -53,6 +55,7 @@
 		lost:      map[workload.ExecutorKey]*executor{},
 		at:        map[string]*executor{},
 		claims:    map[unitKey]*claim{},
+		demands:   map[string]*demand{},
 		meanWork:  map[string]average{},
 		decided:   map[workload.TaskKey]workload.Start{},
 		waiting:   map[unitKey]time.Duration{},
--- a/scheduler/fleet/fleet_test.go
+++ b/scheduler/fleet/fleet_test.go
@@ -38,7 +38,9 @@
 // room for, a step before those it depends on, and jobs that never end.
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		share := func(most float64, label string) float64 { return most * float64(rapid.IntRange(0, 4).Draw(t, label)) / 4 }
+		share := func(most float64, label string) float64 {
+			return most * float64(rapid.IntRange(0, 4).Draw(t, label)) / 4
+		}
 		f := faults{
 			loseAnswer: share(0.2, "loseAnswer"), late: share(0.15, "late"), fail: share(0.1, "fail"),
 			crash: share(0.05, "crash"), cut: share(0.1, "cut"), newLeader: share(0.3, "newLeader"),
--- a/scheduler/fleet/place.go
+++ b/scheduler/fleet/place.go
@@ -43,6 +43,7 @@
 	c.nextRound = now + roundInterval
 	units := c.units(now, unix)
 	r := c.newRoom(now)
+	c.reserve(now, r)
 	c.dropClaims(now, units)
 	var starts []workload.Start
 	for _, u := range units {
--- a/scheduler/fleet/reclaim.go
+++ b/scheduler/fleet/reclaim.go
@@ -25,6 +25,11 @@
 	room workload.Resources
 	// cost is the work that a stop throws away; 0 for what is stopping.
 	cost float64
+	gang bool
+}
+
+func (v *victim) unit() unitKey {
+	return unitKey{job: v.key.Job, occurrence: v.key.Occurrence, step: v.key.Step}
 }
 
 // dropClaims ends claims whose unit does not wait any more or whose time is up.
@@ -134,8 +139,13 @@
 
 func loss(places []place) float64 {
 	sum := 0.0
+	broken := map[unitKey]bool{}
 	for _, p := range places {
 		for _, v := range p.victims {
+			if v.gang && broken[v.unit()] {
+				continue
+			}
+			broken[v.unit()] = v.gang
 			sum += v.cost
 		}
 	}
@@ -180,12 +190,16 @@
 	for _, e := range r.executors {
 		victims[e] = c.victimsOn(now, u, e)
 	}
-	if u.step.SameRack && u.step.Gang && len(tasks) > 1 {
-		if best := c.clearRack(r, u, tasks, victims); best != nil {
-			return best
-		}
+	spread := c.clearOn(r, u, tasks, r.executors, victims)
+	if !u.step.SameRack || !u.step.Gang || len(tasks) == 1 {
+		return spread
 	}
-	return c.clearOn(r, u, tasks, r.executors, victims)
+	best := c.clearRack(r, u, tasks, victims)
+	dear := len(spread) == len(tasks) && loss(best) > loss(spread)+worthwhileLoss*c.value(u.job)
+	if best == nil || dear {
+		return spread
+	}
+	return best
 }
 
 func (c *Controller) clearRack(r *room, u *unit, tasks []int, victims map[*executor][]*victim) []place {
@@ -200,7 +214,7 @@
 }
 
 func (c *Controller) clearOn(r *room, u *unit, tasks []int, executors []*executor, victims map[*executor][]*victim) []place {
-	scratch := &clearing{room: r, taken: map[*executor]workload.Resources{}, used: map[*run]bool{}}
+	scratch := &clearing{room: r, taken: map[*executor]workload.Resources{}, used: map[*run]bool{}, broken: map[unitKey]bool{}}
 	counts := map[*executor]int{}
 	far := cores(u.step) * (c.cfg.SpreadFactor - 1) * u.step.Estimate.Seconds()
 	var found []place
@@ -241,6 +255,8 @@
 	// taken is the room of chosen tasks less that of chosen victims.
 	taken map[*executor]workload.Resources
 	used  map[*run]bool
+	// broken holds the gangs of chosen victims; their other members cost nothing more.
+	broken map[unitKey]bool
 }
 
 // fit returns the victims, the cheapest first, that have to stop for need.
@@ -256,7 +272,9 @@
 			continue
 		}
 		free = free.Add(v.room)
-		cost += v.cost
+		if !v.gang || !s.broken[v.unit()] {
+			cost += v.cost
+		}
 		chosen = append(chosen, v)
 	}
 	return chosen, cost, need.Fits(free)
@@ -266,6 +284,9 @@
 	taken := s.taken[p.executor].Add(need)
 	for _, v := range p.victims {
 		s.used[v.run] = true
+		if v.gang {
+			s.broken[v.unit()] = true
+		}
 		taken = taken.Sub(v.room)
 	}
 	s.taken[p.executor] = taken
@@ -278,7 +299,7 @@
 	for key, r := range e.runs {
 		j := c.state.Job(key.Job)
 		step := &j.Spec.Steps[key.Step]
-		v := &victim{key: key, run: r, room: step.Room()}
+		v := &victim{key: key, run: r, room: step.Room(), gang: step.Gang}
 		switch {
 		case r.stopWhy != "" || r.end != nil:
 			list = append(list, v)
--- a/scheduler/fleet/room.go
+++ b/scheduler/fleet/room.go
@@ -16,10 +16,12 @@
 	// perStep counts the tasks of a step on an executor, for its bound.
 	perStep map[unitKey]map[*executor]int
 	decided map[workload.TaskKey]workload.Start
+	// reserved holds the executors on which only urgent tasks are started.
+	reserved map[*executor]bool
 }
 
 func (c *Controller) newRoom(now time.Duration) *room {
-	r := &room{free: map[*executor]workload.Resources{}, racks: map[string][]*executor{}, perStep: map[unitKey]map[*executor]int{}, decided: c.decided}
+	r := &room{free: map[*executor]workload.Resources{}, racks: map[string][]*executor{}, perStep: map[unitKey]map[*executor]int{}, decided: c.decided, reserved: map[*executor]bool{}}
 	for _, e := range c.executors {
 		if !e.placeable(now, &c.cfg) {
 			continue
@@ -50,6 +52,15 @@
 	return r
 }
 
+// byService groups the executors by their pool.
+func (r *room) byService() map[string][]*executor {
+	pools := map[string][]*executor{}
+	for _, e := range r.executors {
+		pools[e.service] = append(pools[e.service], e)
+	}
+	return pools
+}
+
 // take occupies room for a task.
 func (r *room) take(u *unit, e *executor) {
 	r.free[e] = r.free[e].Sub(u.step.Room())
@@ -122,6 +133,9 @@
 	if e.service != u.job.Service || (u.step.Requires != "" && !e.hasLabel(u.step.Requires)) {
 		return false
 	}
+	if r.reserved[e] && u.job.Priority > 0 {
+		return false
+	}
 	return u.step.PerExecutor == 0 || r.countOf(u)[e] < u.step.PerExecutor
 }
 
