Placement: nobody waits for better room while half of the pool is free

Change: a job with nothing at work takes any room after 2 s while less than half of its pool is used; the reserved number is rounded; demand is forgotten with a half-life of 20 s.

--- a/scheduler/fleet/model_test.go
+++ b/scheduler/fleet/model_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -180,6 +181,10 @@
 
 func (w *world) take(out fleet.Output) {
 	w.propose(out.Commands)
+	// The controller goes through maps; the same seed has to play the same.
+	slices.SortFunc(out.Calls, func(a, b fleet.Call) int {
+		return strings.Compare(fmt.Sprint(a.Executor, a.Kind, a.Task), fmt.Sprint(b.Executor, b.Kind, b.Task))
+	})
 	for _, call := range out.Calls {
 		p := &pendingCall{call: call, leader: w.leader, executor: call.Executor, at: w.now + w.delay()}
 		p.lost = w.chance(w.faults.loseAnswer)
--- a/scheduler/fleet/reserve.go
+++ b/scheduler/fleet/reserve.go
@@ -11,7 +11,7 @@
 const (
 	// demandHalfLife is how fast a past peak of urgent demand is forgotten: about
 	// the time between two crests of demand.
-	demandHalfLife = 8 * time.Second
+	demandHalfLife = 20 * time.Second
 	// maxReserved bounds the share of a pool that is kept for urgent jobs.
 	maxReserved = 0.5
 )
@@ -42,14 +42,39 @@
 			c.demands[service] = d
 		}
 		expected := d.observe(now, need[service])
-		n := min(int(math.Ceil(expected)), int(maxReserved*float64(len(members))))
+		n := min(int(math.Round(expected)), int(maxReserved*float64(len(members))))
 		c.sortForUrgent(members)
 		for _, e := range members[:n] {
 			r.reserved[e] = true
 		}
+		r.idle[service] = used(members) < idlePool
 	}
 }
 
+const (
+	// idlePool is the share of a pool in use below which no job may wait for
+	// better room, from the rules.
+	idlePool = 0.5
+	// idleWait is how long a job waits for better room in such a pool; the
+	// rules allow 3 s, of which orders and their way take a part.
+	idleWait = 2 * time.Second
+)
+
+// used is the share of a pool's scarcest resource that is in use.
+func used(members []*executor) float64 {
+	var capacity, taken workload.Resources
+	for _, e := range members {
+		capacity = capacity.Add(e.capacity)
+		taken = taken.Add(e.used)
+	}
+	return share(taken, capacity)
+}
+
+// pressing reports whether a unit must not wait for better room any longer.
+func (r *room) pressing(now time.Duration, u *unit) bool {
+	return r.idle[u.job.Service] && now-u.since > idleWait && !u.job.AtWork()
+}
+
 // urgentNeed sums up the room, in executors, of the urgent tasks that run or wait.
 func (c *Controller) urgentNeed(r *room) map[string]float64 {
 	capacity := map[string]workload.Resources{}
--- a/scheduler/fleet/room.go
+++ b/scheduler/fleet/room.go
@@ -18,10 +18,14 @@
 	decided map[workload.TaskKey]workload.Start
 	// reserved holds the executors on which only urgent tasks are started.
 	reserved map[*executor]bool
+	// idle holds the services much of whose room is free, pressed the unit
+	// that may take reserved room there.
+	idle    map[string]bool
+	pressed *unit
 }
 
 func (c *Controller) newRoom(now time.Duration) *room {
-	r := &room{free: map[*executor]workload.Resources{}, racks: map[string][]*executor{}, perStep: map[unitKey]map[*executor]int{}, decided: c.decided, reserved: map[*executor]bool{}}
+	r := &room{free: map[*executor]workload.Resources{}, racks: map[string][]*executor{}, perStep: map[unitKey]map[*executor]int{}, decided: c.decided, reserved: map[*executor]bool{}, idle: map[string]bool{}}
 	for _, e := range c.executors {
 		if !e.placeable(now, &c.cfg) {
 			continue
@@ -133,7 +137,7 @@
 	if e.service != u.job.Service || (u.step.Requires != "" && !e.hasLabel(u.step.Requires)) {
 		return false
 	}
-	if r.reserved[e] && u.job.Priority > 0 {
+	if r.reserved[e] && u.job.Priority > 0 && r.pressed != u {
 		return false
 	}
 	return u.step.PerExecutor == 0 || r.countOf(u)[e] < u.step.PerExecutor
@@ -143,7 +147,11 @@
 // It reports whether all tasks found a place. Tasks go to other racks only
 // when their patience has ended.
 func (c *Controller) seat(now time.Duration, r *room, u *unit) ([]place, bool) {
-	far := now-u.since > patience(u.job, u.step)
+	pressing := r.pressing(now, u)
+	if pressing {
+		r.pressed = u
+	}
+	far := pressing || now-u.since > patience(u.job, u.step)
 	if u.step.SameRack && u.step.Gang && len(u.tasks) > 1 {
 		for _, rack := range r.racksFor(u) {
 			places, ok := c.seatOn(r, u, r.racks[rack])
--- a/scheduler/workload/apply.go
+++ b/scheduler/workload/apply.go
@@ -71,26 +71,13 @@
 // forget drops ended jobs whose runs are over.
 func (s *State) forget(ids []string) Result {
 	for _, id := range ids {
-		if j := s.jobs[id]; j != nil && j.Phase.Ended() && !s.occupies(j) {
+		if j := s.jobs[id]; j != nil && j.Phase.Ended() && !j.AtWork() {
 			delete(s.jobs, id)
 		}
 	}
 	return ResultDone
 }
 
-func (s *State) occupies(j *Job) bool {
-	for k := range j.Occurrences {
-		for i := range j.Occurrences[k].Steps {
-			for _, t := range j.Occurrences[k].Steps[i].Tasks {
-				if t.Run != nil {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
-
 // start records a run. A decision that the state has overtaken is dropped; the
 // leader sees no run and sends no order.
 func (s *State) start(d Start, term uint64) {
--- a/scheduler/workload/job.go
+++ b/scheduler/workload/job.go
@@ -140,3 +140,17 @@
 	}
 	return &steps[key.Step].Tasks[key.Index]
 }
+
+// AtWork reports whether the job has runs that occupy room.
+func (j *Job) AtWork() bool {
+	for k := range j.Occurrences {
+		for i := range j.Occurrences[k].Steps {
+			for _, t := range j.Occurrences[k].Steps[i].Tasks {
+				if t.Run != nil {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
