Placement: only urgent jobs reclaim; stop what stands still

Change: only priority 0 reclaims; a run below 100 % without progress over two lists is stopped, its executor set aside unless another run there moves.

--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -282,6 +282,7 @@
 		r.seen, r.seenAt, r.movedAt = true, now, now
 	}
 	r.settled = max(r.settled, 1)
+	r.listedAt = now
 	if t.Percent != r.percent {
 		r.percent, r.movedAt = t.Percent, now
 	}
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -31,9 +31,11 @@
 	settled time.Duration
 	seen    bool
 	// seenAt is when the executor first listed the run.
-	seenAt     time.Duration
-	percent    int
+	seenAt  time.Duration
+	percent int
+	// movedAt is when the progress last changed, listedAt when it was last seen.
 	movedAt    time.Duration
+	listedAt   time.Duration
 	checkpoint string
 	// stopWhy is why the run has to stop, or empty.
 	stopWhy  string
--- a/scheduler/fleet/model_test.go
+++ b/scheduler/fleet/model_test.go
@@ -514,7 +514,7 @@
 		}
 		a := fleet.Answer{Verdict: fleet.VerdictAccepted, Complete: true, Ended: slices.Clone(e.ended)}
 		for _, r := range e.running {
-			a.Running = append(a.Running, fleet.RunningTask{Task: r.task, Run: r.run, Checkpoint: r.checkpoint})
+			a.Running = append(a.Running, fleet.RunningTask{Task: r.task, Run: r.run, Checkpoint: r.checkpoint, Percent: w.percent(r)})
 		}
 		if e.cut && !p.lost {
 			p.lost = true
@@ -556,3 +556,9 @@
 	w.apply(&workload.Command{At: w.now, Submit: j}, w.leader.term)
 	return id
 }
+
+// percent is the progress of a run; a gang that is not whole makes none.
+func (w *world) percent(r *modelRun) int {
+	span := r.finish - r.started
+	return int(100 * (w.now - r.started) / max(span, 1))
+}
--- a/scheduler/fleet/place.go
+++ b/scheduler/fleet/place.go
@@ -41,6 +41,7 @@
 func (c *Controller) round(now, unix time.Duration) {
 	c.dirty = false
 	c.nextRound = now + roundInterval
+	c.watch(now)
 	units := c.units(now, unix)
 	r := c.newRoom(now)
 	c.reserve(now, r)
--- a/scheduler/fleet/reclaim.go
+++ b/scheduler/fleet/reclaim.go
@@ -60,7 +60,7 @@
 
 // mayReclaim reports whether others may have to stop for a unit now.
 func (c *Controller) mayReclaim(now time.Duration, u *unit) bool {
-	if u.class > 0 && !u.guaranteed {
+	if u.job.Priority > 0 || u.class > 0 && !u.guaranteed {
 		return false
 	}
 	spare := time.Duration((u.job.Stretch-1)*float64(chain(&u.job.Spec))) + u.job.Target
