--- a/scheduler/fleet/reclaim.go
+++ b/scheduler/fleet/reclaim.go
@@ -55,7 +55,7 @@
 	// worthwhileLoss is the work, in core-seconds, that an urgent job outside
 	// the guarantees may cost others. Measured: one more job in time is worth
 	// about as much as this work and its repetition.
-	worthwhileLoss = 600
+	worthwhileLoss = 250
 )
 
 // mayReclaim reports whether others may have to stop for a unit now.
