--- a/daemon/control/owner.go
+++ b/daemon/control/owner.go
@@ -35,8 +35,6 @@
 	refused [][]byte
 	// do runs a function on the goroutine of the group.
 	do func(func(now time.Duration)) bool
-	// lease checks at this moment that no other host can lead.
-	lease func() bool
 	// observe counts a call and its answer.
 	observe func(call fleet.Call, a fleet.Answer, took time.Duration)
 }
--- a/daemon/group/group_test.go
+++ b/daemon/group/group_test.go
@@ -113,6 +113,8 @@
 	start   time.Time
 	members map[string]*member
 	cut     map[string]bool
+	// owner acts on the logs that are added while it is set.
+	owner group.Owner
 }
 
 func newNetwork(ids ...string) *network {
@@ -141,6 +143,7 @@
 	m.Group = group.New(group.Config{
 		Name:    name,
 		Replica: r,
+		Owner:   n.owner,
 		Send:    func(msg raft.Message) { n.deliver(id, msg) },
 		Now:     func() time.Duration { return time.Since(n.start) },
 		Logger:  logr.Discard(),
@@ -378,3 +381,40 @@
 		Eventually(done, time.Second).Should(Receive(BeFalse()))
 	})
 })
+
+// eager proposes a command for everything that was asked since its last step.
+type eager struct{ asked int }
+
+func (o *eager) Step(time.Duration, group.View) [][]byte {
+	commands := make([][]byte, o.asked)
+	for i := range commands {
+		commands[i] = []byte("c")
+	}
+	o.asked = 0
+	return commands
+}
+
+var _ = Describe("work that piles up during a sync", func() {
+	// Guards against one sync for each waiting event: on a slow disk the log then
+	// falls behind the answers of a few hundred executors.
+	It("shares one sync", func() {
+		n := newNetwork()
+		o := &eager{}
+		n.owner = o
+		n.add("a", "g", raft.Membership{Voters: []string{"a"}})
+		m := n.all()["a"]
+		Eventually(m.Leads, 5*time.Second, 10*time.Millisecond).Should(BeTrue())
+		release := m.block()
+		var waiting sync.WaitGroup
+		const events = 60
+		for range events {
+			waiting.Go(func() { m.Do(func(time.Duration) { o.asked++ }) })
+		}
+		time.Sleep(100 * time.Millisecond)
+		before := m.storage.syncs()
+		close(release)
+		waiting.Wait()
+		Eventually(m.machine.count, time.Second, time.Millisecond).Should(BeNumerically(">=", events))
+		Expect(m.storage.syncs() - before).To(BeNumerically("<", events/5))
+	})
+})
