--- a/daemon/loopback/loopback.go
+++ b/daemon/loopback/loopback.go
@@ -5,6 +5,7 @@
 import (
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 )
@@ -15,8 +16,22 @@
 	firstPort    = 12_000
 	ports        = 18_000
 	portAttempts = 1_000
+	// lanes divide the ports between test processes that run side by side.
+	lanes = 6
+	// LaneVariable names the environment variable with the lane of a process,
+	// from 0; without it the process may use all ports.
+	LaneVariable = "CRANBERRYDRUM_TEST_LANE"
 )
 
+// portRange returns the ports of this process.
+func portRange() (first, count int) {
+	lane, err := strconv.Atoi(os.Getenv(LaneVariable))
+	if err != nil || lane < 0 || lane >= lanes {
+		return firstPort, ports
+	}
+	return firstPort + lane*(ports/lanes), ports / lanes
+}
+
 // NoPortError reports that no free port was found.
 type NoPortError struct {
 	// Cause is the error of the last port that was tried, nil if this process
@@ -47,8 +62,9 @@
 	mu.Lock()
 	defer mu.Unlock()
 	var failure error
+	first, count := portRange()
 	for range portAttempts {
-		port := firstPort + rand.IntN(ports)
+		port := first + rand.IntN(count)
 		if taken[port] {
 			continue
 		}
