--- a/cmd/cranberrydrumd/platform.go
+++ b/cmd/cranberrydrumd/platform.go
@@ -29,7 +29,9 @@
 	// readinessDelay is how long a stopping entry host goes on serving: the
 	// platform notices after two questions, one second apart.
 	readinessDelay = 2500 * time.Millisecond
-	metricsPath    = "/metrics"
+	// stopMargin of the time to stop is left for the end of the process.
+	stopMargin  = 1 * time.Second
+	metricsPath = "/metrics"
 )
 
 // roles are the processes of a deployment on the platform.
@@ -64,17 +66,15 @@
 }
 
 // seeds returns a function that reads the seeds from the settings as they are
-// now, and goes on with the last good ones if the file cannot be used.
+// now, and goes on with those of the start if the file cannot be used.
 func seeds(s *platform.Settings, log logr.Logger) func() []string {
-	last := s.Seeds
 	return func() []string {
 		fresh, err := readSettings()
 		if err != nil {
-			log.Info("settings cannot be read; the earlier ones stay in force", "error", err.Error())
-			return last
+			log.Info("settings cannot be read; those of the start stay in force", "error", err.Error())
+			return s.Seeds
 		}
-		last = fresh.Seeds
-		return last
+		return fresh.Seeds
 	}
 }
 
@@ -95,7 +95,7 @@
 	}
 	stop := stopSignal(log)
 	for {
-		err := serveControl(cfg, s.ControlListen, stop)
+		err := serveControl(cfg, s, stop)
 		if err == nil {
 			return nil
 		}
@@ -110,7 +110,7 @@
 }
 
 // serveControl runs a control host until it is asked to stop or its log fails.
-func serveControl(cfg control.Config, address string, stop <-chan struct{}) error {
+func serveControl(cfg control.Config, s *platform.Settings, stop <-chan struct{}) error {
 	node, err := control.New(cfg)
 	if err != nil {
 		return err
@@ -121,14 +121,14 @@
 	}
 	server := platform.NewControlServer(node, cfg.Logger)
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(address) }()
+	go func() { served <- server.Serve(s.ControlListen) }()
 	select {
 	case err = <-served:
 	case err = <-node.Failed():
 	case <-stop:
 		node.HandOver()
 	}
-	server.Shutdown()
+	server.Shutdown(s.Grace / 2)
 	node.Stop()
 	return err
 }
@@ -155,7 +155,7 @@
 	}
 	node.Drain()
 	time.Sleep(readinessDelay)
-	server.Shutdown()
+	server.Shutdown(s.Grace - readinessDelay - stopMargin)
 	node.Stop()
 	return nil
 }
--- a/daemon/api/docs_test.go
+++ b/daemon/api/docs_test.go
@@ -42,14 +42,14 @@
 }
 
 var _ = Describe("documentation", func() {
-	It("has a status, a row in api.md and advice in operations.md for each refusal code", func() {
+	It("has a status, a row in api.md and advice in OPERATIONS.md for each refusal code", func() {
 		codes := stringConstants("../../scheduler/structs/refusal.go", "Code")
 		Expect(len(codes)).To(BeNumerically(">", 30))
 		for _, code := range codes {
 			status := api.HTTPStatus(structs.Code(code))
 			Expect(status).NotTo(Equal(500), code)
 			Expect(page("api.md")).To(ContainSubstring("| `"+code+"` | "+strconv.Itoa(status)+" | "), code)
-			Expect(page("operations.md")).To(ContainSubstring("| `"+code+"` | "), code)
+			Expect(page("OPERATIONS.md")).To(ContainSubstring("| `"+code+"` | "), code)
 		}
 	})
 
--- a/daemon/settings/settings_test.go
+++ b/daemon/settings/settings_test.go
@@ -117,8 +117,8 @@
 })
 
 var _ = Describe("documentation", func() {
-	It("lists every setting with its default in operations.md", func() {
-		page, err := os.ReadFile("../../docs/operations.md")
+	It("lists every setting with its default in OPERATIONS.md", func() {
+		page, err := os.ReadFile("../../docs/OPERATIONS.md")
 		Expect(err).NotTo(HaveOccurred())
 		flags := regexp.MustCompile(`(?m)^ +(--[a-z0-9-]+) .*?(?:\(default ([^)]*)\))?$`).FindAllStringSubmatch(settings.Usage(), -1)
 		Expect(len(flags)).To(BeNumerically(">", 20))
