control: promote a far learner while the log is busy

Ruled out: the disks (one was lost 7 s before, beyond catch_up_s), elections. Change: a learner may lack up to 64 entries when it is promoted (raft.Config.PromoteLag, 0 by default; the replica test of the strict bound stands).

--- a/coord/raft/config.go
+++ b/coord/raft/config.go
@@ -51,6 +51,10 @@
 	MaxInflightBytes int
 	// MaxUncommittedBytes bounds the entries a leader holds uncommitted.
 	MaxUncommittedBytes int
+	// PromoteLag is how many committed entries a learner may lack when it is
+	// promoted. A far learner always lacks those of the last round trip while a
+	// group is busy; the promotion is committed only by a quorum that has them.
+	PromoteLag uint64
 	// Seed determines the election timeouts, together with ID.
 	Seed uint64
 	// LowPriority makes the node campaign later than others and transfer
--- a/coord/raft/leader.go
+++ b/coord/raft/leader.go
@@ -171,7 +171,7 @@
 	if _, reason := n.membership().apply(c); reason != "" {
 		return reason
 	}
-	if c.Op == Promote && n.lead.peers[c.ID].match < n.commit {
+	if c.Op == Promote && n.lead.peers[c.ID].match+n.cfg.PromoteLag < n.commit {
 		return ReasonNotCaughtUp
 	}
 	return ""
--- a/daemon/control/members.go
+++ b/daemon/control/members.go
@@ -18,7 +18,10 @@
 	// host, longer than a restart takes.
 	lostVoter     = 8 * time.Second
 	changeTimeout = 2 * time.Second
-	joinTimeout   = 1 * time.Second
+	// promoteLag is more than the entries of one round trip between regions and
+	// a sync at the target size.
+	promoteLag  = 64
+	joinTimeout = 1 * time.Second
 )
 
 // RetiredError reports that this host was replaced while it was away, so that
@@ -234,5 +237,5 @@
 
 func caughtUp(status raft.Status, learner string) bool {
 	peer, listed := status.Peer(learner)
-	return listed && peer.Match >= status.Commit && peer.Silence < membershipPeriod
+	return listed && peer.Match+promoteLag >= status.Commit && peer.Silence < membershipPeriod
 }
--- a/daemon/control/node.go
+++ b/daemon/control/node.go
@@ -148,7 +148,7 @@
 		Raft: raft.Config{
 			ID: n.member, Group: logName, ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval,
 			ClockError: clockError, MaxBatchBytes: maxCommandBytes, SnapshotChunkBytes: snapshotChunk,
-			Seed: uint64(time.Now().UnixNano()), LowPriority: n.cfg.LowPriority,
+			Seed: uint64(time.Now().UnixNano()), LowPriority: n.cfg.LowPriority, PromoteLag: promoteLag,
 		},
 		Bootstrap: n.foundingMembers(), SnapshotEntries: snapshotEntries, SnapshotBytes: snapshotBytes, KeepEntries: keepEntries,
 	}
