--- a/daemon/control/api.go
+++ b/daemon/control/api.go
@@ -88,12 +88,19 @@
 	Report fleet.Report `msgpack:"r"`
 }
 
-// retryLater is the time after which a refused call is worth another attempt:
-// about the time in which another leader is elected.
-const retryLater = 500 * time.Millisecond
+const (
+	// RetryLater is the time after which a refused call is worth another attempt:
+	// about the time in which another leader is elected.
+	RetryLater = 500 * time.Millisecond
+	// LinkHeartbeat is the time between two signs of life on a channel between
+	// hosts, LinkSilence the time without one after which it is closed: two
+	// heartbeats and a way between regions.
+	LinkHeartbeat = 1 * time.Second
+	LinkSilence   = 2500 * time.Millisecond
+)
 
 func notLeader(leader string) *structs.Refusal {
 	r := structs.NotRun(structs.CodeNotLeader, leader)
-	r.RetryAfter = retryLater
+	r.RetryAfter = RetryLater
 	return r
 }
--- a/daemon/control/node.go
+++ b/daemon/control/node.go
@@ -34,8 +34,6 @@
 	snapshotBytes     = 8 << 20
 	keepEntries       = 512
 	proposalTimeout   = 2 * time.Second
-	linkHeartbeat     = 1 * time.Second
-	linkSilence       = 2500 * time.Millisecond
 	membershipPeriod  = 500 * time.Millisecond
 	handOverTimeout   = 2 * time.Second
 	handOverPoll      = 50 * time.Millisecond
@@ -113,7 +111,7 @@
 	}
 	n.transport = transport.New(transport.Config{
 		Host: cfg.Host, StoreID: member, Listen: n.peerAddress(cfg.Host),
-		HeartbeatInterval: linkHeartbeat, SilenceTimeout: linkSilence, Logger: n.log,
+		HeartbeatInterval: LinkHeartbeat, SilenceTimeout: LinkSilence, Logger: n.log,
 	}, n)
 	return n, nil
 }
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -30,11 +30,7 @@
 	// a few round trips between regions.
 	attemptTimeout = 1 * time.Second
 	// retryPause is the pause before the next attempt, while a leader is elected.
-	retryPause    = 100 * time.Millisecond
-	linkHeartbeat = 1 * time.Second
-	linkSilence   = 2500 * time.Millisecond
-	// retryLater is sent with refusals: about the time of an election.
-	retryLater = 500 * time.Millisecond
+	retryPause = 100 * time.Millisecond
 	// lostPolls is how many questions without an answer make the host read its
 	// settings again.
 	lostPolls = 2
@@ -76,7 +72,7 @@
 	n := &Node{cfg: cfg, log: cfg.Logger, stop: make(chan struct{})}
 	n.transport = transport.New(transport.Config{
 		Host: cfg.Host, Listen: net.JoinHostPort(cfg.Host, strconv.Itoa(cfg.PeerPort)),
-		HeartbeatInterval: linkHeartbeat, SilenceTimeout: linkSilence, Logger: cfg.Logger,
+		HeartbeatInterval: control.LinkHeartbeat, SilenceTimeout: control.LinkSilence, Logger: cfg.Logger,
 	}, refuser{})
 	return n
 }
@@ -302,7 +298,7 @@
 		final.Outcome = structs.OutcomeUnknown
 	}
 	if final.RetryAfter == 0 {
-		final.RetryAfter = retryLater
+		final.RetryAfter = control.RetryLater
 	}
 	n.log.Info("request refused", "operation", r.Operation.String(), "path", r.Path, "code", string(final.Code), "outcome", string(final.Outcome),
 		"attempts", attempts, "took_ms", (clock.Boot() - begun).Milliseconds(), "message", final.Message)
--- a/scheduler/fleet/fleet_test.go
+++ b/scheduler/fleet/fleet_test.go
@@ -1,7 +1,6 @@
 package fleet_test
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -11,20 +10,14 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"cranberrydrum.dev/coord/testflags"
 	"cranberrydrum.dev/scheduler/workload"
 )
 
 // TestMain fixes the seed and the number of checks unless they were given.
 // A longer run: go test ./scheduler/fleet -rapid.checks=2000 -rapid.seed=N.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"seed": "20261204", "checks": "40", "nofailfile": "true"} {
-		if !given["rapid."+name] {
-			_ = flag.Set("rapid."+name, value)
-		}
-	}
+	testflags.SetDefaults(map[string]string{"rapid.seed": "20261204", "rapid.checks": "40", "rapid.nofailfile": "true"})
 	os.Exit(m.Run())
 }
 
--- /dev/null
+++ b/scheduler/workload/workload_test.go
@@ -0,0 +1,215 @@
+package workload_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"cranberrydrum.dev/coord/testflags"
+	"cranberrydrum.dev/scheduler/workload"
+)
+
+// TestMain fixes the seed and the number of checks unless they are given.
+func TestMain(m *testing.M) {
+	testflags.SetDefaults(map[string]string{"rapid.seed": "20261204", "rapid.checks": "100", "rapid.nofailfile": "true"})
+	os.Exit(m.Run())
+}
+
+func TestWorkload(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "workload")
+}
+
+var executor = workload.ExecutorKey{ID: "i-1", Born: 7}
+
+func apply(s *workload.State, c workload.Command) workload.Result {
+	data, err := c.Encode()
+	Expect(err).NotTo(HaveOccurred())
+	return workload.DecodeResult(s.Apply(0, 3, data))
+}
+
+func job(id string, attempts int, steps ...workload.Step) *workload.Job {
+	return &workload.Job{ID: id, Queue: "q", MaxAttempts: attempts, Spec: workload.Spec{Steps: steps}}
+}
+
+func key(id string, step, index int) workload.TaskKey {
+	return workload.TaskKey{Job: id, Step: step, Index: index}
+}
+
+func start(s *workload.State, k workload.TaskKey, run int) {
+	apply(s, workload.Command{Starts: []workload.Start{{Task: k, Run: run, Executor: executor}}})
+}
+
+func end(s *workload.State, k workload.TaskKey, run int, how workload.Ending) {
+	apply(s, workload.Command{At: time.Minute, Ends: []workload.End{{Task: k, Run: run, Executor: executor, Ending: how, Checkpoint: how.String()}}})
+}
+
+var _ = Describe("the state of jobs", func() {
+	var s *workload.State
+
+	BeforeEach(func() { s = workload.New() })
+
+	It("takes a job once, also after its end", func() {
+		Expect(apply(s, workload.Command{Submit: job("a", 1, workload.Step{Count: 1})})).To(Equal(workload.ResultDone))
+		Expect(apply(s, workload.Command{Cancel: "a"})).To(Equal(workload.ResultDone))
+		Expect(apply(s, workload.Command{Submit: job("a", 1, workload.Step{Count: 9})})).To(Equal(workload.ResultKnown))
+		Expect(s.Job("a").Phase).To(Equal(workload.Cancelled))
+		Expect(apply(s, workload.Command{Cancel: "b"})).To(Equal(workload.ResultUnknownJob))
+	})
+
+	It("opens a step when those it depends on are done", func() {
+		apply(s, workload.Command{Submit: job("a", 1, workload.Step{Count: 2}, workload.Step{Count: 1, DependsOn: []int{0}})})
+		Expect(s.Job("a").Runnable(0, 1)).To(BeFalse())
+		for i := range 2 {
+			start(s, key("a", 0, i), 1)
+			end(s, key("a", 0, i), 1, workload.EndDone)
+		}
+		Expect(s.Job("a").Runnable(0, 1)).To(BeTrue())
+		start(s, key("a", 1, 0), 1)
+		end(s, key("a", 1, 0), 1, workload.EndDone)
+		Expect(s.Job("a").Phase).To(Equal(workload.Completed))
+	})
+
+	// Guards against a decision that was overtaken starting a task again.
+	It("drops decisions that the state has overtaken", func() {
+		apply(s, workload.Command{Submit: job("a", 1, workload.Step{Count: 1})})
+		start(s, key("a", 0, 0), 1)
+		start(s, key("a", 0, 0), 2)
+		_, t := s.TaskOf(key("a", 0, 0))
+		Expect(t.Run.Number).To(Equal(1))
+		end(s, key("a", 0, 0), 1, workload.EndDone)
+		start(s, key("a", 0, 0), 2)
+		Expect(t.Run).To(BeNil())
+	})
+
+	It("ignores an end of another run or life", func() {
+		apply(s, workload.Command{Submit: job("a", 1, workload.Step{Count: 1})})
+		start(s, key("a", 0, 0), 2)
+		end(s, key("a", 0, 0), 1, workload.EndDone)
+		Expect(s.Job("a").Phase).To(Equal(workload.Running))
+	})
+
+	It("ends a gang with one member, and keeps the room of the others until they end", func() {
+		apply(s, workload.Command{Submit: job("a", 1, workload.Step{Count: 2, Gang: true})})
+		start(s, key("a", 0, 0), 1)
+		start(s, key("a", 0, 1), 1)
+		end(s, key("a", 0, 0), 1, workload.EndDone)
+		Expect(s.Job("a").Phase).To(Equal(workload.Completed))
+		Expect(s.RunsOn(executor)).To(HaveLen(1))
+		apply(s, workload.Command{Forget: []string{"a"}})
+		Expect(s.Job("a")).NotTo(BeNil())
+		end(s, key("a", 0, 1), 1, workload.EndBroken)
+		apply(s, workload.Command{Forget: []string{"a"}})
+		Expect(s.Job("a")).To(BeNil())
+	})
+
+	It("shares a checkpoint between the members of a gang", func() {
+		apply(s, workload.Command{Submit: job("a", 1, workload.Step{Count: 2, Gang: true})})
+		start(s, key("a", 0, 0), 1)
+		start(s, key("a", 0, 1), 1)
+		end(s, key("a", 0, 0), 1, workload.EndStopped)
+		_, other := s.TaskOf(key("a", 0, 1))
+		Expect(other.Checkpoint).To(Equal("stopped"))
+		Expect(s.Job("a").Occurrences[0].Steps[0].BrokenRun).To(Equal(1))
+	})
+
+	It("keeps the highest configuration", func() {
+		put := func(version int64, document string) workload.Result {
+			return apply(s, workload.Command{Configure: &workload.Config{Version: version, Document: []byte(document)}})
+		}
+		Expect(put(7, "seven")).To(Equal(workload.ResultDone))
+		Expect(put(7, "other")).To(Equal(workload.ResultKnown))
+		Expect(put(5, "five")).To(Equal(workload.ResultKnown))
+		Expect(string(s.Config().Document)).To(Equal("seven"))
+	})
+
+	It("matches the longest prefix of a path", func() {
+		apply(s, workload.Command{Configure: &workload.Config{Version: 1, Document: []byte("x"), Queues: []workload.Queue{
+			{Name: "short", Host: "h", Prefix: "/a/"}, {Name: "long", Host: "h", Prefix: "/a/b/"},
+		}}})
+		Expect(s.Match("H", "/a/b/c").Name).To(Equal("long"))
+		Expect(s.Match("h", "/a/c").Name).To(Equal("short"))
+		Expect(s.Match("other", "/a/c")).To(BeNil())
+	})
+
+	It("changes nothing for an entry that cannot be read", func() {
+		before := s.Changes()
+		Expect(workload.DecodeResult(s.Apply(0, 3, []byte("no command")))).To(Equal(workload.ResultInvalid))
+		Expect(s.Changes()).To(Equal(before))
+	})
+})
+
+var _ = DescribeTable("attempts of a task",
+	func(gang bool, endings []workload.Ending, want workload.Phase) {
+		s := workload.New()
+		apply(s, workload.Command{Submit: job("a", 2, workload.Step{Count: 2, Gang: gang})})
+		for run, how := range endings {
+			start(s, key("a", 0, 0), run+1)
+			start(s, key("a", 0, 1), run+1)
+			end(s, key("a", 0, 0), run+1, how)
+			end(s, key("a", 0, 1), run+1, how)
+		}
+		Expect(s.Job("a").Phase).To(Equal(want))
+	},
+	Entry("only failed ones count", false, []workload.Ending{workload.EndFailed, workload.EndStopped, workload.EndLapsed}, workload.Running),
+	Entry("the last one ends the job", false, []workload.Ending{workload.EndFailed, workload.EndFailed}, workload.Failed),
+	Entry("a gang counts each run once", true, []workload.Ending{workload.EndFailed}, workload.Running),
+	Entry("a gang fails like a task", true, []workload.Ending{workload.EndFailed, workload.EndFailed}, workload.Failed),
+)
+
+var _ = DescribeTable("jobs that cannot be accepted",
+	func(spec workload.Spec) { Expect(spec.Validate()).To(HaveOccurred()) },
+	Entry("no steps", workload.Spec{}),
+	Entry("no tasks", workload.Spec{Steps: []workload.Step{{}}}),
+	Entry("a later dependency", workload.Spec{Steps: []workload.Step{{Count: 1, DependsOn: []int{0}}}}),
+	Entry("negative room", workload.Spec{Steps: []workload.Step{{Count: 1, Need: workload.Resources{GPU: -1}}}}),
+	Entry("repeats without an interval", workload.Spec{Repeats: 2, Steps: []workload.Step{{Count: 1}}}),
+	Entry("too many tasks", workload.Spec{Repeats: 10_000, Interval: time.Second, Steps: []workload.Step{{Count: 10_000}}}),
+)
+
+// TestSnapshot guards against a part of the state that a snapshot leaves out:
+// after random commands, a restored state goes on like the original.
+func TestSnapshot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		RegisterTestingT(t)
+		s := workload.New()
+		for n := range rapid.IntRange(1, 40).Draw(t, "commands") {
+			random(t, s, n)
+		}
+		before, err := s.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		restored := workload.New()
+		Expect(restored.Restore(before)).To(Succeed())
+		for n := range 10 {
+			id := fmt.Sprintf("j%d", n)
+			end(s, key(id, 0, 0), 1, workload.EndDone)
+			end(restored, key(id, 0, 0), 1, workload.EndDone)
+			start(s, key(id, 0, 1), 2)
+			start(restored, key(id, 0, 1), 2)
+			Expect(restored.Job(id)).To(Equal(s.Job(id)))
+		}
+		Expect(restored.RunsOn(executor)).To(Equal(s.RunsOn(executor)))
+	})
+}
+
+func random(t *rapid.T, s *workload.State, n int) {
+	id := fmt.Sprintf("j%d", rapid.IntRange(0, 9).Draw(t, "job"))
+	index := rapid.IntRange(0, 1).Draw(t, "index")
+	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	case 0:
+		apply(s, workload.Command{At: time.Duration(n), Submit: job(id, 2, workload.Step{Count: 2, Gang: index == 0}, workload.Step{Count: 1, DependsOn: []int{0}})})
+	case 1:
+		start(s, key(id, 0, index), rapid.IntRange(1, 3).Draw(t, "run"))
+	case 2:
+		end(s, key(id, 0, index), rapid.IntRange(1, 3).Draw(t, "run"), workload.Ending(rapid.IntRange(1, 8).Draw(t, "ending")))
+	case 3:
+		apply(s, workload.Command{At: time.Duration(n), Cancel: id})
+	case 4:
+		apply(s, workload.Command{Forget: []string{id}})
+	}
+}
