--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -222,7 +222,7 @@
 			delete(e.runs, key)
 		}
 	}
-	e.used = workload.Resources{}
+	e.used, e.serving, e.filling = workload.Resources{}, 0, 0
 	for key, l := range logged {
 		if e.runs[key] == nil {
 			r := &run{number: l.Number, term: l.Term, movedAt: now}
@@ -233,7 +233,7 @@
 			e.runs[key] = r
 		}
 		if j := c.state.Job(key.Job); j != nil {
-			e.used = e.used.Add(j.Spec.Steps[key.Step].Room())
+			e.occupy(&j.Spec.Steps[key.Step])
 		}
 	}
 	if e.seenEnd > e.cursor && !c.endsPending(e) {
--- a/scheduler/fleet/decisions_test.go
+++ b/scheduler/fleet/decisions_test.go
@@ -181,6 +181,19 @@
 		Expect(len(s.placed("bulk"))).To(BeNumerically("<=", 16))
 	})
 
+	// Guards against tasks that slow the users of those beside them.
+	It("keeps tasks that fill away from tasks that serve users", func() {
+		s.submit("serve", 1, workload.Step{Count: 2, Need: gpus(1), TailTarget: time.Second, LongRunning: true})
+		s.submit("fill", 2, workload.Step{Count: 6, Need: gpus(1), Fills: true})
+		s.submit("late", 1, workload.Step{Count: 1, Need: gpus(1), TailTarget: time.Second, LongRunning: true})
+		s.pass(200*time.Millisecond, 4)
+		Expect(s.placed("serve")).To(HaveLen(2))
+		Expect(s.placed("fill")).To(HaveLen(6))
+		for _, on := range append(s.placed("serve"), s.placed("late")...) {
+			Expect(s.placed("fill")).NotTo(ContainElement(on))
+		}
+	})
+
 	// Guards against a job that waits for better room while most of the pool is free.
 	It("lets a job with nothing at work take reserved room in an idle pool", func() {
 		s.submit("urgent", 0, workload.Step{Count: 1, Need: gpus(8)})
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -71,6 +71,9 @@
 
 	runs map[workload.TaskKey]*run
 	used workload.Resources
+	// serving and filling count the runs that serve users and those that take
+	// what others leave; they are kept apart, since the latter slow the former.
+	serving, filling int
 
 	holding  bool
 	holdNext time.Duration
@@ -83,6 +86,22 @@
 	health health
 }
 
+// occupy counts a run of a step.
+func (e *executor) occupy(step *workload.Step) {
+	e.used = e.used.Add(step.Room())
+	if step.TailTarget > 0 {
+		e.serving++
+	}
+	if step.Fills {
+		e.filling++
+	}
+}
+
+// suits reports whether a step may run beside what runs on the executor.
+func (e *executor) suits(step *workload.Step) bool {
+	return !(step.Fills && e.serving > 0) && !(step.TailTarget > 0 && e.filling > 0)
+}
+
 func (e *executor) hasLabel(label string) bool { return slices.Contains(e.labels, label) }
 
 // placeable reports whether new runs may be put on the executor.
--- a/scheduler/fleet/room.go
+++ b/scheduler/fleet/room.go
@@ -18,6 +18,8 @@
 	decided map[workload.TaskKey]workload.Start
 	// reserved holds the executors on which only urgent tasks are started.
 	reserved map[*executor]bool
+	// proposed holds the steps of the runs that are proposed for an executor.
+	proposed map[*executor][]*workload.Step
 	// idle holds the services much of whose room is free, pressed the unit
 	// that may take reserved room there.
 	idle    map[string]bool
@@ -25,7 +27,7 @@
 }
 
 func (c *Controller) newRoom(now time.Duration) *room {
-	r := &room{free: map[*executor]workload.Resources{}, racks: map[string][]*executor{}, perStep: map[unitKey]map[*executor]int{}, decided: c.decided, reserved: map[*executor]bool{}, idle: map[string]bool{}}
+	r := &room{free: map[*executor]workload.Resources{}, racks: map[string][]*executor{}, perStep: map[unitKey]map[*executor]int{}, decided: c.decided, reserved: map[*executor]bool{}, idle: map[string]bool{}, proposed: map[*executor][]*workload.Step{}}
 	for _, e := range c.executors {
 		if !e.placeable(now, &c.cfg) {
 			continue
@@ -48,6 +50,7 @@
 		}
 		if _, listed := r.free[e]; listed {
 			r.free[e] = r.free[e].Sub(j.Spec.Steps[key.Step].Room())
+			r.proposed[e] = append(r.proposed[e], &j.Spec.Steps[key.Step])
 		}
 	}
 	for _, cl := range c.claims {
@@ -68,6 +71,7 @@
 // take occupies room for a task.
 func (r *room) take(u *unit, e *executor) {
 	r.free[e] = r.free[e].Sub(u.step.Room())
+	r.proposed[e] = append(r.proposed[e], u.step)
 	if u.step.PerExecutor > 0 {
 		r.countOf(u)[e]++
 	}
@@ -132,11 +136,28 @@
 	return counts
 }
 
+// mixed reports whether a proposed run on the executor keeps a unit away that
+// serves users, or one that fills.
+func (r *room) mixed(u *unit, e *executor) bool {
+	if u.step.TailTarget == 0 && !u.step.Fills {
+		return false
+	}
+	for _, step := range r.proposed[e] {
+		if (step.Fills && u.step.TailTarget > 0) || (step.TailTarget > 0 && u.step.Fills) {
+			return true
+		}
+	}
+	return false
+}
+
 // allows reports whether the constraints of a step let it run on an executor.
 func (r *room) allows(u *unit, e *executor) bool {
 	if e.service != u.job.Service || (u.step.Requires != "" && !e.hasLabel(u.step.Requires)) {
 		return false
 	}
+	if !e.suits(u.step) || r.mixed(u, e) {
+		return false
+	}
 	if r.reserved[e] && u.job.Priority > 0 && r.pressed != u {
 		return false
 	}
