--- a/cmd/cranberrydrumd/platform.go
+++ b/cmd/cranberrydrumd/platform.go
@@ -91,7 +91,7 @@
 	cfg := control.Config{
 		Host: s.Host, PeerPort: s.PeerPort, ReportAddress: s.ControlListen, DataDir: s.DataDir, Bootstrap: s.Bootstrap,
 		Seeds: seeds(s, log), Faults: s.Faults, LowPriority: s.Remote(), Fleet: s.Fleet,
-		Executors: platform.NewExecutors(log), Logger: log, Observer: figures,
+		Executors: platform.NewExecutors(s.AdviceAddress, log), Advised: s.AdviceAddress != "", Logger: log, Observer: figures,
 	}
 	stop := stopSignal(log)
 	for {
--- a/daemon/control/calls.go
+++ b/daemon/control/calls.go
@@ -176,8 +176,8 @@
 	if err := r.Spec.Validate(); err != nil {
 		return nil, nil, structs.NotRun(structs.CodeInvalid, err.Error())
 	}
-	if queue.Advised {
-		return nil, nil, structs.NotRun(structs.CodeNeverRunnable, "queues that need advice are not supported")
+	if queue.Advice != nil && !n.cfg.Advised {
+		return nil, nil, structs.NotRun(structs.CodeNeverRunnable, "the queue needs advice, and no advice service is set")
 	}
 	j := &workload.Job{
 		ID: id, Queue: queue.Name, Service: queue.Service, Customer: customer, Priority: queue.Priority,
--- a/daemon/control/node.go
+++ b/daemon/control/node.go
@@ -58,6 +58,8 @@
 	LowPriority bool
 	Fleet       fleet.Settings
 	Executors   Executors
+	// Advised is set if there is an advice service.
+	Advised bool
 	Logger      logr.Logger
 	Observer    Observer
 }
--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -125,7 +125,7 @@
 	r.starting = true
 	c.call(now, e, Call{
 		Kind: CallStart, Task: key, Run: r.number, Payload: j.Spec.Payload, Checkpoint: task.Checkpoint,
-		Customer: j.Customer, Deadline: e.deadline(now, &c.cfg), Timeout: orderTimeout,
+		Customer: j.Customer, Ticket: c.ticketFor(now, key, e.key), Deadline: e.deadline(now, &c.cfg), Timeout: orderTimeout,
 	})
 }
 
@@ -180,6 +180,10 @@
 // Answered takes the answer to a call.
 func (c *Controller) Answered(now, unix time.Duration, call Call, a Answer) Output {
 	c.out = Output{}
+	if call.Kind == CallAdvise {
+		c.advised(now, call, a)
+		return c.out
+	}
 	e := c.executors[call.Executor.ID]
 	if e == nil || e.key != call.Executor {
 		return c.out
@@ -220,7 +224,10 @@
 	switch a.Verdict {
 	case VerdictAccepted:
 		r.settled = now
-	case VerdictRefused, VerdictNoRoom:
+	case VerdictRefused, VerdictNoRoom, VerdictNoTicket:
+		if a.Verdict == VerdictNoTicket {
+			c.withdrawTicket(call)
+		}
 		if r.lastSent > r.firstSent {
 			// An earlier start of this run may be what the executor holds.
 			r.settled = now
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -42,6 +42,11 @@
 	learnt, newest uint64
 	// demands follows the urgent need of each service.
 	demands map[string]*demand
+	// advices holds what the advice service said; advising is set while a call
+	// to it is open, and nextAdvice is the time of the next one after a failure.
+	advices    map[unitKey]*advice
+	advising   bool
+	nextAdvice time.Duration
 	// avoid lists the executors on which a task has failed.
 	avoid map[workload.TaskKey][]string
 	out   Output
@@ -55,6 +60,7 @@
 		lost:      map[workload.ExecutorKey]*executor{},
 		at:        map[string]*executor{},
 		claims:    map[unitKey]*claim{},
+		advices:   map[unitKey]*advice{},
 		demands:   map[string]*demand{},
 		meanWork:  map[string]average{},
 		decided:   map[workload.TaskKey]workload.Start{},
@@ -314,6 +320,7 @@
 	for key := range c.waiting {
 		if j := c.state.Job(key.job); j == nil || j.Phase.Ended() {
 			delete(c.waiting, key)
+			delete(c.advices, key)
 		}
 	}
 	for id, e := range c.executors {
--- a/scheduler/fleet/decisions_test.go
+++ b/scheduler/fleet/decisions_test.go
@@ -65,7 +65,7 @@
 	}
 	for _, call := range out.Calls {
 		s.calls = append(s.calls, call)
-		if call.Kind != fleet.CallHold {
+		if call.Kind == fleet.CallStart || call.Kind == fleet.CallStop {
 			s.answer(call, fleet.Answer{Verdict: fleet.VerdictAccepted, Born: 1, Clock: s.now})
 		}
 	}
@@ -117,6 +117,16 @@
 	return n
 }
 
+func (s *stage) advises() []fleet.Call {
+	var list []fleet.Call
+	for _, c := range s.calls {
+		if c.Kind == fleet.CallAdvise {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
 func gpus(n int64) workload.Resources { return workload.Resources{CPU: 1000, GPU: n} }
 
 var _ = Describe("decisions", func() {
@@ -194,6 +204,29 @@
 		}
 	})
 
+	// Guards against starts without a ticket, and against a second call to the
+	// advice service while the first is open.
+	It("starts advised steps only with a ticket", func() {
+		config := *modelConfig()
+		config.Version = 2
+		config.Queues = []workload.Queue{{Name: "q", Service: "s", Timeout: time.Second, Advice: &workload.Advice{Valid: 20 * time.Second}}}
+		s.apply(&workload.Command{Configure: &config})
+		s.submit("a", 1, workload.Step{Count: 2, Need: gpus(8)})
+		s.pass(300*time.Millisecond, 4)
+		Expect(s.placed("a")).To(BeEmpty())
+		Expect(s.advises()).To(HaveLen(1))
+		call := s.advises()[0]
+		Expect(call.Workers).To(ConsistOf("i-0", "i-1", "i-2", "i-3"))
+		s.answer(call, fleet.Answer{Verdict: fleet.VerdictAccepted, Tickets: []fleet.Ticket{{Executor: "i-1", Value: "t1"}, {Executor: "i-3", Value: "t3"}}})
+		s.pass(100*time.Millisecond, 4)
+		Expect(s.placed("a")).To(ConsistOf("i-1", "i-3"))
+		for _, c := range s.calls {
+			if c.Kind == fleet.CallStart {
+				Expect(c.Ticket).To(Equal("t" + c.Executor.ID[2:]))
+			}
+		}
+	})
+
 	// Guards against a job that waits for better room while most of the pool is free.
 	It("lets a job with nothing at work take reserved room in an idle pool", func() {
 		s.submit("urgent", 0, workload.Step{Count: 1, Need: gpus(8)})
--- a/scheduler/fleet/place.go
+++ b/scheduler/fleet/place.go
@@ -31,6 +31,8 @@
 	tasks []int
 	// since is when the tasks became runnable.
 	since time.Duration
+	// advice is set for queues that need it.
+	advice *advice
 	// class orders units before all else; 0 comes first.
 	class int
 	// guaranteed is set if the tasks lie within the guarantee of their customer.
@@ -47,9 +49,16 @@
 	c.reserve(now, r)
 	c.dropClaims(now, units)
 	var starts []workload.Start
+	var short []*unit
 	for _, u := range units {
-		starts = append(starts, c.placeUnit(now, r, u)...)
+		u.advice = c.adviceOn(u)
+		placed := c.placeUnit(now, r, u)
+		starts = append(starts, placed...)
+		if u.advice != nil && len(placed) < len(u.tasks) {
+			short = append(short, u)
+		}
 	}
+	c.seek(now, r, short)
 	if len(starts) > 0 {
 		c.out.Commands = append(c.out.Commands, &workload.Command{At: unix, Starts: starts})
 	}
--- a/scheduler/fleet/room.go
+++ b/scheduler/fleet/room.go
@@ -9,6 +9,7 @@
 
 // room is the free room of the executors during one round.
 type room struct {
+	now       time.Duration
 	executors []*executor
 	free      map[*executor]workload.Resources
 	// racks groups the executors by rack.
@@ -27,7 +28,7 @@
 }
 
 func (c *Controller) newRoom(now time.Duration) *room {
-	r := &room{free: map[*executor]workload.Resources{}, racks: map[string][]*executor{}, perStep: map[unitKey]map[*executor]int{}, decided: c.decided, reserved: map[*executor]bool{}, idle: map[string]bool{}, proposed: map[*executor][]*workload.Step{}}
+	r := &room{now: now, free: map[*executor]workload.Resources{}, racks: map[string][]*executor{}, perStep: map[unitKey]map[*executor]int{}, decided: c.decided, reserved: map[*executor]bool{}, idle: map[string]bool{}, proposed: map[*executor][]*workload.Step{}}
 	for _, e := range c.executors {
 		if !e.placeable(now, &c.cfg) {
 			continue
@@ -150,8 +151,20 @@
 	return false
 }
 
-// allows reports whether the constraints of a step let it run on an executor.
+// allows reports whether a task of a step may be started on an executor now.
 func (r *room) allows(u *unit, e *executor) bool {
+	if !r.constraints(u, e) {
+		return false
+	}
+	if u.advice == nil {
+		return true
+	}
+	_, valid := u.advice.ticket(r.now, e.key)
+	return valid
+}
+
+// constraints reports whether the constraints of a step let it run on an executor.
+func (r *room) constraints(u *unit, e *executor) bool {
 	if e.service != u.job.Service || (u.step.Requires != "" && !e.hasLabel(u.step.Requires)) {
 		return false
 	}
--- a/scheduler/fleet/types.go
+++ b/scheduler/fleet/types.go
@@ -55,11 +55,13 @@
 	CallStart CallKind = iota + 1
 	CallStop
 	CallHold
+	// CallAdvise asks the advice service which executors may run a step.
+	CallAdvise
 )
 
 // String returns the name used in logs and metrics.
 func (k CallKind) String() string {
-	return [...]string{"none", "start", "stop", "hold"}[k]
+	return [...]string{"none", "start", "stop", "hold", "advise"}[k]
 }
 
 // Call is an order to an executor.
@@ -81,6 +83,10 @@
 	Payload    string
 	Checkpoint string
 	Customer   string
+	// Ticket allows the start on queues that need advice.
+	Ticket string
+	// Workers are the executors that a call for advice names.
+	Workers []string
 
 	// Cursor is the last end that is in the log.
 	Cursor int64
@@ -104,11 +110,13 @@
 	VerdictNoRoom
 	// VerdictOtherLife is the answer of another life at the same address.
 	VerdictOtherLife
+	// VerdictNoTicket is a refused start for want of a valid ticket.
+	VerdictNoTicket
 )
 
 // String returns the name used in logs and metrics.
 func (v Verdict) String() string {
-	return [...]string{"no_answer", "accepted", "fenced", "refused", "no_room", "other_life"}[v]
+	return [...]string{"no_answer", "accepted", "fenced", "refused", "no_room", "other_life", "no_ticket"}[v]
 }
 
 // RunningTask is an entry of what runs on an executor.
@@ -140,6 +148,8 @@
 	Complete bool
 	Running  []RunningTask
 	Ended    []EndedRun
+	// Tickets names the executors that may run the step.
+	Tickets []Ticket
 }
 
 // Output is what has to be done after a step.
--- a/scheduler/workload/config.go
+++ b/scheduler/workload/config.go
@@ -21,8 +21,17 @@
 	Timeout time.Duration `msgpack:"o"`
 	// Public queues need no key.
 	Public bool `msgpack:"u"`
-	// Advised queues need a ticket of the advice service for each start.
-	Advised bool `msgpack:"a,omitempty"`
+	// Advice is set for queues whose starts need a ticket of the advice service.
+	Advice *Advice `msgpack:"a,omitempty"`
+}
+
+// Advice describes the answers of the advice service.
+type Advice struct {
+	// An answer takes Decide, and Each more for each executor named.
+	Decide time.Duration `msgpack:"d"`
+	Each   time.Duration `msgpack:"e"`
+	// Valid is how long a ticket is valid.
+	Valid time.Duration `msgpack:"v"`
 }
 
 // Service is a pool of executors.
