--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -125,7 +125,7 @@
 	r.starting = true
 	c.call(now, e, Call{
 		Kind: CallStart, Task: key, Run: r.number, Payload: j.Spec.Payload, Checkpoint: task.Checkpoint,
-		Customer: j.Customer, Ticket: c.ticketFor(now, key, e.key), Deadline: e.deadline(now, &c.cfg), Timeout: orderTimeout,
+		Ticket: c.ticketFor(now, key, e.key), Deadline: e.deadline(now, &c.cfg), Timeout: orderTimeout,
 	})
 }
 
@@ -139,7 +139,6 @@
 		return
 	}
 	r.stopping = true
-	r.stopSent = now
 	c.call(now, e, Call{Kind: CallStop, Task: key, Run: r.number, Timeout: orderTimeout})
 }
 
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -155,7 +155,7 @@
 		e = c.newExecutor(now, r.Executor)
 	}
 	c.executors[r.Executor.ID] = e
-	c.log.Info("executor found", "executor", r.Executor.ID, "born", r.Executor.Born, "address", r.Address, "runs", len(e.runs))
+	c.log.Info("executor found", "executor", r.Executor.ID, "born", r.Executor.Born, "address", r.Address, "zone", r.Zone, "runs", len(e.runs))
 	return e
 }
 
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -40,7 +40,6 @@
 	// stopWhy is why the run has to stop, or empty.
 	stopWhy  string
 	stopping bool
-	stopSent time.Duration
 	stopped  time.Duration
 	// end is set from the proposal of the end until it is applied.
 	end *workload.End
@@ -53,7 +52,6 @@
 	key      workload.ExecutorKey
 	service  string
 	address  string
-	zone     string
 	rack     string
 	labels   []string
 	capacity workload.Resources
@@ -142,7 +140,7 @@
 }
 
 func (e *executor) adopt(now time.Duration, r *Report) {
-	e.service, e.address, e.zone = r.Service, r.Address, r.Zone
+	e.service, e.address = r.Service, r.Address
 	e.labels, e.rack = r.Labels, rackOf(r.Labels)
 	e.capacity = r.Capacity
 	e.sequence = r.Sequence
--- a/scheduler/fleet/model_test.go
+++ b/scheduler/fleet/model_test.go
@@ -116,7 +116,7 @@
 
 var modelSettings = fleet.Settings{
 	Lease: modelLease, StopTime: modelStop, GangWait: gangWait, Reclaim: 2700 * time.Millisecond, ReportInterval: modelReport,
-	Retention: time.Hour, Early: 250 * time.Millisecond, SpreadFactor: 3, SaveInterval: 500 * time.Millisecond,
+	Retention: time.Hour, SpreadFactor: 3,
 }
 
 func newWorld(seed uint64, executors int, f faults) *world {
--- a/scheduler/fleet/types.go
+++ b/scheduler/fleet/types.go
@@ -20,14 +20,8 @@
 	ReportInterval time.Duration
 	// Retention is how long the state of an ended job can be read.
 	Retention time.Duration
-	// Early is how long before its due time an occurrence may start.
-	Early time.Duration
 	// SpreadFactor is how much longer tasks take away from their rack.
 	SpreadFactor float64
-	// SaveInterval is the work between two checkpoints.
-	SaveInterval time.Duration
-	// RestoreTime is what it takes to resume from a checkpoint.
-	RestoreTime time.Duration
 }
 
 // Report is what an executor says of itself.
@@ -82,7 +76,6 @@
 	Run        int
 	Payload    string
 	Checkpoint string
-	Customer   string
 	// Ticket allows the start on queues that need advice.
 	Ticket string
 	// Workers are the executors that a call for advice names.
