--- a/daemon/control/node.go
+++ b/daemon/control/node.go
@@ -59,9 +59,9 @@
 	Fleet       fleet.Settings
 	Executors   Executors
 	// Advised is set if there is an advice service.
-	Advised bool
-	Logger      logr.Logger
-	Observer    Observer
+	Advised  bool
+	Logger   logr.Logger
+	Observer Observer
 }
 
 // Observer counts what a control host does.
