fleet: one way to name a step and to compare

The key of a step was written out in six places, the key of a task of a unit in three, and five orders were spelled by hand; unitOf, unitKey.task and cmp.Compare serve them all. An unused argument goes. No change of behaviour.

--- a/scheduler/fleet/advice.go
+++ b/scheduler/fleet/advice.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -59,7 +60,7 @@
 
 // ticketFor returns the ticket that a start needs; other queues need none.
 func (c *Controller) ticketFor(now time.Duration, key workload.TaskKey, e workload.ExecutorKey) string {
-	a := c.advices[unitKey{job: key.Job, occurrence: key.Occurrence, step: key.Step}]
+	a := c.advices[unitOf(key)]
 	if a == nil {
 		return ""
 	}
@@ -69,7 +70,7 @@
 
 // withdrawTicket forgets a ticket that an executor did not take.
 func (c *Controller) withdrawTicket(call Call) {
-	if a := c.advices[unitKey{job: call.Task.Job, occurrence: call.Task.Occurrence, step: call.Task.Step}]; a != nil {
+	if a := c.advices[unitOf(call.Task)]; a != nil {
 		a.good[call.Executor] = grant{}
 	}
 }
@@ -93,7 +94,7 @@
 		q := c.state.QueueNamed(u.job.Queue)
 		c.out.Calls = append(c.out.Calls, Call{
 			Kind: CallAdvise, IssuedAt: now, Token: c.term, Workers: workers,
-			Task:    workload.TaskKey{Job: u.key.job, Occurrence: u.key.occurrence, Step: u.key.step},
+			Task:    u.key.task(0),
 			Timeout: adviceTimeout + q.Advice.Decide + time.Duration(len(workers))*q.Advice.Each,
 		})
 		return
@@ -113,7 +114,7 @@
 	}
 	need := u.step.Room()
 	slices.SortStableFunc(open, func(x, y *executor) int {
-		return sign(float64(slots(r.free[y], need)) - float64(slots(r.free[x], need)))
+		return cmp.Compare(slots(r.free[y], need), slots(r.free[x], need))
 	})
 	var ids []string
 	for _, e := range open[:min(len(open), adviceBatch)] {
@@ -126,7 +127,7 @@
 func (c *Controller) advised(now time.Duration, call Call, answer Answer) {
 	c.advising = false
 	c.dirty = true
-	key := unitKey{job: call.Task.Job, occurrence: call.Task.Occurrence, step: call.Task.Step}
+	key := unitOf(call.Task)
 	a := c.advices[key]
 	j := c.state.Job(key.job)
 	if a == nil || j == nil {
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -152,14 +152,14 @@
 	e := c.lost[r.Executor]
 	delete(c.lost, r.Executor)
 	if e == nil {
-		e = c.newExecutor(now, r.Executor)
+		e = c.newExecutor(r.Executor)
 	}
 	c.executors[r.Executor.ID] = e
 	c.log.Info("executor found", "executor", r.Executor.ID, "born", r.Executor.Born, "address", r.Address, "zone", r.Zone, "runs", len(e.runs))
 	return e
 }
 
-func (c *Controller) newExecutor(now time.Duration, key workload.ExecutorKey) *executor {
+func (c *Controller) newExecutor(key workload.ExecutorKey) *executor {
 	return &executor{key: key, runs: map[workload.TaskKey]*run{}, leaseEnd: c.began + c.leaseSpan()}
 }
 
@@ -214,7 +214,7 @@
 			return
 		}
 		if c.lost[key] == nil {
-			e := c.newExecutor(now, key)
+			e := c.newExecutor(key)
 			c.lost[key] = e
 			c.reconcileRuns(now, e)
 		}
--- a/scheduler/fleet/place.go
+++ b/scheduler/fleet/place.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -23,6 +24,16 @@
 	occurrence, step int
 }
 
+// unitOf returns the step and occurrence that a task belongs to.
+func unitOf(key workload.TaskKey) unitKey {
+	return unitKey{job: key.Job, occurrence: key.Occurrence, step: key.Step}
+}
+
+// task names a task of the unit.
+func (k unitKey) task(index int) workload.TaskKey {
+	return workload.TaskKey{Job: k.job, Occurrence: k.occurrence, Step: k.step, Index: index}
+}
+
 // unit is the set of tasks of a step that wait for room.
 type unit struct {
 	key   unitKey
@@ -166,10 +177,7 @@
 	case a.job.Priority != b.job.Priority:
 		return a.job.Priority - b.job.Priority
 	case a.job.Sequence != b.job.Sequence:
-		if a.job.Sequence < b.job.Sequence {
-			return -1
-		}
-		return 1
+		return cmp.Compare(a.job.Sequence, b.job.Sequence)
 	case a.key.occurrence != b.key.occurrence:
 		return a.key.occurrence - b.key.occurrence
 	}
@@ -184,12 +192,7 @@
 			urgent = append(urgent, j)
 		}
 	})
-	slices.SortFunc(urgent, func(a, b *workload.Job) int {
-		if a.Sequence < b.Sequence {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(urgent, func(a, b *workload.Job) int { return cmp.Compare(a.Sequence, b.Sequence) })
 	inside := map[string]bool{}
 	used := map[string]int64{}
 	for _, j := range urgent {
@@ -249,7 +252,7 @@
 		if u.step.Gang {
 			run = number + 1
 		}
-		key := workload.TaskKey{Job: u.key.job, Occurrence: u.key.occurrence, Step: u.key.step, Index: p.task}
+		key := u.key.task(p.task)
 		c.decided[key] = workload.Start{Task: key, Run: run, Executor: p.executor.key}
 		starts = append(starts, c.decided[key])
 	}
--- a/scheduler/fleet/reclaim.go
+++ b/scheduler/fleet/reclaim.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -28,10 +29,6 @@
 	gang bool
 }
 
-func (v *victim) unit() unitKey {
-	return unitKey{job: v.key.Job, occurrence: v.key.Occurrence, step: v.key.Step}
-}
-
 // dropClaims ends claims whose unit does not wait any more or whose time is up.
 func (c *Controller) dropClaims(now time.Duration, units []*unit) {
 	waits := map[unitKey]bool{}
@@ -142,10 +139,10 @@
 	broken := map[unitKey]bool{}
 	for _, p := range places {
 		for _, v := range p.victims {
-			if v.gang && broken[v.unit()] {
+			if v.gang && broken[unitOf(v.key)] {
 				continue
 			}
-			broken[v.unit()] = v.gang
+			broken[unitOf(v.key)] = v.gang
 			sum += v.cost
 		}
 	}
@@ -272,7 +269,7 @@
 			continue
 		}
 		free = free.Add(v.room)
-		if !v.gang || !s.broken[v.unit()] {
+		if !v.gang || !s.broken[unitOf(v.key)] {
 			cost += v.cost
 		}
 		chosen = append(chosen, v)
@@ -285,7 +282,7 @@
 	for _, v := range p.victims {
 		s.used[v.run] = true
 		if v.gang {
-			s.broken[v.unit()] = true
+			s.broken[unitOf(v.key)] = true
 		}
 		taken = taken.Sub(v.room)
 	}
@@ -311,15 +308,7 @@
 		v.cost = lostWork(now, step, r) * float64(r.number)
 		list = append(list, v)
 	}
-	slices.SortFunc(list, func(a, b *victim) int {
-		switch {
-		case a.cost < b.cost:
-			return -1
-		case a.cost > b.cost:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(list, func(a, b *victim) int { return cmp.Compare(a.cost, b.cost) })
 	return list
 }
 
--- a/scheduler/fleet/reserve.go
+++ b/scheduler/fleet/reserve.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -127,23 +128,10 @@
 	slices.SortStableFunc(members, func(a, b *executor) int {
 		switch {
 		case rack[a.rack] != rack[b.rack]:
-			return sign(rack[a.rack] - rack[b.rack])
+			return cmp.Compare(rack[a.rack], rack[b.rack])
 		case a.rack != b.rack:
-			if a.rack < b.rack {
-				return -1
-			}
-			return 1
+			return cmp.Compare(a.rack, b.rack)
 		}
-		return sign(own[a] - own[b])
+		return cmp.Compare(own[a], own[b])
 	})
 }
-
-func sign(v float64) int {
-	switch {
-	case v < 0:
-		return -1
-	case v > 0:
-		return 1
-	}
-	return 0
-}
--- a/scheduler/fleet/room.go
+++ b/scheduler/fleet/room.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -37,12 +38,7 @@
 		r.racks[e.rack] = append(r.racks[e.rack], e)
 		r.free[e] = e.capacity.Sub(e.used)
 	}
-	slices.SortFunc(r.executors, func(a, b *executor) int {
-		if a.key.ID < b.key.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(r.executors, func(a, b *executor) int { return cmp.Compare(a.key.ID, b.key.ID) })
 	for key, d := range c.decided {
 		e := c.executors[d.Executor.ID]
 		j := c.state.Job(key.Job)
@@ -125,7 +121,7 @@
 		}
 	}
 	for key, d := range r.decided {
-		if (unitKey{job: key.Job, occurrence: key.Occurrence, step: key.Step}) != u.key {
+		if unitOf(key) != u.key {
 			continue
 		}
 		for _, e := range r.executors {
@@ -275,7 +271,7 @@
 	places := make([]place, 0, len(u.tasks))
 	need := u.step.Room()
 	for _, n := range u.tasks {
-		key := workload.TaskKey{Job: u.key.job, Occurrence: u.key.occurrence, Step: u.key.step, Index: n}
+		key := u.key.task(n)
 		avoid := c.avoid[key]
 		var best *executor
 		for _, e := range executors {
