fleet: forget the places of a gang that did not fit

Found by reading the change again: places that were given back still counted as runs proposed for their executors, so in the same round a gang of filling tasks that did not fit kept serving tasks away from every executor it had tried. The spec fails before and passes after.

--- a/scheduler/fleet/decisions_test.go
+++ b/scheduler/fleet/decisions_test.go
@@ -204,6 +204,16 @@
 		}
 	})
 
+	// Guards against places of a gang that did not fit, which kept others away
+	// from executors that nothing was started on.
+	It("forgets the places of a gang that fills and does not fit", func() {
+		s.submit("fill", 1, workload.Step{Count: 5, Need: gpus(8), Fills: true, Gang: true})
+		s.submit("serve", 1, workload.Step{Count: 2, Need: gpus(1), TailTarget: time.Second, LongRunning: true})
+		s.pass(200*time.Millisecond, 4)
+		Expect(s.placed("fill")).To(BeEmpty())
+		Expect(s.placed("serve")).To(HaveLen(2))
+	})
+
 	// Guards against starts without a ticket, and against a second call to the
 	// advice service while the first is open.
 	It("starts advised steps only with a ticket", func() {
--- a/scheduler/fleet/room.go
+++ b/scheduler/fleet/room.go
@@ -78,6 +78,8 @@
 func (r *room) restore(u *unit, places []place) {
 	for _, p := range places {
 		r.free[p.executor] = r.free[p.executor].Add(u.step.Room())
+		// The places of a unit are the last that were taken.
+		r.proposed[p.executor] = r.proposed[p.executor][:len(r.proposed[p.executor])-1]
 		if u.step.PerExecutor > 0 {
 			r.countOf(u)[p.executor]--
 		}
