Placement: a gang that lost its run with a worker is planned first

Small jobs that lost the same worker took a part of the gang's place, and the gang waited for whole workers while 16 accelerators stayed free.

Ruled out: treating such a gang as starving, so that it gets a reservation.

Change: the state marks jobs whose run ended with a worker, and a round starts those first, the largest first, where there is room at once. Jobs inside a guarantee are left to it.

The spec of placement fails without the change.

--- a/scheduler/jobs/job.go
+++ b/scheduler/jobs/job.go
@@ -45,6 +45,9 @@
 	// to, and avoid those and the ones that did not prepare.
 	failedOn []string
 	avoid    []string
+	// interrupted marks a job whose last run was lost with a worker. It only
+	// advises the planner, so snapshots leave it out.
+	interrupted bool
 	// resumed marks a job that a later run continues from a checkpoint.
 	resumed bool
 	// ineligible holds a queued job that the configuration does not admit.
--- a/scheduler/jobs/plan.go
+++ b/scheduler/jobs/plan.go
@@ -120,6 +120,7 @@
 		return refused(structs.CodeNotFound, "the run is not reserved")
 	}
 	j.Status = structs.JobRunning
+	j.interrupted = false
 	j.started = s.clock
 	s.changes.add(change{job: j.ID})
 	return Result{}
--- a/scheduler/jobs/round.go
+++ b/scheduler/jobs/round.go
@@ -130,7 +130,7 @@
 func (c *Controller) queuedView(j *job) placement.Queued {
 	return placement.Queued{
 		ID: j.ID, Spec: j.Spec, Since: j.submitted,
-		Estimate: c.estimates.Estimate(j.Spec), Avoid: slices.Clone(j.avoid),
+		Estimate: c.estimates.Estimate(j.Spec), Avoid: slices.Clone(j.avoid), Interrupted: j.interrupted,
 	}
 }
 
--- a/scheduler/jobs/worker.go
+++ b/scheduler/jobs/worker.go
@@ -129,6 +129,7 @@
 			continue
 		}
 		s.endMember(j, i, structs.TaskStopped)
+		j.interrupted = true
 		s.beginStop(j, stopRequeue, true, reason)
 		s.settle(j)
 	}
--- a/scheduler/placement/examples_test.go
+++ b/scheduler/placement/examples_test.go
@@ -100,6 +100,20 @@
 		)))
 	})
 
+	// Guards against a gang that loses its place when one of its workers
+	// restarts: small jobs of customers with a smaller share came first and took
+	// a part of its rack.
+	It("gives a gang that lost its run with a worker its place back", func() {
+		s := bench4()
+		s.SetRunning(running("gang", "a", "w0", now-time.Hour, 2*time.Hour, 0, 1, 2, 3))
+		again := queued("gang", "a", structs.PriorityNormal, 8, now-time.Minute, 2*time.Hour)
+		again.Interrupted = true
+		s.SetQueued(again)
+		s.SetQueued(queued("older", "b", structs.PriorityNormal, 8, now-time.Hour, time.Hour))
+		s.SetQueued(queued("small", "c", structs.PriorityNormal, 2, now-2*time.Minute, 2*time.Hour))
+		Expect(started(s.Round(now))).To(Equal([]string{"gang"}))
+	})
+
 	// Guards against bulk work that never runs while normal work arrives, and
 	// against ageing that outranks urgent work.
 	It("ages bulk work up to normal", func() {
--- a/scheduler/placement/scheduler.go
+++ b/scheduler/placement/scheduler.go
@@ -45,6 +45,8 @@
 	stamp  uint64
 	// stopping counts the running jobs that were told to stop.
 	stopping int
+	// interrupted holds the waiting jobs that lost their run with a worker.
+	interrupted map[*job]struct{}
 }
 
 // New returns a scheduler without rules, workers and jobs.
@@ -54,7 +56,9 @@
 		specs:     make(map[string]structs.Worker),
 		jobs:      make(map[string]*job),
 		customers: make(map[string]*customer),
-		stale:     true,
+
+		interrupted: make(map[*job]struct{}),
+		stale:       true,
 	}
 }
 
@@ -98,9 +102,12 @@
 // queued again.
 func (s *Scheduler) SetQueued(q Queued) {
 	s.Remove(q.ID)
-	j := &job{id: q.ID, spec: q.Spec, since: q.Since, estimate: q.Estimate, avoid: q.Avoid}
+	j := &job{id: q.ID, spec: q.Spec, since: q.Since, estimate: q.Estimate, avoid: q.Avoid, interrupted: q.Interrupted}
 	s.register(j)
 	j.customer.enqueue(j)
+	if j.interrupted {
+		s.interrupted[j] = struct{}{}
+	}
 }
 
 // SetRunning adds or replaces a job that holds accelerators. A waiting job of
@@ -154,6 +161,7 @@
 		return
 	}
 	delete(s.jobs, id)
+	delete(s.interrupted, j)
 	j.customer.jobs--
 	if !j.running {
 		j.customer.dequeue(j)
@@ -243,6 +251,7 @@
 func (s *Scheduler) Round(now time.Duration) Plan {
 	s.flush()
 	r := newRound(s, now)
+	r.resume()
 	r.reserveGangs()
 	r.guaranteed()
 	r.urgent()
--- a/scheduler/placement/types.go
+++ b/scheduler/placement/types.go
@@ -32,6 +32,8 @@
 	Estimate time.Duration
 	// Avoid lists workers on which the job has failed.
 	Avoid []string
+	// Interrupted marks a job whose last run was lost with a worker.
+	Interrupted bool
 }
 
 // Running is a job that holds accelerators, from its reservation until the
