Leaders find the executors in the log instead of waiting for reports

Ruled out: starting at once on what the log's runs name. Idle executors are in no run, and a farewell acknowledged by the earlier leader would be unknown.

Change: the log has a directory of executors. A first report, a changed one and a farewell are stored before they are acknowledged, lives that are over are removed. A new leader asks every executor of the directory for its lists at once and places work as soon as it has answered. A farewell is kept for the rest of a life, also against an older report that arrives later.

--- a/daemon/control/calls.go
+++ b/daemon/control/calls.go
@@ -214,15 +214,23 @@
 
 func (n *Node) report(r fleet.Report) (*ReportReply, error) {
 	present := true
+	var enroll *workload.Executor
 	err := n.lead(func(now time.Duration) {
 		// A report of a service that nobody configured names no executor.
 		if n.state.Service(r.Service) != nil {
-			present = n.owner.controller.Report(now, r)
+			present, enroll = n.owner.controller.Report(now, r)
 		}
 	})
 	if err != nil {
 		return nil, err
 	}
+	if enroll != nil {
+		// The next leader must know of a farewell that was acknowledged.
+		if _, err := n.propose(&workload.Command{At: clock.Unix(), Enroll: enroll}, relayTimeout); err != nil {
+			n.log.Info("executor not enrolled", "executor", r.Executor.ID, "draining", r.Draining, "error", err.Error())
+			return nil, err
+		}
+	}
 	if !present {
 		n.log.Info("report of an earlier life ignored", "executor", r.Executor.ID, "born", r.Executor.Born, "address", r.Address)
 	}
--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -150,12 +150,13 @@
 // holds asks the executors that have something to say.
 func (c *Controller) holds(now time.Duration) {
 	for _, e := range c.executors {
-		if e.holding || !e.reported || now < e.holdNext {
+		if e.holding || e.address == "" || now < e.holdNext {
 			continue
 		}
 		unfinished := e.seenEnd > e.cursor
-		// An executor that did not answer gets no runs until it answers again.
-		idle := len(e.runs) == 0 && e.told >= e.cursor && e.failedHolds == 0
+		// An executor that did not answer gets no runs until it answers again,
+		// and one that is only known from the directory until it is heard.
+		idle := len(e.runs) == 0 && e.told >= e.cursor && e.failedHolds == 0 && e.reported
 		if unfinished || idle {
 			continue
 		}
@@ -166,7 +167,7 @@
 func (c *Controller) hold(now time.Duration, e *executor) {
 	e.holding = true
 	call := Call{Kind: CallHold, Cursor: e.cursor, Wait: holdWait}
-	if len(e.runs) == 0 || e.failedHolds > 0 {
+	if len(e.runs) == 0 || e.failedHolds > 0 || !e.reported {
 		call.Wait = 0
 	}
 	if len(e.runs) > 0 && e.failedHolds < extendingHolds {
@@ -258,7 +259,10 @@
 			"runs", len(e.runs), "lease_left_ms", (e.leaseEnd - now).Milliseconds())
 		return
 	}
-	e.failedHolds = 0
+	if !e.reported {
+		c.log.Info("executor of the directory answered", "executor", e.key.ID, "born", e.key.Born, "running", len(a.Running), "ended", len(a.Ended))
+	}
+	e.failedHolds, e.reported = 0, true
 	e.told = max(e.told, call.Cursor)
 	listed := map[workload.TaskKey]int{}
 	for _, t := range a.Running {
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -49,7 +49,9 @@
 	nextAdvice time.Duration
 	// avoid lists the executors on which a task has failed.
 	avoid map[workload.TaskKey][]string
-	out   Output
+	// dismissed holds lives that are over and still stand in the directory.
+	dismissed []workload.ExecutorKey
+	out       Output
 }
 
 // New returns the controller of a leader whose state is current.
@@ -67,6 +69,7 @@
 		waiting:   map[unitKey]time.Duration{},
 		avoid:     map[workload.TaskKey][]string{},
 	}
+	c.recall(now)
 	c.reconcile(now)
 	return c
 }
@@ -83,6 +86,7 @@
 		c.reconcile(now)
 	}
 	c.logEnded()
+	c.dismiss(unix)
 	c.expire(now, unix)
 	if now >= c.nextRound && (c.dirty || now >= c.nextRound+idleRound) {
 		c.round(now, unix)
@@ -117,17 +121,19 @@
 	return n
 }
 
-// Report takes a report and says whether it came from a present executor.
-func (c *Controller) Report(now time.Duration, r Report) bool {
-	if present := c.at[r.Address]; present != nil && present.key.ID != r.Executor.ID && present.key.Born > r.Executor.Born {
-		return false
+// Report takes a report and says whether it came from a present executor. The
+// entry, if there is one, has to stand in the directory before the report is
+// acknowledged.
+func (c *Controller) Report(now time.Duration, r Report) (present bool, enroll *workload.Executor) {
+	if other := c.at[r.Address]; other != nil && other.key.ID != r.Executor.ID && other.key.Born > r.Executor.Born {
+		return false, nil
 	}
 	e := c.executors[r.Executor.ID]
 	if e != nil && r.Executor.Born < e.key.Born {
-		return false
+		return false, nil
 	}
 	if e != nil && r.Executor.Born == e.key.Born && r.Sequence <= e.sequence {
-		return true
+		return true, c.enrollment(e)
 	}
 	if e != nil && e.key != r.Executor {
 		c.bury(now, e, "restarted")
@@ -145,7 +151,7 @@
 	c.at[r.Address] = e
 	e.adopt(now, &r)
 	c.dirty = true
-	return true
+	return true, c.enrollment(e)
 }
 
 func (c *Controller) meet(now time.Duration, r Report) *executor {
@@ -181,6 +187,9 @@
 	if c.at[e.address] == e {
 		delete(c.at, e.address)
 	}
+	if entry := c.state.Executor(e.key.ID); entry != nil && entry.Key == e.key {
+		c.dismissed = append(c.dismissed, e.key)
+	}
 	// The runs stay until their ends are applied.
 	e.leaseEnd = now
 	if len(e.runs) > 0 {
--- a/scheduler/fleet/decisions_test.go
+++ b/scheduler/fleet/decisions_test.go
@@ -29,6 +29,12 @@
 	return s
 }
 
+// succeed puts a leader of another term in the place of the present one.
+func (s *stage) succeed(term uint64) {
+	s.controller = fleet.New(modelSettings, s.state, term, s.now, logr.Discard())
+	s.step()
+}
+
 func (s *stage) apply(c *workload.Command) {
 	data, err := c.Encode()
 	Expect(err).NotTo(HaveOccurred())
@@ -44,7 +50,9 @@
 	if change != nil {
 		change(&r)
 	}
-	s.controller.Report(s.now, r)
+	if _, enroll := s.controller.Report(s.now, r); enroll != nil {
+		s.apply(&workload.Command{At: s.now, Enroll: enroll})
+	}
 }
 
 // pass lets time go by; all executors of the stage report meanwhile.
@@ -170,6 +178,51 @@
 		Expect(s.placed("a")).To(ConsistOf("i-0"))
 	})
 
+	// Guards against a new leader that gives no orders until every executor has
+	// reported again, up to a whole interval later.
+	It("starts on executors that an earlier leader knew as soon as they answer", func() {
+		s.succeed(3)
+		s.submit("a", 1, workload.Step{Count: 4, Need: gpus(8)})
+		s.step()
+		Expect(s.placed("a")).To(BeEmpty())
+		for n := range 4 {
+			s.list(n, nil)
+		}
+		s.now += 100 * time.Millisecond
+		s.step()
+		Expect(s.placed("a")).To(HaveLen(4))
+	})
+
+	// Guards against starts after a farewell that an earlier leader acknowledged,
+	// and against an older report that arrives after it.
+	It("keeps a farewell under the next leader and against late reports", func() {
+		s.report(1, func(r *fleet.Report) { r.Draining = true })
+		s.succeed(3)
+		for n := range 4 {
+			s.list(n, nil)
+		}
+		s.report(1, nil)
+		s.submit("a", 1, workload.Step{Count: 4, Need: gpus(8)})
+		s.now += 100 * time.Millisecond
+		s.step()
+		Expect(s.placed("a")).To(ConsistOf("i-0", "i-2", "i-3"))
+	})
+
+	// Guards against an executor of the directory that ended unheard and is asked
+	// for ever, and against orders to the executor that has its address now.
+	It("drops an executor of the directory whose address another one has", func() {
+		s.succeed(3)
+		for i := len(s.calls) - 1; i >= 0; i-- {
+			if call := s.calls[i]; call.Kind == fleet.CallHold && call.Executor.ID == "i-2" {
+				s.answer(call, fleet.Answer{Verdict: fleet.VerdictOtherLife})
+				break
+			}
+		}
+		s.step()
+		Expect(s.state.Executor("i-2")).To(BeNil())
+		Expect(s.state.Executor("i-1")).NotTo(BeNil())
+	})
+
 	It("reclaims room for a guaranteed job in time, and for no less urgent one", func() {
 		s.submit("bulk", 2, workload.Step{Count: 32, Need: gpus(1)})
 		s.pass(100*time.Millisecond, 4)
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -56,9 +56,12 @@
 	labels   []string
 	capacity workload.Resources
 	sequence int64
-	// reported is set once it was heard of under this leader.
+	// reported is set once it was heard of under this leader, by a report or by
+	// the answer to a hold.
 	reported bool
 	heard    time.Duration
+	// draining stays set for the rest of the life: a report that was on its way
+	// for long must not bring new runs.
 	draining bool
 	leaves   time.Duration
 
@@ -146,7 +149,7 @@
 	e.sequence = r.Sequence
 	e.reported = true
 	e.heard = now
-	e.draining = r.Draining
+	e.draining = e.draining || r.Draining
 	if r.Draining {
 		e.leaves = now + r.DrainRemaining
 	}
--- a/scheduler/fleet/model_test.go
+++ b/scheduler/fleet/model_test.go
@@ -532,10 +532,13 @@
 	}
 	e.nextBeat = w.now + modelReport
 	e.sequence++
-	w.leader.controller.Report(w.now, fleet.Report{
+	_, enroll := w.leader.controller.Report(w.now, fleet.Report{
 		Executor: e.key, Sequence: e.sequence, Service: "s", Address: e.address, Zone: "z", Capacity: e.capacity,
 		Labels: []string{"a", "r1-1"}, Clock: e.clock(w.now),
 	})
+	if enroll != nil {
+		w.propose([]*workload.Command{{At: w.now, Enroll: enroll}})
+	}
 }
 
 // submit hands in a job of random shape.
--- a/scheduler/workload/apply.go
+++ b/scheduler/workload/apply.go
@@ -23,6 +23,11 @@
 		return s.cancel(c.Cancel, c.At)
 	case len(c.Forget) > 0:
 		return s.forget(c.Forget)
+	case c.Enroll != nil:
+		s.enroll(c.Enroll)
+	}
+	for _, key := range c.Dismiss {
+		s.dismiss(key)
 	}
 	for _, start := range c.Starts {
 		s.start(start, term)
--- a/scheduler/workload/command.go
+++ b/scheduler/workload/command.go
@@ -63,6 +63,10 @@
 	Starts    []Start       `msgpack:"s,omitempty"`
 	Ends      []End         `msgpack:"e,omitempty"`
 	Forget    []string      `msgpack:"f,omitempty"`
+	// Enroll adds or replaces an entry of the directory of executors, and
+	// Dismiss removes those of lives that are over.
+	Enroll  *Executor     `msgpack:"n,omitempty"`
+	Dismiss []ExecutorKey `msgpack:"d,omitempty"`
 }
 
 // Encode returns the command as it stands in the log.
--- a/scheduler/workload/state.go
+++ b/scheduler/workload/state.go
@@ -10,6 +10,8 @@
 type State struct {
 	config Config
 	jobs   map[string]*Job
+	// executors is the directory of executors, by identifier.
+	executors map[string]*Executor
 	// sequence counts accepted jobs.
 	sequence uint64
 	// index and runs are derived and rebuilt after a snapshot.
@@ -23,7 +25,7 @@
 
 // New returns an empty state.
 func New() *State {
-	s := &State{jobs: map[string]*Job{}}
+	s := &State{jobs: map[string]*Job{}, executors: map[string]*Executor{}}
 	s.rebuild()
 	return s
 }
@@ -122,11 +124,13 @@
 	Config   Config          `msgpack:"c"`
 	Jobs     map[string]*Job `msgpack:"j"`
 	Sequence uint64          `msgpack:"s"`
+
+	Executors map[string]*Executor `msgpack:"x"`
 }
 
 // Snapshot implements replica.StateMachine.
 func (s *State) Snapshot() ([]byte, error) {
-	return msgpack.Marshal(&image{Config: s.config, Jobs: s.jobs, Sequence: s.sequence})
+	return msgpack.Marshal(&image{Config: s.config, Jobs: s.jobs, Sequence: s.sequence, Executors: s.executors})
 }
 
 // Restore implements replica.StateMachine.
@@ -138,7 +142,10 @@
 	if i.Jobs == nil {
 		i.Jobs = map[string]*Job{}
 	}
-	s.config, s.jobs, s.sequence = i.Config, i.Jobs, i.Sequence
+	if i.Executors == nil {
+		i.Executors = map[string]*Executor{}
+	}
+	s.config, s.jobs, s.sequence, s.executors = i.Config, i.Jobs, i.Sequence, i.Executors
 	s.rebuild()
 	return nil
 }
--- a/scheduler/workload/workload_test.go
+++ b/scheduler/workload/workload_test.go
@@ -54,6 +54,28 @@
 
 	BeforeEach(func() { s = workload.New() })
 
+	// Guards against a directory that goes back to an earlier life or forgets a
+	// farewell, also over a snapshot.
+	It("keeps the latest life of an executor, and its farewell", func() {
+		enroll := func(born int64, draining bool) {
+			apply(s, workload.Command{Enroll: &workload.Executor{Key: workload.ExecutorKey{ID: "i-1", Born: born}, Address: "10.0.0.1:80", Draining: draining}})
+		}
+		enroll(7, false)
+		enroll(7, true)
+		enroll(7, false)
+		enroll(6, false)
+		data, err := s.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		restored := workload.New()
+		Expect(restored.Restore(data)).To(Succeed())
+		Expect(restored.Executor("i-1")).To(Equal(&workload.Executor{Key: executor, Address: "10.0.0.1:80", Draining: true}))
+		enroll(8, false)
+		apply(s, workload.Command{Dismiss: []workload.ExecutorKey{executor}})
+		Expect(s.Executor("i-1").Draining).To(BeFalse())
+		apply(s, workload.Command{Dismiss: []workload.ExecutorKey{{ID: "i-1", Born: 8}}})
+		Expect(s.Executor("i-1")).To(BeNil())
+	})
+
 	It("takes a job once, also after its end", func() {
 		Expect(apply(s, workload.Command{Submit: job("a", 1, workload.Step{Count: 1})})).To(Equal(workload.ResultDone))
 		Expect(apply(s, workload.Command{Cancel: "a"})).To(Equal(workload.ResultDone))
