Elections: time out after 700 ms, heartbeats every 150 ms

Cause: a lost leader costs 1 to 1.5 s until the next one campaigns, in which nothing starts; with the directory of executors this is most of the gap.

Ruled out: a still shorter time-out.

--- a/daemon/control/node.go
+++ b/daemon/control/node.go
@@ -24,8 +24,8 @@
 const (
 	logName = "workload"
 	// electionTimeout is several round trips between regions and a slow sync.
-	electionTimeout   = 1 * time.Second
-	heartbeatInterval = 200 * time.Millisecond
+	electionTimeout   = 700 * time.Millisecond
+	heartbeatInterval = 150 * time.Millisecond
 	clockError        = 100 * time.Millisecond
 	// maxCommandBytes holds the largest configuration and fits a frame.
 	maxCommandBytes   = 640 << 10
