Placement: executors are booked for gangs that wait

Change: a gang that found no room within a tenth of its spare time gets the executors on which it is expected to fit first, by the progress of what runs there; up to a third of a pool. Less urgent units start there only if they end before. Room for urgent jobs is kept on other executors. A gang leaves its rack only while the slower run still meets the objective, or once it is missed.

--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -30,6 +30,7 @@
 	nextRound  time.Duration
 	dirty      bool
 	claims     map[unitKey]*claim
+	bookings   map[unitKey]*booking
 	// decided holds the runs that are proposed and not applied yet.
 	decided map[workload.TaskKey]workload.Start
 	// waiting is when the tasks of a step became runnable.
@@ -62,6 +63,7 @@
 		lost:      map[workload.ExecutorKey]*executor{},
 		at:        map[string]*executor{},
 		claims:    map[unitKey]*claim{},
+		bookings:  map[unitKey]*booking{},
 		advices:   map[unitKey]*advice{},
 		demands:   map[string]*demand{},
 		meanWork:  map[string]average{},
--- a/scheduler/fleet/place.go
+++ b/scheduler/fleet/place.go
@@ -57,6 +57,7 @@
 	c.watch(now)
 	units := c.units(now, unix)
 	r := c.newRoom(now)
+	c.refreshBookings(r, units)
 	c.reserve(now, r)
 	c.dropClaims(now, units)
 	var starts []workload.Start
@@ -224,6 +225,7 @@
 	if u.step.Gang && !ok {
 		r.restore(u, places)
 		r.charge(c.claims[u.key])
+		c.book(now, r, u)
 		return nil
 	}
 	return c.start(u, places)
--- a/scheduler/fleet/reclaim.go
+++ b/scheduler/fleet/reclaim.go
@@ -60,14 +60,18 @@
 	if u.job.Priority > 0 || u.class > 0 && !u.guaranteed {
 		return false
 	}
-	spare := time.Duration((u.job.Stretch-1)*float64(chain(&u.job.Spec))) + u.job.Target
-	wait := time.Duration(waitShare * float64(spare))
+	wait := time.Duration(waitShare * float64(spareTime(u.job)))
 	if u.guaranteed {
 		wait = min(wait, c.cfg.Reclaim-c.cfg.StopTime-reclaimOverhead)
 	}
 	return now-u.since >= wait
 }
 
+// spareTime is what the objective of a job leaves beside the work itself.
+func spareTime(j *workload.Job) time.Duration {
+	return objective(j) - chain(&j.Spec)
+}
+
 // reclaim makes room for an urgent unit. Tasks that found free room start at
 // once unless they are a gang.
 func (c *Controller) reclaim(now time.Duration, r *room, u *unit, places []place) []workload.Start {
--- a/scheduler/fleet/reserve.go
+++ b/scheduler/fleet/reserve.go
@@ -44,11 +44,13 @@
 		}
 		expected := d.observe(now, need[service])
 		n := min(int(math.Round(expected)), int(maxReserved*float64(len(members))))
+		r.idle[service] = used(members) < idlePool
+		members = slices.DeleteFunc(members, func(e *executor) bool { return r.booked[e] != nil })
+		n = min(n, len(members))
 		c.sortForUrgent(members)
 		for _, e := range members[:n] {
 			r.reserved[e] = true
 		}
-		r.idle[service] = used(members) < idlePool
 	}
 }
 
--- a/scheduler/fleet/room.go
+++ b/scheduler/fleet/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -26,10 +27,12 @@
 	// that may take reserved room there.
 	idle    map[string]bool
 	pressed *unit
+	// booked holds the executors that are kept for gangs that wait.
+	booked map[*executor]*booking
 }
 
 func (c *Controller) newRoom(now time.Duration) *room {
-	r := &room{now: now, free: map[*executor]workload.Resources{}, racks: map[string][]*executor{}, perStep: map[unitKey]map[*executor]int{}, decided: c.decided, reserved: map[*executor]bool{}, idle: map[string]bool{}, proposed: map[*executor][]*workload.Step{}}
+	r := &room{now: now, free: map[*executor]workload.Resources{}, racks: map[string][]*executor{}, perStep: map[unitKey]map[*executor]int{}, decided: c.decided, reserved: map[*executor]bool{}, idle: map[string]bool{}, proposed: map[*executor][]*workload.Step{}, booked: map[*executor]*booking{}}
 	for _, e := range c.executors {
 		if !e.placeable(now, &c.cfg) {
 			continue
@@ -172,6 +175,9 @@
 	if r.reserved[e] && u.job.Priority > 0 && r.pressed != u {
 		return false
 	}
+	if b := r.booked[e]; b != nil && r.pressed != u && !b.mayUse(r.now, u) {
+		return false
+	}
 	return u.step.PerExecutor == 0 || r.countOf(u)[e] < u.step.PerExecutor
 }
 
@@ -183,7 +189,7 @@
 	if pressing {
 		r.pressed = u
 	}
-	far := pressing || now-u.since > patience(u.job, u.step)
+	far := pressing || c.mayGoFar(now, u)
 	if u.step.SameRack && u.step.Gang && len(u.tasks) > 1 {
 		for _, rack := range r.racksFor(u) {
 			places, ok := c.seatOn(r, u, r.racks[rack])
@@ -209,6 +215,27 @@
 	return max(0, spare/2)
 }
 
+// mayGoFar reports whether tasks stop waiting for the rack on which they are
+// faster: not while only the rack can still meet the objective.
+func (c *Controller) mayGoFar(now time.Duration, u *unit) bool {
+	waited := now - u.since
+	if waited <= patience(u.job, u.step) {
+		return false
+	}
+	left := objective(u.job) - waited
+	far := time.Duration(c.cfg.SpreadFactor * float64(u.step.Estimate))
+	return far <= left || u.step.Estimate > left
+}
+
+// rackGroups returns the executors of each rack, in the order of their names.
+func (r *room) rackGroups() [][]*executor {
+	var groups [][]*executor
+	for _, name := range slices.Sorted(maps.Keys(r.racks)) {
+		groups = append(groups, r.racks[name])
+	}
+	return groups
+}
+
 // racksFor orders the racks by how well they suit a unit.
 func (r *room) racksFor(u *unit) []string {
 	free := map[string]int64{}
@@ -296,11 +323,20 @@
 	return places, len(places) == len(u.tasks)
 }
 
+// spoken reports whether an executor is booked for another unit.
+func (r *room) spoken(u *unit, e *executor) bool {
+	b := r.booked[e]
+	return b != nil && b.unit.key != u.key
+}
+
 // better reports whether a suits a task better than b.
 func better(u *unit, r *room, a, b *executor) bool {
 	if near := u.step.DataRack; near != "" && (a.rack == near) != (b.rack == near) {
 		return a.rack == near
 	}
+	if mine, other := r.spoken(u, a), r.spoken(u, b); mine != other {
+		return other
+	}
 	if r.free[a].GPU != r.free[b].GPU {
 		return r.free[a].GPU < r.free[b].GPU
 	}
