Placement: a victim costs what its job loses, not only the work thrown away

An urgent gang of 64 accelerators is stopped at 75 % for a guaranteed one because less urgent tasks that had been stopped twice before counted three times; it then stops 44 runs to start again. Others stop at 95 % and more, when waiting takes no longer than the stop.

Change: a victim costs its lost work, a half more for each earlier run, and the worth of its job if the stop makes it late or too late. A run that by its progress ends about as soon as a stop would is waited for.

--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -50,6 +50,8 @@
 	nextAdvice time.Duration
 	// avoid lists the executors on which a task has failed.
 	avoid map[workload.TaskKey][]string
+	// skew is the time of day less the clock of the process.
+	skew time.Duration
 	// dismissed holds lives that are over and still stand in the directory.
 	dismissed []workload.ExecutorKey
 	out       Output
@@ -84,6 +86,7 @@
 // Step does what is due. unix is the time of day at this host.
 func (c *Controller) Step(now, unix time.Duration) Output {
 	c.out = Output{}
+	c.skew = unix - now
 	if c.changes != c.state.Changes() {
 		c.reconcile(now)
 	}
--- a/scheduler/fleet/reclaim.go
+++ b/scheduler/fleet/reclaim.go
@@ -24,9 +24,13 @@
 	key  workload.TaskKey
 	run  *run
 	room workload.Resources
-	// cost is the work that a stop throws away; 0 for what is stopping.
+	// cost is the work that a stop throws away; 0 for what ends anyway.
 	cost float64
-	gang bool
+	// stake is what its job loses if a stop makes it miss its objective, as work.
+	stake float64
+	gang  bool
+	// ends is set if the run stops already, or ends about as soon as a stop would.
+	ends bool
 }
 
 // dropClaims ends claims whose unit does not wait any more or whose time is up.
@@ -140,19 +144,44 @@
 
 func loss(places []place) float64 {
 	sum := 0.0
-	broken := map[unitKey]bool{}
+	counted := newTally()
 	for _, p := range places {
 		for _, v := range p.victims {
-			if v.gang && broken[unitOf(v.key)] {
-				continue
-			}
-			broken[unitOf(v.key)] = v.gang
-			sum += v.cost
+			sum += counted.add(v)
 		}
 	}
 	return sum
 }
 
+// tally adds up the costs of victims: a gang is lost once, whichever members
+// stop, and a job misses its objective once.
+type tally struct {
+	gangs map[unitKey]bool
+	jobs  map[string]bool
+}
+
+func newTally() *tally { return &tally{gangs: map[unitKey]bool{}, jobs: map[string]bool{}} }
+
+// of returns what a victim costs beside those that were added.
+func (t *tally) of(v *victim) float64 {
+	cost := 0.0
+	if !v.gang || !t.gangs[unitOf(v.key)] {
+		cost += v.cost
+	}
+	if !t.jobs[v.key.Job] {
+		cost += v.stake
+	}
+	return cost
+}
+
+// add takes a victim in and returns what it costs.
+func (t *tally) add(v *victim) float64 {
+	cost := t.of(v)
+	t.gangs[unitOf(v.key)] = v.gang
+	t.jobs[v.key.Job] = t.jobs[v.key.Job] || v.stake > 0
+	return cost
+}
+
 func missing(u *unit, places []place) []int {
 	var rest []int
 	for _, n := range u.tasks {
@@ -173,7 +202,7 @@
 	for _, p := range found {
 		cl.on = append(cl.on, p.executor)
 		for _, v := range p.victims {
-			if v.run.stopWhy == "" {
+			if v.run.stopWhy == "" && !v.ends {
 				v.run.stopWhy = "preempted"
 				stopped++
 			}
@@ -215,7 +244,7 @@
 }
 
 func (c *Controller) clearOn(r *room, u *unit, tasks []int, executors []*executor, victims map[*executor][]*victim) []place {
-	scratch := &clearing{room: r, taken: map[*executor]workload.Resources{}, used: map[*run]bool{}, broken: map[unitKey]bool{}}
+	scratch := &clearing{room: r, taken: map[*executor]workload.Resources{}, used: map[*run]bool{}, counted: newTally()}
 	counts := map[*executor]int{}
 	far := cores(u.step) * (c.cfg.SpreadFactor - 1) * u.step.Estimate.Seconds()
 	var found []place
@@ -256,8 +285,8 @@
 	// taken is the room of chosen tasks less that of chosen victims.
 	taken map[*executor]workload.Resources
 	used  map[*run]bool
-	// broken holds the gangs of chosen victims; their other members cost nothing more.
-	broken map[unitKey]bool
+	// counted holds the chosen victims.
+	counted *tally
 }
 
 // fit returns the victims, the cheapest first, that have to stop for need.
@@ -273,9 +302,7 @@
 			continue
 		}
 		free = free.Add(v.room)
-		if !v.gang || !s.broken[unitOf(v.key)] {
-			cost += v.cost
-		}
+		cost += s.counted.of(v)
 		chosen = append(chosen, v)
 	}
 	return chosen, cost, need.Fits(free)
@@ -285,9 +312,7 @@
 	taken := s.taken[p.executor].Add(need)
 	for _, v := range p.victims {
 		s.used[v.run] = true
-		if v.gang {
-			s.broken[unitOf(v.key)] = true
-		}
+		s.counted.add(v)
 		taken = taken.Sub(v.room)
 	}
 	s.taken[p.executor] = taken
@@ -301,21 +326,65 @@
 		j := c.state.Job(key.Job)
 		step := &j.Spec.Steps[key.Step]
 		v := &victim{key: key, run: r, room: step.Room(), gang: step.Gang}
+		v.ends = r.stopWhy != "" || r.end != nil || c.endsSoon(now, step, r)
 		switch {
-		case r.stopWhy != "" || r.end != nil:
+		case v.ends:
 			list = append(list, v)
 			continue
 		case step.LongRunning, !mayYield(u, j, inside[j.ID]):
 			continue
 		}
 		// What was stopped before is dearer, so that it is not stopped for ever.
-		v.cost = lostWork(now, step, r) * float64(r.number)
+		v.cost = lostWork(now, step, r) * (1 + repeatedStop*float64(r.number-1))
+		v.stake = c.stake(now, j, key, r)
 		list = append(list, v)
 	}
-	slices.SortFunc(list, func(a, b *victim) int { return cmp.Compare(a.cost, b.cost) })
+	slices.SortFunc(list, func(a, b *victim) int { return cmp.Compare(a.cost+a.stake, b.cost+b.stake) })
 	return list
 }
 
+const (
+	// repeatedStop is the part by which each earlier run makes a stop dearer.
+	repeatedStop = 0.5
+	// soonSlack is how much longer than a stop a run may take to end by itself.
+	soonSlack = 300 * time.Millisecond
+	// lateStake is the part of its worth that a late job still has.
+	lateStake = 0.25
+)
+
+// endsSoon reports whether waiting for the end of a run takes about as long as
+// a stop. Only measured progress is trusted.
+func (c *Controller) endsSoon(now time.Duration, step *workload.Step, r *run) bool {
+	if step.LongRunning || r.percent < tellingPercent {
+		return false
+	}
+	return remaining(now, step, r) < c.cfg.StopTime+soonSlack
+}
+
+// stake is what a job loses, as work, if the stop of a run makes it late or too
+// late. Less urgent jobs are worth less.
+func (c *Controller) stake(now time.Duration, j *workload.Job, key workload.TaskKey, r *run) float64 {
+	step := &j.Spec.Steps[key.Step]
+	rest := step.Estimate
+	if step.Checkpoints {
+		rest = remaining(now, step, r)
+	}
+	age := now + c.skew - max(j.Submitted, j.Spec.DueAt(key.Occurrence))
+	whole := worthwhileLoss * c.value(j) / float64(1+j.Priority)
+	limit := objective(j)
+	switch again := age + restartLoss + rest; {
+	case age > lateFactor*limit:
+		return 0
+	case age > limit && again <= lateFactor*limit, again <= limit:
+		return 0
+	case age > limit:
+		return lateStake * whole
+	case again > lateFactor*limit:
+		return whole
+	}
+	return (1 - lateStake) * whole
+}
+
 // mayYield reports whether a job may have to stop for a unit: less urgent jobs
 // for more urgent ones, and those outside the guarantees for those inside.
 func mayYield(u *unit, j *workload.Job, inside bool) bool {
