Orders without an answer keep new runs away until the executor answers; later departures from a rack

Cause: a cut executor was found out when its long poll ended, after up to 2.7 s; gangs placed there meanwhile failed as a whole (start_unanswered).

Change: an executor with an unanswered order gets no new runs and is asked at once. A gang whose objective is missed waits for a rack as long as the slower run is still worth anything.

--- a/daemon/control/owner.go
+++ b/daemon/control/owner.go
@@ -92,7 +92,7 @@
 
 // perform makes a call and hands its answer to the controller that asked.
 func (o *owner) perform(asked *fleet.Controller, call fleet.Call) {
-	answer := fleet.Answer{Verdict: fleet.VerdictUnknown, Reason: "stale_decision"}
+	answer := fleet.Answer{Verdict: fleet.VerdictNotSent, Reason: "stale_decision"}
 	begun := clock.Boot()
 	if begun-call.IssuedAt < staleCall {
 		answer = o.executors.Perform(call)
--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -156,7 +156,7 @@
 		unfinished := e.seenEnd > e.cursor
 		// An executor that did not answer gets no runs until it answers again,
 		// and one that is only known from the directory until it is heard.
-		idle := len(e.runs) == 0 && e.told >= e.cursor && e.failedHolds == 0 && e.reported
+		idle := len(e.runs) == 0 && e.told >= e.cursor && e.failedHolds == 0 && e.reported && !e.silent
 		if unfinished || idle {
 			continue
 		}
@@ -167,7 +167,7 @@
 func (c *Controller) hold(now time.Duration, e *executor) {
 	e.holding = true
 	call := Call{Kind: CallHold, Cursor: e.cursor, Wait: holdWait}
-	if len(e.runs) == 0 || e.failedHolds > 0 || !e.reported {
+	if len(e.runs) == 0 || e.failedHolds > 0 || e.silent || !e.reported {
 		call.Wait = 0
 	}
 	if len(e.runs) > 0 && e.failedHolds < extendingHolds {
@@ -196,7 +196,11 @@
 			return c.out
 		}
 	}
-	if a.Verdict != VerdictUnknown {
+	switch {
+	case a.Verdict == VerdictUnknown && call.Kind != CallHold:
+		e.silent = true
+	case a.Verdict != VerdictUnknown && a.Verdict != VerdictNotSent:
+		e.silent = false
 		e.heard = max(e.heard, now)
 		e.readClock(now, a.Clock)
 	}
--- a/scheduler/fleet/decisions_test.go
+++ b/scheduler/fleet/decisions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -20,6 +21,8 @@
 	controller *fleet.Controller
 	calls      []fleet.Call
 	sequence   int64
+	// mute leaves orders without an answer.
+	mute bool
 }
 
 func newStage() *stage {
@@ -73,7 +76,7 @@
 	}
 	for _, call := range out.Calls {
 		s.calls = append(s.calls, call)
-		if call.Kind == fleet.CallStart || call.Kind == fleet.CallStop {
+		if !s.mute && (call.Kind == fleet.CallStart || call.Kind == fleet.CallStop) {
 			s.answer(call, fleet.Answer{Verdict: fleet.VerdictAccepted, Born: 1, Clock: s.now})
 		}
 	}
@@ -223,6 +226,25 @@
 		Expect(s.state.Executor("i-1")).NotTo(BeNil())
 	})
 
+	// Guards against gangs put on an executor that was cut off since its last
+	// list, and against one that is never asked again because nothing runs there.
+	It("starts nothing on an executor that left an order unanswered until it answers", func() {
+		s.submit("a", 1, workload.Step{Count: 1, Need: gpus(1)})
+		s.mute = true
+		s.step()
+		on := s.placed("a")[0]
+		s.step()
+		start := s.calls[slices.IndexFunc(s.calls, func(c fleet.Call) bool { return c.Kind == fleet.CallStart })]
+		s.answer(start, fleet.Answer{Verdict: fleet.VerdictUnknown})
+		s.mute = false
+		s.apply(&workload.Command{At: s.now, Cancel: "a"})
+		s.submit("b", 1, workload.Step{Count: 4, Need: gpus(7)})
+		s.now += 50 * time.Millisecond
+		s.step()
+		Expect(s.placed("b")).To(HaveLen(3))
+		Expect(s.placed("b")).NotTo(ContainElement(on))
+	})
+
 	It("reclaims room for a guaranteed job in time, and for no less urgent one", func() {
 		s.submit("bulk", 2, workload.Step{Count: 32, Need: gpus(1)})
 		s.pass(100*time.Millisecond, 4)
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -78,6 +78,8 @@
 
 	holding  bool
 	holdNext time.Duration
+	// silent is set from an order without an answer until the next answer.
+	silent bool
 	// failedHolds counts holds in a row without an answer.
 	failedHolds int
 	// seenEnd is the last end that was proposed, cursor the last one that is
@@ -107,7 +109,7 @@
 
 // placeable reports whether new runs may be put on the executor.
 func (e *executor) placeable(now time.Duration, cfg *Settings) bool {
-	if !e.reported || e.draining || e.failedHolds > 0 || now < e.health.until {
+	if !e.reported || e.draining || e.silent || e.failedHolds > 0 || now < e.health.until {
 		return false
 	}
 	return now-e.heard < silentReports*cfg.ReportInterval
--- a/scheduler/fleet/room.go
+++ b/scheduler/fleet/room.go
@@ -216,17 +216,22 @@
 }
 
 // mayGoFar reports whether tasks stop waiting for the rack on which they are
-// faster: not while only the rack can still meet the objective.
+// faster: while that still meets the objective, or, since a slow run takes the
+// room of several, as late as it is worth anything.
 func (c *Controller) mayGoFar(now time.Duration, u *unit) bool {
 	waited := now - u.since
 	if waited <= patience(u.job, u.step) {
 		return false
 	}
-	left := objective(u.job) - waited
+	limit := objective(u.job)
 	far := time.Duration(c.cfg.SpreadFactor * float64(u.step.Estimate))
-	return far <= left || u.step.Estimate > left
+	return waited+far <= limit || waited+far+farSlack > lateFactor*limit
 }
 
+// farSlack is what is left of the time in which a job is worth anything when its
+// tasks leave their rack.
+const farSlack = 2 * time.Second
+
 // rackGroups returns the executors of each rack, in the order of their names.
 func (r *room) rackGroups() [][]*executor {
 	var groups [][]*executor
--- a/scheduler/fleet/types.go
+++ b/scheduler/fleet/types.go
@@ -105,11 +105,13 @@
 	VerdictOtherLife
 	// VerdictNoTicket is a refused start for want of a valid ticket.
 	VerdictNoTicket
+	// VerdictNotSent is a call that was dropped before it was sent.
+	VerdictNotSent
 )
 
 // String returns the name used in logs and metrics.
 func (v Verdict) String() string {
-	return [...]string{"no_answer", "accepted", "fenced", "refused", "no_room", "other_life", "no_ticket"}[v]
+	return [...]string{"no_answer", "accepted", "fenced", "refused", "no_room", "other_life", "no_ticket", "not_sent"}[v]
 }
 
 // RunningTask is an entry of what runs on an executor.
