Reclaiming: what was expected to end by itself is stopped when it does not; lost executors end a claim

A guaranteed gang waits for a run that by its progress should have ended within 0.5 s; its claim ends 1.7 s later, and the second one is too late.

Change: a guarantee waits for no run. For other jobs such a run is stopped once it is overdue. A claim ends with the first of its executors that takes no runs.

--- a/scheduler/fleet/place.go
+++ b/scheduler/fleet/place.go
@@ -59,7 +59,7 @@
 	r := c.newRoom(now)
 	c.refreshBookings(r, units)
 	c.reserve(now, r)
-	c.dropClaims(now, units)
+	c.dropClaims(now, r, units)
 	var starts []workload.Start
 	var short []*unit
 	for _, u := range units {
--- a/scheduler/fleet/reclaim.go
+++ b/scheduler/fleet/reclaim.go
@@ -17,6 +17,23 @@
 	on    []*executor
 	need  workload.Resources
 	until time.Duration
+	// awaited are runs that were expected to end by themselves before due.
+	awaited []*run
+	due     time.Duration
+}
+
+// press stops the runs that were expected to end by themselves and have not.
+func (cl *claim) press(now time.Duration, cfg *Settings) {
+	if cl == nil || len(cl.awaited) == 0 || now < cl.due {
+		return
+	}
+	for _, r := range cl.awaited {
+		if r.stopWhy == "" {
+			r.stopWhy = "preempted"
+		}
+	}
+	cl.awaited = nil
+	cl.until = now + cfg.StopTime + claimSlack
 }
 
 // victim is a run that may have to make room, or that is stopping already.
@@ -33,14 +50,16 @@
 	ends bool
 }
 
-// dropClaims ends claims whose unit does not wait any more or whose time is up.
-func (c *Controller) dropClaims(now time.Duration, units []*unit) {
+// dropClaims ends claims whose unit does not wait any more, whose time is up, or
+// whose executors take no runs any more.
+func (c *Controller) dropClaims(now time.Duration, r *room, units []*unit) {
 	waits := map[unitKey]bool{}
 	for _, u := range units {
 		waits[u.key] = true
 	}
 	for key, cl := range c.claims {
-		if !waits[key] || now >= cl.until {
+		lost := slices.ContainsFunc(cl.on, func(e *executor) bool { _, listed := r.free[e]; return !listed })
+		if !waits[key] || lost || now >= cl.until {
 			delete(c.claims, key)
 		}
 	}
@@ -81,6 +100,7 @@
 func (c *Controller) reclaim(now time.Duration, r *room, u *unit, places []place) []workload.Start {
 	if c.claims[u.key] != nil {
 		// What has to stop for this unit is stopping already.
+		c.claims[u.key].press(now, &c.cfg)
 		if u.step.Gang {
 			r.restore(u, places)
 			r.charge(c.claims[u.key])
@@ -197,12 +217,16 @@
 	if len(found) == 0 {
 		return
 	}
-	cl := &claim{need: u.step.Room(), until: now + c.cfg.StopTime + claimSlack}
+	cl := &claim{need: u.step.Room(), until: now + c.cfg.StopTime + claimSlack, due: now + c.cfg.StopTime + soonSlack}
 	stopped := 0
 	for _, p := range found {
 		cl.on = append(cl.on, p.executor)
 		for _, v := range p.victims {
-			if v.run.stopWhy == "" && !v.ends {
+			switch {
+			case v.run.stopWhy != "":
+			case v.ends:
+				cl.awaited = append(cl.awaited, v.run)
+			default:
 				v.run.stopWhy = "preempted"
 				stopped++
 			}
@@ -326,7 +350,7 @@
 		j := c.state.Job(key.Job)
 		step := &j.Spec.Steps[key.Step]
 		v := &victim{key: key, run: r, room: step.Room(), gang: step.Gang}
-		v.ends = r.stopWhy != "" || r.end != nil || c.endsSoon(now, step, r)
+		v.ends = r.stopWhy != "" || r.end != nil || (!u.guaranteed && c.endsSoon(now, step, r))
 		switch {
 		case v.ends:
 			list = append(list, v)
