Reclaiming for a guarantee: a second attempt in time

Change: a guarantee waits at most so long, and its claim lives so long, that a second attempt still meets the bound. Runs that were told to stop and have not ended in that time are not counted on again.

The new spec also passes before the change, because the charge of an ended claim stays in its last round.

--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -43,8 +43,8 @@
 	r.checked = c.changes
 	j := c.state.Job(key.Job)
 	if r.stopWhy == "" {
-		r.stopWhy = c.stopReason(now, e, j, key, r)
-		if r.stopWhy != "" {
+		if why := c.stopReason(now, e, j, key, r); why != "" {
+			r.halt(now, why)
 			c.log.Info("run is stopped", "job", key.Job, "step", key.Step, "task", key.Index, "run", r.number, "executor", e.key.ID, "reason", r.stopWhy)
 		}
 	}
--- a/scheduler/fleet/decisions_test.go
+++ b/scheduler/fleet/decisions_test.go
@@ -257,6 +257,16 @@
 		Expect(s.stops()).To(Equal(8))
 	})
 
+	// Guards against a guarantee that is missed because the tasks that should
+	// make room for it do not end, and are chosen again for the second attempt.
+	It("stops others for a guarantee when the first ones do not end", func() {
+		s.submit("bulk", 2, workload.Step{Count: 32, Need: gpus(1)})
+		s.pass(100*time.Millisecond, 4)
+		s.submit("urgent", 0, workload.Step{Count: 1, Need: gpus(8)})
+		s.pass(modelSettings.Reclaim-modelSettings.StopTime-800*time.Millisecond, 4)
+		Expect(s.stops()).To(Equal(16))
+	})
+
 	It("keeps the room that urgent jobs needed lately", func() {
 		s.submit("urgent", 0, workload.Step{Count: 2, Need: gpus(8)})
 		s.pass(100*time.Millisecond, 4)
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -37,16 +37,20 @@
 	movedAt    time.Duration
 	listedAt   time.Duration
 	checkpoint string
-	// stopWhy is why the run has to stop, or empty.
-	stopWhy  string
-	stopping bool
-	stopped  time.Duration
+	// stopWhy is why the run has to stop, or empty, and stopSince since when.
+	stopWhy   string
+	stopSince time.Duration
+	stopping  bool
+	stopped   time.Duration
 	// end is set from the proposal of the end until it is applied.
 	end *workload.End
 	// checked is the change of the state that the run was last compared with.
 	checked uint64
 }
 
+// halt makes a run stop.
+func (r *run) halt(now time.Duration, why string) { r.stopWhy, r.stopSince = why, now }
+
 // executor is the present life of an executor.
 type executor struct {
 	key      workload.ExecutorKey
--- a/scheduler/fleet/progress.go
+++ b/scheduler/fleet/progress.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		for _, r := range standing {
-			r.stopWhy = "no_progress"
+			r.halt(now, "no_progress")
 		}
 		if len(standing) == len(e.runs) && float64(aside) < maxSuspects*float64(len(c.executors)) {
 			aside++
--- a/scheduler/fleet/reclaim.go
+++ b/scheduler/fleet/reclaim.go
@@ -8,9 +8,17 @@
 	"cranberrydrum.dev/scheduler/workload"
 )
 
-// claimSlack is how much longer than a stop a claim lives: the stop has to be
-// ordered, and its end to be listed and stored.
-const claimSlack = 1500 * time.Millisecond
+// stopPreempted is the reason of stops that make room.
+const stopPreempted = "preempted"
+
+const (
+	// claimSlack is how much longer than a stop a claim lives: the stop has to be
+	// ordered, and its end to be listed and stored.
+	claimSlack = 1500 * time.Millisecond
+	// urgentClaimSlack is the same for a guarantee, which has to be met in time
+	// when the first attempt fails as well.
+	urgentClaimSlack = 800 * time.Millisecond
+)
 
 // claim is room that is kept for a unit while what occupies it stops.
 type claim struct {
@@ -29,7 +37,7 @@
 	}
 	for _, r := range cl.awaited {
 		if r.stopWhy == "" {
-			r.stopWhy = "preempted"
+			r.halt(now, stopPreempted)
 		}
 	}
 	cl.awaited = nil
@@ -69,6 +77,8 @@
 	// reclaimOverhead is what reclaiming takes beside the stops: two entries of
 	// the log, the orders and a list of ends, with a few round trips.
 	reclaimOverhead = 1200 * time.Millisecond
+	// secondReclaim is kept for a second attempt.
+	secondReclaim = 800 * time.Millisecond
 	// waitShare of the time that the objective leaves is waited for room that
 	// becomes free by itself.
 	waitShare = 0.2
@@ -85,7 +95,7 @@
 	}
 	wait := time.Duration(waitShare * float64(spareTime(u.job)))
 	if u.guaranteed {
-		wait = min(wait, c.cfg.Reclaim-c.cfg.StopTime-reclaimOverhead)
+		wait = min(wait, c.cfg.Reclaim-c.cfg.StopTime-reclaimOverhead-secondReclaim)
 	}
 	return now-u.since >= wait
 }
@@ -217,7 +227,11 @@
 	if len(found) == 0 {
 		return
 	}
-	cl := &claim{need: u.step.Room(), until: now + c.cfg.StopTime + claimSlack, due: now + c.cfg.StopTime + soonSlack}
+	slack := claimSlack
+	if u.guaranteed {
+		slack = urgentClaimSlack
+	}
+	cl := &claim{need: u.step.Room(), until: now + c.cfg.StopTime + slack, due: now + c.cfg.StopTime + soonSlack}
 	stopped := 0
 	for _, p := range found {
 		cl.on = append(cl.on, p.executor)
@@ -227,7 +241,7 @@
 			case v.ends:
 				cl.awaited = append(cl.awaited, v.run)
 			default:
-				v.run.stopWhy = "preempted"
+				v.run.halt(now, stopPreempted)
 				stopped++
 			}
 		}
@@ -352,6 +366,9 @@
 		v := &victim{key: key, run: r, room: step.Room(), gang: step.Gang}
 		v.ends = r.stopWhy != "" || r.end != nil || (!u.guaranteed && c.endsSoon(now, step, r))
 		switch {
+		case r.stopWhy != "" && now-r.stopSince > c.cfg.StopTime+urgentClaimSlack:
+			// Nobody knows when this stop is carried out.
+			continue
 		case v.ends:
 			list = append(list, v)
 			continue
