Placement: a gang starts on several racks where room was made for it there

Change: a claim says whether it lies on several racks, and the gang may then start there. What running on several racks costs, the longer work and the late job, counts when the victims are chosen.

The new spec fails without the change.

--- a/scheduler/fleet/decisions_test.go
+++ b/scheduler/fleet/decisions_test.go
@@ -267,6 +267,39 @@
 		Expect(s.stops()).To(Equal(16))
 	})
 
+	// Guards against room that is made on several racks for a gang which then
+	// waits for one rack, until its guarantee is missed.
+	It("starts a guaranteed gang on several racks where room was made there", func() {
+		for _, n := range []int{0, 2} {
+			s.report(n, func(r *fleet.Report) { r.Labels = append(r.Labels, "x") })
+		}
+		s.submit("cheap", 2, workload.Step{Count: 2, Need: gpus(8), Requires: "x", Checkpoints: true})
+		s.step()
+		s.submit("dear", 2, workload.Step{Count: 2, Need: gpus(8), Estimate: time.Hour})
+		s.now += 50 * time.Millisecond
+		s.step()
+		Expect(s.placed("cheap")).To(ConsistOf("i-0", "i-2"))
+		Expect(s.placed("dear")).To(ConsistOf("i-1", "i-3"))
+		running := func(job string, index, percent int) []fleet.RunningTask {
+			return []fleet.RunningTask{{Task: workload.TaskKey{Job: job, Index: index}, Run: 1, Percent: percent}}
+		}
+		jobs := []string{"cheap", "dear", "cheap", "dear"}
+		for i := range 100 {
+			s.pass(time.Second, 4)
+			for n, job := range jobs {
+				s.list(n, running(job, n/2, i/2))
+			}
+		}
+		s.submit("urgent", 0, workload.Step{Count: 2, Need: workload.Resources{CPU: 40000, GPU: 4}, Gang: true, SameRack: true, Estimate: 10 * time.Second})
+		s.pass(600*time.Millisecond, 4)
+		Expect(s.stops()).To(Equal(2))
+		for _, n := range []int{0, 2} {
+			s.list(n, nil, fleet.EndedRun{Number: 1, Task: workload.TaskKey{Job: "cheap", Index: n / 2}, Run: 1, Ending: workload.EndStopped})
+		}
+		s.pass(100*time.Millisecond, 4)
+		Expect(s.placed("urgent")).To(ConsistOf("i-0", "i-2"))
+	})
+
 	It("keeps the room that urgent jobs needed lately", func() {
 		s.submit("urgent", 0, workload.Step{Count: 2, Need: gpus(8)})
 		s.pass(100*time.Millisecond, 4)
--- a/scheduler/fleet/reclaim.go
+++ b/scheduler/fleet/reclaim.go
@@ -25,6 +25,8 @@
 	on    []*executor
 	need  workload.Resources
 	until time.Duration
+	// spread is set if the executors lie on several racks.
+	spread bool
 	// awaited are runs that were expected to end by themselves before due.
 	awaited []*run
 	due     time.Duration
@@ -234,6 +236,7 @@
 	cl := &claim{need: u.step.Room(), until: now + c.cfg.StopTime + slack, due: now + c.cfg.StopTime + soonSlack}
 	stopped := 0
 	for _, p := range found {
+		cl.spread = cl.spread || p.executor.rack != found[0].executor.rack
 		cl.on = append(cl.on, p.executor)
 		for _, v := range p.victims {
 			switch {
@@ -263,13 +266,20 @@
 		return spread
 	}
 	best := c.clearRack(r, u, tasks, victims)
-	dear := len(spread) == len(tasks) && loss(best) > loss(spread)+worthwhileLoss*c.value(u.job)
+	dear := len(spread) == len(tasks) && loss(best) > loss(spread)+c.spreadLoss(u)
 	if best == nil || dear {
 		return spread
 	}
 	return best
 }
 
+// spreadLoss is what a gang costs, as work, when it runs on several racks: its
+// tasks take longer, and the job is late.
+func (c *Controller) spreadLoss(u *unit) float64 {
+	longer := (c.cfg.SpreadFactor - 1) * u.step.Estimate.Seconds()
+	return cores(u.step)*float64(len(u.tasks))*longer + (1-lateStake)*worthwhileLoss*c.value(u.job)
+}
+
 func (c *Controller) clearRack(r *room, u *unit, tasks []int, victims map[*executor][]*victim) []place {
 	var best []place
 	for _, name := range r.racksFor(u) {
--- a/scheduler/fleet/room.go
+++ b/scheduler/fleet/room.go
@@ -189,7 +189,9 @@
 	if pressing {
 		r.pressed = u
 	}
-	far := pressing || c.mayGoFar(now, u)
+	// Room on several racks was made on purpose.
+	cleared := c.claims[u.key] != nil && c.claims[u.key].spread
+	far := pressing || cleared || c.mayGoFar(now, u)
 	if u.step.SameRack && u.step.Gang && len(u.tasks) > 1 {
 		for _, rack := range r.racksFor(u) {
 			places, ok := c.seatOn(r, u, r.racks[rack])
