Placement: the booking of a gang that has waited long gives way to guarantees only

Gangs of 5 whole executors are booked four to six times in a row; each time urgent gangs outside their guarantees take what has become free.

Change: after 0.4 of its spare time a booking holds against them as well.

--- a/scheduler/fleet/book.go
+++ b/scheduler/fleet/book.go
@@ -13,6 +13,10 @@
 	// are booked for it. Without a booking, smaller tasks of less urgent jobs
 	// take each place that becomes free.
 	bookAfter = 0.1
+	// firmAfter is the share of its spare time after which the booking of a gang
+	// also holds against more urgent jobs outside their guarantees. They would
+	// take its room again and again.
+	firmAfter = 0.4
 	// maxBooked bounds the share of a pool that is booked at once.
 	maxBooked = 0.34
 	// bookingSlack is how much later than expected a booked gang may start before
@@ -29,6 +33,8 @@
 	on   []*executor
 	// start is when the gang is expected to fit.
 	start time.Duration
+	// firm bookings give way to guarantees only.
+	firm bool
 }
 
 // refreshBookings drops bookings of units that do not wait any more, those that
@@ -45,6 +51,7 @@
 			delete(c.bookings, key)
 			continue
 		}
+		b.firm = r.now-b.unit.since > time.Duration(firmAfter*float64(spareTime(b.unit.job)))
 		for _, e := range b.on {
 			r.booked[e] = b
 		}
@@ -54,7 +61,10 @@
 // mayUse reports whether a unit may start on an executor that is booked: the
 // holder, more urgent units, and those that end before the holder starts.
 func (b *booking) mayUse(now time.Duration, u *unit) bool {
-	if b.unit.key == u.key || compareUnits(u, b.unit) < 0 {
+	if b.unit.key == u.key || u.guaranteed {
+		return true
+	}
+	if !b.firm && compareUnits(u, b.unit) < 0 {
 		return true
 	}
 	span := time.Duration(estimateSlack * float64(u.step.Estimate))
