--- a/scheduler/fleet/place.go
+++ b/scheduler/fleet/place.go
@@ -14,8 +14,6 @@
 	// idleRound is the time between rounds when nothing changes, for due times
 	// and waits that end.
 	idleRound = 100 * time.Millisecond
-	// lateFactor times its objective is the time after which a job earns nothing.
-	lateFactor = 3
 )
 
 // unitKey names a step of one occurrence.
@@ -138,34 +136,6 @@
 	return tasks
 }
 
-// classOf puts jobs that can earn nothing any more behind all others.
-func classOf(j *workload.Job, k int, unix time.Duration) int {
-	begin := max(j.Submitted, j.Spec.DueAt(k))
-	if unix-begin > lateFactor*objective(j) {
-		return 1
-	}
-	return 0
-}
-
-// objective is the time in which a job should complete.
-func objective(j *workload.Job) time.Duration {
-	return time.Duration(j.Stretch*float64(chain(&j.Spec))) + j.Target
-}
-
-// chain is the longest chain of estimated work.
-func chain(s *workload.Spec) time.Duration {
-	longest := time.Duration(0)
-	ends := make([]time.Duration, len(s.Steps))
-	for i := range s.Steps {
-		for _, d := range s.Steps[i].DependsOn {
-			ends[i] = max(ends[i], ends[d])
-		}
-		ends[i] += s.Steps[i].Estimate
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 func compareUnits(a, b *unit) int {
 	switch {
 	case a.guaranteed != b.guaranteed:
