Placement: whether a task can do without an executor depends on pool and label alone

The look for other executors left out those that are booked or kept for urgent jobs at the moment, so that a wide gang tried failing executors too early.

--- a/scheduler/fleet/room.go
+++ b/scheduler/fleet/room.go
@@ -163,12 +163,15 @@
 	return valid
 }
 
+// qualifies reports whether an executor is of the pool of a unit and carries the
+// label that its step asks for.
+func (u *unit) qualifies(e *executor) bool {
+	return e.service == u.job.Service && (u.step.Requires == "" || e.hasLabel(u.step.Requires))
+}
+
 // constraints reports whether the constraints of a step let it run on an executor.
 func (r *room) constraints(u *unit, e *executor) bool {
-	if e.service != u.job.Service || (u.step.Requires != "" && !e.hasLabel(u.step.Requires)) {
-		return false
-	}
-	if !e.suits(u.step) || r.mixed(u, e) {
+	if !u.qualifies(e) || !e.suits(u.step) || r.mixed(u, e) {
 		return false
 	}
 	if r.reserved[e] && u.job.Priority > 0 && r.pressed != u {
--- a/scheduler/fleet/seat.go
+++ b/scheduler/fleet/seat.go
@@ -197,7 +197,7 @@
 		wanted = len(u.tasks)
 	}
 	for _, e := range r.executors {
-		if !all[e.key.ID] && r.allows(u, e) {
+		if !all[e.key.ID] && u.qualifies(e) {
 			wanted -= slots(e.capacity, u.step.Room())
 		}
 	}
