--- a/scheduler/fleet/decisions_test.go
+++ b/scheduler/fleet/decisions_test.go
@@ -378,6 +378,29 @@
 		Expect(s.placed("three")).NotTo(ContainElement(on))
 	})
 
+	// Guards against the longest quarantine for an executor on which several jobs
+	// fail at one moment.
+	It("sets an executor aside once for runs that fail together", func() {
+		var ended []fleet.EndedRun
+		for i := range 4 {
+			id := fmt.Sprintf("fails-%d", i)
+			s.submit(id, 1, workload.Step{Count: 1, Need: gpus(2)})
+			s.pass(100*time.Millisecond, 4)
+			ended = append(ended, fleet.EndedRun{Number: int64(i + 1), Task: workload.TaskKey{Job: id}, Run: 1, Ending: workload.EndFailed})
+		}
+		on := s.placed("fails-0")[0]
+		Expect(s.placed("fails-3")).To(ConsistOf(on))
+		s.list(int(on[2]-'0'), nil, ended...)
+		for i := range 4 {
+			s.apply(&workload.Command{At: s.now, Cancel: fmt.Sprintf("fails-%d", i)})
+		}
+		s.submit("all", 1, workload.Step{Count: 4, Need: gpus(8)})
+		s.pass(3*time.Second, 4)
+		Expect(s.placed("all")).NotTo(ContainElement(on))
+		s.pass(1500*time.Millisecond, 4)
+		Expect(s.placed("all")).To(ContainElement(on))
+	})
+
 	// Guards against hanging executors that keep their runs for ever, and against
 	// taking a gang member that is done with its part for one that hangs.
 	DescribeTable("a run without progress",
--- a/scheduler/fleet/health.go
+++ b/scheduler/fleet/health.go
@@ -37,7 +37,9 @@
 	default:
 		return false
 	}
-	if job == h.lastJob {
+	// Runs that fail during a quarantine began before it, so they tell nothing
+	// about its end.
+	if job == h.lastJob || now < h.until {
 		return false
 	}
 	h.lastJob = job
