--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -294,7 +294,11 @@
 // verdict is the final refusal of a request.
 func (n *Node) verdict(r *control.CustomerRequest, last *structs.Refusal, doubt bool, attempts int, begun time.Duration) *structs.Refusal {
 	final := *last
-	if doubt {
+	switch {
+	case r.Operation == control.OpRead:
+		// A read changes nothing, so a lost answer leaves no doubt.
+		final.Outcome = structs.OutcomeNotRun
+	case doubt:
 		final.Outcome = structs.OutcomeUnknown
 	}
 	if final.RetryAfter == 0 {
--- a/daemon/entry/entry_test.go
+++ b/daemon/entry/entry_test.go
@@ -113,6 +113,19 @@
 		Expect(err.(*structs.Refusal).Outcome).NotTo(Equal(structs.OutcomeNotRun))
 	})
 
+	// Guards against reads that are answered as if they might have run.
+	It("leaves no doubt about a read whose answer was lost", func() {
+		fake.answer = func(attempt int64) error {
+			if attempt == 1 {
+				return structs.Unknown(structs.CodeOutcomeUnknown, "no answer")
+			}
+			return structs.NotRun(structs.CodeNotFound, "no queue at this place")
+		}
+		_, err := node.Do(&control.CustomerRequest{Operation: control.OpRead}, 3*time.Second)
+		Expect(err.(*structs.Refusal).Code).To(Equal(structs.CodeNotFound))
+		Expect(err.(*structs.Refusal).Outcome).To(Equal(structs.OutcomeNotRun))
+	})
+
 	It("passes a final refusal on at once", func() {
 		fake.answer = func(int64) error { return structs.NotRun(structs.CodeUnauthorized, "unknown key") }
 		begun := time.Now()
