Reclaiming: tasks that run until they are cancelled yield to guarantees

They were never stopped, so that accelerators which they held could not be reclaimed for their owner. Those of steps of which only some may be away stay. Specs for both; the first failed before.

--- a/scheduler/fleet/book.go
+++ b/scheduler/fleet/book.go
@@ -59,7 +59,8 @@
 }
 
 // mayUse reports whether a unit may start on an executor that is booked: the
-// holder, more urgent units, and those that end before the holder starts.
+// holder, units inside a guarantee, more urgent ones unless the booking is firm,
+// and those that end before the holder starts.
 func (b *booking) mayUse(now time.Duration, u *unit) bool {
 	if b.unit.key == u.key || u.guaranteed {
 		return true
--- a/scheduler/fleet/decisions_test.go
+++ b/scheduler/fleet/decisions_test.go
@@ -257,6 +257,21 @@
 		Expect(s.stops()).To(Equal(8))
 	})
 
+	// Guards against accelerators that tasks without an end keep from a guarantee,
+	// and against stops of tasks of which only some may be away.
+	DescribeTable("a guarantee and tasks that run until they are cancelled",
+		func(mayMiss, stops int) {
+			s.submit("lasting", 2, workload.Step{Count: 4, Need: gpus(8), LongRunning: true, MayMiss: mayMiss})
+			s.pass(100*time.Millisecond, 4)
+			Expect(s.placed("lasting")).To(HaveLen(4))
+			s.submit("urgent", 0, workload.Step{Count: 1, Need: gpus(8)})
+			s.pass(time.Second, 4)
+			Expect(s.stops()).To(Equal(stops))
+		},
+		Entry("reclaims from those", 0, 1),
+		Entry("leaves those alone of which only some may be away", 1, 0),
+	)
+
 	// Guards against a guarantee that is missed because the tasks that should
 	// make room for it do not end, and are chosen again for the second attempt.
 	It("stops others for a guarantee when the first ones do not end", func() {
--- a/scheduler/fleet/seat.go
+++ b/scheduler/fleet/seat.go
@@ -156,8 +156,8 @@
 	return places, len(places) == len(u.tasks)
 }
 
-// spoken reports whether an executor is booked for another unit.
-func (r *room) spoken(u *unit, e *executor) bool {
+// bookedForOther reports whether an executor is booked for another unit.
+func (r *room) bookedForOther(u *unit, e *executor) bool {
 	b := r.booked[e]
 	return b != nil && b.unit.key != u.key
 }
@@ -167,7 +167,7 @@
 	if near := u.step.DataRack; near != "" && (a.rack == near) != (b.rack == near) {
 		return a.rack == near
 	}
-	if mine, other := r.spoken(u, a), r.spoken(u, b); mine != other {
+	if mine, other := r.bookedForOther(u, a), r.bookedForOther(u, b); mine != other {
 		return other
 	}
 	if r.free[a].GPU != r.free[b].GPU {
--- a/scheduler/fleet/victims.go
+++ b/scheduler/fleet/victims.go
@@ -81,7 +81,9 @@
 		case v.ends:
 			list = append(list, v)
 			continue
-		case step.LongRunning, !mayYield(u, j, inside[j.ID]):
+		case step.LongRunning && !(u.guaranteed && step.MayMiss == 0), !mayYield(u, j, inside[j.ID]):
+			// Tasks that serve are stopped for guarantees only, and not where the
+			// number of them that may be away is bounded.
 			continue
 		}
 		// What was stopped before is dearer, so that it is not stopped for ever.
