Clean-up after a last read: one piece of code where two said the same

- room.lacks and one look-up of the waiting units serve claims and bookings; each built and searched its own.
- spareShare, age and farWork in place of three, two and two copies.
- What a unit avoids is worked out once for all racks, not once for each.
- The tasks of a step on an executor are counted by a look-up of executors by key, not by a loop over all of them for each task.
- reclaim has the branch for gangs once; charges take the operation instead of a sign; describe fills in an executor from a report and from the directory.
- placement: the index of interrupted jobs needs no flag beside it.
- clock.Wait is the pause of hosts and entry hosts, which stood twice.

--- a/daemon/clock/clock.go
+++ b/daemon/clock/clock.go
@@ -1,4 +1,4 @@
-// Package clock reads the clock that leases are measured on.
+// Package clock reads the clock that leases are measured on, and waits.
 package clock
 
 import (
@@ -21,3 +21,15 @@
 
 // Unix returns the time of day since 1970.
 func Unix() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
+// Wait pauses unless stop is closed first, and reports whether it did pause.
+func Wait(d time.Duration, stop <-chan struct{}) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-stop:
+		return false
+	}
+}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -330,12 +330,5 @@
 
 // wait pauses unless the host stops first.
 func (n *Node) wait(d time.Duration) bool {
-	timer := time.NewTimer(max(d, 0))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-n.stop:
-		return false
-	}
+	return clock.Wait(d, n.stop)
 }
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 
 	"cranberrydrum.dev/coord/raft"
+	"cranberrydrum.dev/daemon/clock"
 	"cranberrydrum.dev/daemon/group"
 	"cranberrydrum.dev/daemon/metrics"
 	"cranberrydrum.dev/daemon/settings"
@@ -155,14 +156,7 @@
 
 // wait pauses unless the host stops first, and reports whether it did pause.
 func (n *Node) wait(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-n.stop:
-		return false
-	}
+	return clock.Wait(d, n.stop)
 }
 
 // Start connects the host with its peers.
--- a/scheduler/fleet/book.go
+++ b/scheduler/fleet/book.go
@@ -39,19 +39,14 @@
 
 // refreshBookings drops bookings of units that do not wait any more, those that
 // did not come true, and those of executors that take no runs.
-func (c *Controller) refreshBookings(r *room, units []*unit) {
-	waits := map[unitKey]*unit{}
-	for _, u := range units {
-		waits[u.key] = u
-	}
+func (c *Controller) refreshBookings(r *room, waiting map[unitKey]*unit) {
 	for key, b := range c.bookings {
-		b.unit = waits[key]
-		lost := slices.ContainsFunc(b.on, func(e *executor) bool { _, listed := r.free[e]; return !listed })
-		if b.unit == nil || lost || r.now > b.start+bookingSlack {
+		b.unit = waiting[key]
+		if b.unit == nil || r.lacks(b.on) || r.now > b.start+bookingSlack {
 			delete(c.bookings, key)
 			continue
 		}
-		b.firm = r.now-b.unit.since > time.Duration(firmAfter*float64(spareTime(b.unit.job)))
+		b.firm = r.now-b.unit.since > spareShare(b.unit.job, firmAfter)
 		for _, e := range b.on {
 			r.booked[e] = b
 		}
@@ -74,7 +69,7 @@
 
 // book keeps the executors for a gang on which it is expected to fit first.
 func (c *Controller) book(now time.Duration, r *room, u *unit) {
-	if c.bookings[u.key] != nil || u.class > 0 || now-u.since < time.Duration(bookAfter*float64(spareTime(u.job))) {
+	if c.bookings[u.key] != nil || u.class > 0 || now-u.since < spareShare(u.job, bookAfter) {
 		return
 	}
 	groups := [][]*executor{r.executors}
--- a/scheduler/fleet/claim.go
+++ b/scheduler/fleet/claim.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"slices"
 	"time"
 
 	"cranberrydrum.dev/scheduler/workload"
@@ -30,7 +29,7 @@
 
 // press stops the runs that were expected to end by themselves and have not.
 func (cl *claim) press(now time.Duration, cfg *Settings) {
-	if cl == nil || len(cl.awaited) == 0 || now < cl.due {
+	if len(cl.awaited) == 0 || now < cl.due {
 		return
 	}
 	for _, r := range cl.awaited {
@@ -44,14 +43,9 @@
 
 // dropClaims ends claims whose unit does not wait any more, whose time is up, or
 // whose executors take no runs any more.
-func (c *Controller) dropClaims(now time.Duration, r *room, units []*unit) {
-	waits := map[unitKey]bool{}
-	for _, u := range units {
-		waits[u.key] = true
-	}
+func (c *Controller) dropClaims(now time.Duration, r *room, waiting map[unitKey]*unit) {
 	for key, cl := range c.claims {
-		lost := slices.ContainsFunc(cl.on, func(e *executor) bool { _, listed := r.free[e]; return !listed })
-		if !waits[key] || lost || now >= cl.until {
+		if waiting[key] == nil || r.lacks(cl.on) || now >= cl.until {
 			delete(c.claims, key)
 		}
 	}
--- a/scheduler/fleet/clear.go
+++ b/scheduler/fleet/clear.go
@@ -28,8 +28,13 @@
 // spreadLoss is what a gang costs, as work, when it runs on several racks: its
 // tasks take longer, and the job is late.
 func (c *Controller) spreadLoss(u *unit) float64 {
-	longer := (c.cfg.SpreadFactor - 1) * u.step.Estimate.Seconds()
-	return cores(u.step)*float64(len(u.tasks))*longer + (1-lateStake)*worthwhileLoss*c.value(u.job)
+	return float64(len(u.tasks))*c.farWork(u.step) + (1-lateStake)*worthwhileLoss*c.value(u.job)
+}
+
+// farWork is the work, in core-seconds, that a task takes more away from the rack
+// on which it is faster.
+func (c *Controller) farWork(step *workload.Step) float64 {
+	return cores(step) * (c.cfg.SpreadFactor - 1) * step.Estimate.Seconds()
 }
 
 func (c *Controller) clearRack(r *room, u *unit, tasks []int, victims map[*executor][]*victim) []place {
@@ -46,7 +51,7 @@
 func (c *Controller) clearOn(r *room, u *unit, tasks []int, executors []*executor, victims map[*executor][]*victim) []place {
 	scratch := &clearing{room: r, taken: map[*executor]workload.Resources{}, used: map[*run]bool{}, counted: newTally()}
 	counts := map[*executor]int{}
-	far := cores(u.step) * (c.cfg.SpreadFactor - 1) * u.step.Estimate.Seconds()
+	far := c.farWork(u.step)
 	var found []place
 	for _, n := range tasks {
 		var best *place
--- a/scheduler/fleet/directory.go
+++ b/scheduler/fleet/directory.go
@@ -27,9 +27,7 @@
 
 // restore fills in what the directory says of an executor.
 func (e *executor) restore(now time.Duration, entry *workload.Executor, cfg *Settings) {
-	e.service, e.address = entry.Service, entry.Address
-	e.labels, e.rack = entry.Labels, rackOf(entry.Labels)
-	e.capacity = entry.Capacity
+	e.describe(entry.Service, entry.Address, entry.Labels, entry.Capacity)
 	e.draining = entry.Draining
 	e.heard = now
 	// How long it stays is in its next report; until then its runs are left alone.
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -151,10 +151,15 @@
 	return ""
 }
 
+// describe keeps where an executor is and what it offers.
+func (e *executor) describe(service, address string, labels []string, capacity workload.Resources) {
+	e.service, e.address = service, address
+	e.labels, e.rack = labels, rackOf(labels)
+	e.capacity = capacity
+}
+
 func (e *executor) adopt(now time.Duration, r *Report) {
-	e.service, e.address = r.Service, r.Address
-	e.labels, e.rack = r.Labels, rackOf(r.Labels)
-	e.capacity = r.Capacity
+	e.describe(r.Service, r.Address, r.Labels, r.Capacity)
 	e.sequence = r.Sequence
 	e.reported = true
 	e.heard = now
--- a/scheduler/fleet/place.go
+++ b/scheduler/fleet/place.go
@@ -55,9 +55,10 @@
 	c.watch(now)
 	units := c.units(now, unix)
 	r := c.newRoom(now)
-	c.refreshBookings(r, units)
+	waiting := byKey(units)
+	c.refreshBookings(r, waiting)
 	c.reserve(now, r)
-	c.dropClaims(now, r, units)
+	c.dropClaims(now, r, waiting)
 	var starts []workload.Start
 	var short []*unit
 	for _, u := range units {
@@ -74,6 +75,15 @@
 	}
 }
 
+// byKey finds units by their key.
+func byKey(units []*unit) map[unitKey]*unit {
+	found := map[unitKey]*unit{}
+	for _, u := range units {
+		found[u.key] = u
+	}
+	return found
+}
+
 // units lists what waits for room, the most urgent first.
 func (c *Controller) units(now, unix time.Duration) []*unit {
 	var units []*unit
--- a/scheduler/fleet/reclaim.go
+++ b/scheduler/fleet/reclaim.go
@@ -27,7 +27,7 @@
 	if u.job.Priority > 0 || u.class > 0 && !u.guaranteed {
 		return false
 	}
-	wait := time.Duration(waitShare * float64(spareTime(u.job)))
+	wait := spareShare(u.job, waitShare)
 	if u.guaranteed {
 		wait = min(wait, c.cfg.Reclaim-c.cfg.StopTime-reclaimOverhead-secondReclaim)
 	}
@@ -37,20 +37,18 @@
 // reclaim makes room for an urgent unit. Tasks that found free room start at
 // once unless they are a gang.
 func (c *Controller) reclaim(now time.Duration, r *room, u *unit, places []place) []workload.Start {
-	if c.claims[u.key] != nil {
+	if u.step.Gang {
+		r.restore(u, places)
+		places = nil
+	}
+	if cl := c.claims[u.key]; cl != nil {
 		// What has to stop for this unit is stopping already.
-		c.claims[u.key].press(now, &c.cfg)
+		cl.press(now, &c.cfg)
 		if u.step.Gang {
-			r.restore(u, places)
-			r.charge(c.claims[u.key])
-			return nil
+			r.charge(cl)
 		}
 		return c.start(u, places)
 	}
-	if u.step.Gang {
-		r.restore(u, places)
-		places = nil
-	}
 	rest := missing(u, places)
 	found := c.clear(now, r, u, rest)
 	if (len(found) < len(rest) && u.step.Gang) || (!u.guaranteed && loss(found) > worthwhileLoss*c.value(u.job)) {
--- a/scheduler/fleet/room.go
+++ b/scheduler/fleet/room.go
@@ -12,6 +12,7 @@
 type room struct {
 	now       time.Duration
 	executors []*executor
+	byKey     map[workload.ExecutorKey]*executor
 	free      map[*executor]workload.Resources
 	// racks groups the executors by rack.
 	racks map[string][]*executor
@@ -31,12 +32,18 @@
 }
 
 func (c *Controller) newRoom(now time.Duration) *room {
-	r := &room{now: now, free: map[*executor]workload.Resources{}, racks: map[string][]*executor{}, perStep: map[unitKey]map[*executor]int{}, decided: c.decided, reserved: map[*executor]bool{}, idle: map[string]bool{}, proposed: map[*executor][]*workload.Step{}, booked: map[*executor]*booking{}}
+	r := &room{
+		now: now, decided: c.decided,
+		byKey: map[workload.ExecutorKey]*executor{}, free: map[*executor]workload.Resources{}, racks: map[string][]*executor{},
+		perStep: map[unitKey]map[*executor]int{}, reserved: map[*executor]bool{}, proposed: map[*executor][]*workload.Step{},
+		idle: map[string]bool{}, booked: map[*executor]*booking{},
+	}
 	for _, e := range c.executors {
 		if !e.placeable(now, &c.cfg) {
 			continue
 		}
 		r.executors = append(r.executors, e)
+		r.byKey[e.key] = e
 		r.racks[e.rack] = append(r.racks[e.rack], e)
 		r.free[e] = e.capacity.Sub(e.used)
 	}
@@ -89,23 +96,27 @@
 }
 
 // charge keeps the room of a claim away from others.
-func (r *room) charge(cl *claim) { r.apply(cl, -1) }
+func (r *room) charge(cl *claim) { r.apply(cl, workload.Resources.Sub) }
 
 // withdraw makes the room of a claim available to its holder.
-func (r *room) withdraw(cl *claim) { r.apply(cl, 1) }
+func (r *room) withdraw(cl *claim) { r.apply(cl, workload.Resources.Add) }
 
-func (r *room) apply(cl *claim, sign int64) {
+func (r *room) apply(cl *claim, change func(free, need workload.Resources) workload.Resources) {
 	if cl == nil {
 		return
 	}
 	for _, e := range cl.on {
-		need := workload.Resources{CPU: sign * cl.need.CPU, MemoryMB: sign * cl.need.MemoryMB, GPU: sign * cl.need.GPU}
-		if _, present := r.free[e]; present {
-			r.free[e] = r.free[e].Add(need)
+		if free, listed := r.free[e]; listed {
+			r.free[e] = change(free, cl.need)
 		}
 	}
 }
 
+// lacks reports whether one of some executors takes no runs now.
+func (r *room) lacks(executors []*executor) bool {
+	return slices.ContainsFunc(executors, func(e *executor) bool { _, listed := r.free[e]; return !listed })
+}
+
 // countOf returns how many tasks of the unit's step each executor has.
 func (r *room) countOf(u *unit) map[*executor]int {
 	if counts := r.perStep[u.key]; counts != nil {
@@ -118,20 +129,13 @@
 		if t.Run == nil {
 			continue
 		}
-		for _, e := range r.executors {
-			if e.key == t.Run.Executor {
-				counts[e]++
-			}
+		if e := r.byKey[t.Run.Executor]; e != nil {
+			counts[e]++
 		}
 	}
 	for key, d := range r.decided {
-		if unitOf(key) != u.key {
-			continue
-		}
-		for _, e := range r.executors {
-			if e.key == d.Executor {
-				counts[e]++
-			}
+		if e := r.byKey[d.Executor]; e != nil && unitOf(key) == u.key {
+			counts[e]++
 		}
 	}
 	return counts
--- a/scheduler/fleet/seat.go
+++ b/scheduler/fleet/seat.go
@@ -19,9 +19,10 @@
 	// Room on several racks was made on purpose.
 	cleared := c.claims[u.key] != nil && c.claims[u.key].spread
 	far := pressing || cleared || c.mayGoFar(now, u)
+	avoided := c.avoided(r, u)
 	if u.step.SameRack && u.step.Gang && len(u.tasks) > 1 {
 		for _, rack := range r.racksFor(u) {
-			places, ok := c.seatOn(r, u, r.racks[rack])
+			places, ok := r.seatOn(u, r.racks[rack], avoided)
 			if ok {
 				return places, true
 			}
@@ -32,9 +33,9 @@
 		}
 	}
 	if u.step.DataRack != "" && !far && len(r.racks[u.step.DataRack]) > 0 {
-		return c.seatOn(r, u, r.racks[u.step.DataRack])
+		return r.seatOn(u, r.racks[u.step.DataRack], avoided)
 	}
-	return c.seatOn(r, u, r.executors)
+	return r.seatOn(u, r.executors, avoided)
 }
 
 // patience is how long tasks wait for the rack on which they are faster: what
@@ -129,11 +130,11 @@
 // maxPerExecutor bounds tasks that need no room at all.
 const maxPerExecutor = 64
 
-// seatOn puts each task on the executor that is left with the least room.
-func (c *Controller) seatOn(r *room, u *unit, executors []*executor) ([]place, bool) {
+// seatOn puts each task on the executor that is left with the least room, but
+// for those that it avoids.
+func (r *room) seatOn(u *unit, executors []*executor, avoided map[int][]string) ([]place, bool) {
 	places := make([]place, 0, len(u.tasks))
 	need := u.step.Room()
-	avoided := c.avoided(r, u)
 	for _, n := range u.tasks {
 		var best *executor
 		for _, e := range executors {
--- a/scheduler/fleet/victims.go
+++ b/scheduler/fleet/victims.go
@@ -121,15 +121,15 @@
 	if step.Checkpoints {
 		rest = remaining(now, step, r)
 	}
-	age := now + c.skew - max(j.Submitted, j.Spec.DueAt(key.Occurrence))
+	due := age(j, key.Occurrence, now+c.skew)
 	whole := worthwhileLoss * c.value(j) / float64(1+j.Priority)
 	limit := objective(j)
-	switch again := age + restartLoss + rest; {
-	case age > lateFactor*limit:
+	switch again := due + restartLoss + rest; {
+	case due > lateFactor*limit:
 		return 0
-	case age > limit && again <= lateFactor*limit, again <= limit:
+	case due > limit && again <= lateFactor*limit, again <= limit:
 		return 0
-	case age > limit:
+	case due > limit:
 		return lateStake * whole
 	case again > lateFactor*limit:
 		return whole
--- a/scheduler/fleet/worth.go
+++ b/scheduler/fleet/worth.go
@@ -30,16 +30,21 @@
 
 // classOf puts jobs that can earn nothing any more behind all others.
 func classOf(j *workload.Job, k int, unix time.Duration) int {
-	begin := max(j.Submitted, j.Spec.DueAt(k))
-	if unix-begin > lateFactor*objective(j) {
+	if age(j, k, unix) > lateFactor*objective(j) {
 		return 1
 	}
 	return 0
 }
 
-// spareTime is what the objective of a job leaves beside the work itself.
-func spareTime(j *workload.Job) time.Duration {
-	return objective(j) - chain(&j.Spec)
+// age is how long an occurrence of a job has been due.
+func age(j *workload.Job, k int, unix time.Duration) time.Duration {
+	return unix - max(j.Submitted, j.Spec.DueAt(k))
+}
+
+// spareShare is a share of what the objective of a job leaves beside the work
+// itself.
+func spareShare(j *workload.Job, share float64) time.Duration {
+	return time.Duration(share * float64(objective(j)-chain(&j.Spec)))
 }
 
 // value is the worth of a job against that of an average one of its queue: part
--- a/scheduler/placement/scheduler.go
+++ b/scheduler/placement/scheduler.go
@@ -102,10 +102,10 @@
 // queued again.
 func (s *Scheduler) SetQueued(q Queued) {
 	s.Remove(q.ID)
-	j := &job{id: q.ID, spec: q.Spec, since: q.Since, estimate: q.Estimate, avoid: q.Avoid, interrupted: q.Interrupted}
+	j := &job{id: q.ID, spec: q.Spec, since: q.Since, estimate: q.Estimate, avoid: q.Avoid}
 	s.register(j)
 	j.customer.enqueue(j)
-	if j.interrupted {
+	if q.Interrupted {
 		s.interrupted[j] = struct{}{}
 	}
 }
--- a/scheduler/placement/state.go
+++ b/scheduler/placement/state.go
@@ -57,8 +57,6 @@
 	since    time.Duration
 	estimate time.Duration
 	avoid    []string
-	// interrupted marks a waiting job whose last run was lost with a worker.
-	interrupted bool
 
 	members      []structs.Member
 	parts        []guarantee.Part
