raft: each error says whether it refuses one call or ends the log

Cause: daemon/group kept a list of the raft errors that are refusals. It lacked NoSuccessorError and TransferRefusedError, so a transfer of leadership without a successor ended the log of a healthy host.

Change: raft.Error has IsRefusal; the group asks raft.IsRefusal and keeps no list. The output of a refused message is processed like that of a refused call.

Before: the group spec 'are accepted after a transfer of leadership was refused for want of a successor' fails with the old list.

--- a/daemon/group/group.go
+++ b/daemon/group/group.go
@@ -3,7 +3,6 @@
 package group
 
 import (
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -251,12 +250,12 @@
 		switch {
 		case err == nil:
 			g.addWaiter(id, p)
-		case isRefusal(err):
+		case raft.IsRefusal(err):
 			p.done <- outcome{err: newRefusal(err)}
 		default:
 			p.done <- outcome{err: structs.RefuseUnknown(structs.CodeQuorumUnavailable, err.Error())}
 		}
-		g.handleProposalOutput(out, err)
+		g.handleCallOutput(out, err)
 	})
 	if !ran {
 		return structs.RefuseNotRun(structs.CodeStopping, "this host is stopping")
@@ -280,7 +279,7 @@
 	g.RunOnLoop(func(now time.Duration) {
 		var out replica.Output
 		out, err = g.cfg.Replica.TransferToBestVoter(now)
-		g.handleProposalOutput(out, err)
+		g.handleCallOutput(out, err)
 	})
 	return err
 }
@@ -350,14 +349,10 @@
 
 func (g *Group) receive(m raft.Message) {
 	out, err := g.cfg.Replica.Receive(g.cfg.Now(), m)
-	var malformed *raft.MalformedMessageError
-	var wrong *raft.WrongGroupError
-	var removed *raft.RemovedMemberError
-	if errors.As(err, &malformed) || errors.As(err, &wrong) || errors.As(err, &removed) {
+	if raft.IsRefusal(err) {
 		g.cfg.Logger.V(1).Info("dropped a raft message", "group", g.cfg.Name, "from", m.From, "error", err.Error())
-		return
 	}
-	g.handleOutput(out, err)
+	g.handleCallOutput(out, err)
 }
 
 // proposeBatch proposes the queued proposals and the commands of the owner with
@@ -385,7 +380,7 @@
 		accepted := max(0, len(ids)-len(batch))
 		handler.HandleRefused(ownerCommands[accepted:])
 	}
-	g.handleProposalOutput(out, err)
+	g.handleCallOutput(out, err)
 }
 
 // refuseQueued refuses the proposals that were still queued when the log failed.
@@ -396,10 +391,10 @@
 	g.queued = nil
 }
 
-// handleProposalOutput processes the output of a proposal. The output is valid
-// even if the proposal was refused.
-func (g *Group) handleProposalOutput(out replica.Output, err error) {
-	if isRefusal(err) {
+// handleCallOutput processes the output of a call that the replica may refuse.
+// The output is valid even if the call was refused.
+func (g *Group) handleCallOutput(out replica.Output, err error) {
+	if raft.IsRefusal(err) {
 		err = nil
 	}
 	g.handleOutput(out, err)
--- a/daemon/group/group_test.go
+++ b/daemon/group/group_test.go
@@ -249,6 +249,17 @@
 		}
 	})
 
+	// Guards against a transfer without a successor that ends the log, so that a
+	// stopping host refuses every request until its stop times out.
+	It("are accepted after a transfer of leadership was refused for want of a successor", func() {
+		n := newNetwork("a")
+		_, leader := n.leader()
+		Expect(leader.TransferLeadership()).To(BeAssignableToTypeOf(&raft.NoSuccessorError{}))
+		Expect(leader.failures).NotTo(Receive())
+		_, err := leader.Propose([]byte("x"), time.Second)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("that wait at the same time share syncs", func() {
 		n := newNetwork("a")
 		_, leader := n.leader()
