fleet: a pause of the leader is no silence of executors; departures are durable

A leader that was paused took the pause for silence of all executors: after 15 s it removed every idle one from the directory, after 3 s it gave up starts whose responses it had not read yet, and it stopped runs as stalled on a list from before the pause. A call that this host itself dropped as too old counted as a failed hold or an unanswered start of the executor, which then got no lease and no runs. Now the controller measures the time between its steps and excludes a pause from all silence, and a call that was not sent counts for nothing.

A deregistration was acknowledged before the log held it, so the next leader took the executor out of the directory and used it again; and a report that was held back on its way made a deregistered executor known again, also under the same leader.

A failure that was listed while the end of its run by lease was still being stored was acknowledged and forgotten: one attempt too many.

Ruled out: the lease of a silent executor itself. The spec 'of an executor with a run' passed before: no run is started elsewhere before its lease has certainly expired.

--- a/cmd/e2e/keyed_load_test.go
+++ b/cmd/e2e/keyed_load_test.go
@@ -38,8 +38,10 @@
 	mu      sync.Mutex
 	history []*keyHistory
 	lastKey int
-	wg      sync.WaitGroup
-	cancel  context.CancelFunc
+	// failures counts the requests without an answer by host and reason.
+	failures map[string]int
+	wg       sync.WaitGroup
+	cancel   context.CancelFunc
 }
 
 const (
@@ -53,7 +55,7 @@
 // each request is work.
 func startKeyedLoad(c *cluster, home string, callers int, work time.Duration) *keyedLoad {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &keyedLoad{c: c, home: home, cancel: cancel, workMS: strconv.FormatInt(work.Milliseconds(), 10)}
+	l := &keyedLoad{c: c, home: home, cancel: cancel, workMS: strconv.FormatInt(work.Milliseconds(), 10), failures: map[string]int{}}
 	for i := range callers {
 		l.wg.Add(1)
 		go func() {
@@ -107,13 +109,16 @@
 	switch {
 	case err != nil:
 		h.unknown++
+		l.failures[p.id+" "+err.Error()]++
 	case a.refusal == "":
 		h.answers = append(h.answers, a.String())
 		return true
 	case a.outcome() == structs.OutcomeNotRun:
 		h.notRun++
+		l.failures[p.id+" not run "+a.refusal]++
 	default:
 		h.unknown++
+		l.failures[p.id+" unknown "+a.refusal]++
 	}
 	return false
 }
@@ -140,7 +145,15 @@
 // answered.
 func (l *keyedLoad) awaitAnsweredKeys(more int) {
 	from := l.answered()
-	Eventually(l.answered, "10s", "20ms").Should(BeNumerically(">=", from+more), "requests with keys are answered again")
+	Eventually(l.answered, "10s", "20ms").Should(BeNumerically(">=", from+more), l.describeFailures)
+}
+
+// describeFailures lists the requests without an answer, for the message of a
+// failed wait.
+func (l *keyedLoad) describeFailures() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return fmt.Sprint("requests with keys are answered again; without an answer so far: ", l.failures)
 }
 
 // check stops the load, resends each key that may be resent, and compares the
--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -132,6 +132,7 @@
 		r.firstSent = now
 	}
 	r.lastSent = now
+	r.startCalls++
 	r.startInFlight = true
 	c.call(now, e, Call{
 		Kind: CallStart, Task: key, Run: r.number, Payload: j.Spec.Payload, Checkpoint: task.Checkpoint,
@@ -238,13 +239,18 @@
 			"executor", e.key.ID, "verdict", response.Verdict.String(), "reason", response.Reason, "waited_ms", (now - call.IssuedAt).Milliseconds())
 	}
 	switch response.Verdict {
+	case VerdictNotSent:
+		r.startCalls--
+		if r.startCalls == 0 {
+			r.firstSent = 0
+		}
 	case VerdictAccepted:
 		r.settledAt = now
 	case VerdictRefused, VerdictNoCapacity, VerdictNoTicket:
 		if response.Verdict == VerdictNoTicket {
 			c.discardTicket(call)
 		}
-		if r.lastSent > r.firstSent {
+		if r.startCalls > 1 {
 			// The executor may hold this run because of an earlier start call.
 			r.settledAt = now
 			return
@@ -268,6 +274,11 @@
 
 func (c *Controller) handleHoldResponse(now, unix time.Duration, e *executor, call Call, response Response) {
 	e.holdInFlight = false
+	if response.Verdict == VerdictNotSent {
+		// The delay lies with this host and says nothing about the executor.
+		e.nextHoldAt = now + holdRetryDelay
+		return
+	}
 	if response.Verdict != VerdictAccepted || !response.Complete {
 		e.failedHolds++
 		e.nextHoldAt = now + holdRetryDelay*time.Duration(min(e.failedHolds, maxRetryFactor))
@@ -331,6 +342,11 @@
 			continue
 		}
 		if r.end != nil {
+			// The run may have been given up because of its lease before this list
+			// arrived. Its failure still counts.
+			if r.end.Ending != workload.EndFailed {
+				ends = c.appendLateFailure(ends, e, end)
+			}
 			continue
 		}
 		if end.Ending == workload.EndFailed {
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -20,6 +20,8 @@
 	term      uint64
 	log       logr.Logger
 	createdAt time.Duration
+	// lastStep is the time of the last step.
+	lastStep time.Duration
 
 	executors map[string]*executor
 	// lost holds the incarnations that have runs in the log but are not in
@@ -69,7 +71,7 @@
 // New returns the controller of a leader. state must be up to date.
 func New(cfg Settings, state *workload.State, term uint64, now time.Duration, log logr.Logger) *Controller {
 	c := &Controller{
-		cfg: cfg, state: state, term: term, log: log, createdAt: now,
+		cfg: cfg, state: state, term: term, log: log, createdAt: now, lastStep: now,
 		executors:     map[string]*executor{},
 		lost:          map[workload.ExecutorKey]*executor{},
 		byAddress:     map[string]*executor{},
@@ -97,6 +99,7 @@
 func (c *Controller) Step(now, unix time.Duration) Output {
 	c.out = Output{}
 	c.unixOffset = unix - now
+	c.excludePause(now)
 	if c.appliedChanges != c.state.Changes() {
 		c.reconcile(now)
 	}
@@ -140,6 +143,9 @@
 // current incarnation. If registration is not nil, it must be stored in the directory
 // before the report is acknowledged.
 func (c *Controller) Report(now time.Duration, r Report) (isCurrent bool, registration *workload.Executor) {
+	if c.state.HasLeft(r.Executor) {
+		return false, nil
+	}
 	if other := c.byAddress[r.Address]; other != nil && other.key.ID != r.Executor.ID && other.key.Incarnation > r.Executor.Incarnation {
 		return false, nil
 	}
@@ -185,13 +191,17 @@
 }
 
 // Leave processes an executor's departure notice. incarnation is 0 if the notice does
-// not identify the incarnation.
-func (c *Controller) Leave(now time.Duration, id string, incarnation int64) {
-	e := c.executors[id]
-	if e == nil || (incarnation > 0 && incarnation < e.key.Incarnation) {
-		return
+// not identify the incarnation. If departure is not nil, it must be stored before
+// the notice is acknowledged.
+func (c *Controller) Leave(now time.Duration, id string, incarnation int64) (departure *workload.ExecutorKey) {
+	if e := c.executors[id]; e != nil && (incarnation == 0 || incarnation >= e.key.Incarnation) {
+		c.removeExecutor(now, e, "left")
 	}
-	c.removeExecutor(now, e, "left")
+	entry := c.state.Executor(id)
+	if entry == nil || (incarnation > 0 && incarnation < entry.Key.Incarnation) {
+		return nil
+	}
+	return &workload.ExecutorKey{ID: id, Incarnation: max(incarnation, entry.Key.Incarnation)}
 }
 
 // removeExecutor ends an executor incarnation. All of its runs are over.
@@ -226,6 +236,10 @@
 		}
 	}
 	for _, e := range c.executors {
+		if c.state.HasLeft(e.key) {
+			c.removeExecutor(now, e, "left")
+			continue
+		}
 		c.reconcileRuns(now, e)
 	}
 	for key, e := range c.lost {
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -28,7 +28,9 @@
 	// firstSent and lastSent are the times of the first and the last start
 	// call.
 	firstSent, lastSent time.Duration
-	startInFlight       bool
+	// startCalls counts the start calls that may have been sent.
+	startCalls    int
+	startInFlight bool
 	// settledAt is the time from which a list without this run proves that the
 	// run is over. It is 0 while a start may still be carried out.
 	settledAt time.Duration
--- a/scheduler/fleet/fleet_test.go
+++ b/scheduler/fleet/fleet_test.go
@@ -25,7 +25,9 @@
 	RunSpecs(t, "fleet")
 }
 
-// TestModel runs random jobs with random faults. It guards against two
+// TestModel runs random jobs with random faults: lost responses, late orders,
+// orders that the leader did not send, paused and replaced leaders that start
+// from a snapshot, executors that crash, drain, leave or are partitioned. It guards against two
 // concurrent runs of a task, a start after an acknowledged end, exceeding the
 // capacity of an executor, starting a step before its dependencies are done,
 // starts after a cancel, after a departure notice or beyond the maximum
@@ -38,7 +40,7 @@
 		f := faults{
 			loseResponse: share(0.2, "loseResponse"), delayCall: share(0.15, "delayCall"), fail: share(0.1, "fail"),
 			crash: share(0.05, "crash"), partition: share(0.1, "partition"), newLeader: share(0.3, "newLeader"),
-			drain: share(0.05, "drain"),
+			drain: share(0.05, "drain"), pause: share(0.05, "pause"), leave: share(0.05, "leave"), notSend: share(0.1, "notSend"),
 		}
 		cl := newCluster(rapid.Uint64().Draw(t, "seed"), 4, f)
 		cl.run(3 * time.Second)
@@ -55,6 +57,7 @@
 		for _, e := range cl.executors {
 			e.partitioned = false
 		}
+		cl.pausedUntil = 0
 		cl.run(settleTime)
 		if cl.violation != "" {
 			t.Fatal(cl.violation)
--- a/scheduler/fleet/model_test.go
+++ b/scheduler/fleet/model_test.go
@@ -71,7 +71,10 @@
 	leavesAt     time.Duration
 	sequence     int64
 	nextReportAt time.Duration
-	holds        []*pendingCall
+	// deregisteredAt is when the executor was told that its deregistration is
+	// stored, or 0. Its last report may still arrive after that.
+	deregisteredAt time.Duration
+	holds          []*pendingCall
 }
 
 func (e *modelExecutor) clock(now time.Duration) time.Duration {
@@ -111,10 +114,12 @@
 }
 
 // faults are probabilities: per call for the first three, per second for the
-// others.
+// others unless stated.
 type faults struct {
 	loseResponse, delayCall, fail      float64
 	crash, partition, newLeader, drain float64
+	// pause and leave are per second, notSend per call.
+	pause, leave, notSend float64
 }
 
 type cluster struct {
@@ -147,7 +152,9 @@
 	// alwaysFails holds the jobs whose runs always fail.
 	alwaysFails map[string]bool
 	// faultFree is set if the simulation never has faults.
-	faultFree    bool
+	faultFree bool
+	// pausedUntil is the end of the present pause of the leader.
+	pausedUntil  time.Duration
 	violation    string
 	incarnations int
 }
@@ -228,6 +235,10 @@
 	})
 	for _, call := range out.Calls {
 		p := &pendingCall{call: call, leader: cl.leader, executor: call.Executor, at: cl.now + cl.delay()}
+		if cl.chance(cl.faults.notSend) {
+			cl.answer(p, fleet.Response{Verdict: fleet.VerdictNotSent}, cl.now+modelTick)
+			continue
+		}
 		p.lost = cl.chance(cl.faults.loseResponse)
 		if cl.chance(cl.faults.delayCall) {
 			p.lost, p.late = true, true
@@ -257,7 +268,9 @@
 		cl.deliver()
 		cl.runExecutors()
 		cl.checkStartsDue()
-		cl.handleOutput(cl.leader.controller.Step(cl.now, cl.now))
+		if cl.now >= cl.pausedUntil {
+			cl.handleOutput(cl.leader.controller.Step(cl.now, cl.now))
+		}
 	}
 }
 
@@ -268,6 +281,9 @@
 		if e.leavesAt == 0 && cl.chance(cl.faults.drain*second) {
 			e.leavesAt, e.nextReportAt = cl.now+drainTime, cl.now
 		}
+		if e.deregisteredAt == 0 && e.leavesAt == 0 && cl.chance(cl.faults.leave*second) {
+			cl.deregister(e)
+		}
 		if cl.chance(cl.faults.crash*second) || (e.leavesAt > 0 && cl.now >= e.leavesAt) {
 			// The new incarnation at this address has no state.
 			cl.crash(e)
@@ -283,6 +299,25 @@
 	if cl.chance(cl.faults.newLeader * second) {
 		cl.changeLeader()
 	}
+	if cl.now >= cl.pausedUntil && cl.chance(cl.faults.pause*second) {
+		cl.pausedUntil = cl.now + time.Duration(cl.rng.Int64N(int64(2*modelLease)))
+	}
+}
+
+// deregister ends an executor once its deregistration is stored. One of its
+// reports arrives after that, and its address is used again a second later.
+func (cl *cluster) deregister(e *modelExecutor) {
+	if cl.now < cl.pausedUntil {
+		return
+	}
+	departure := cl.leader.controller.Leave(cl.now, e.key.ID, e.key.Incarnation)
+	if departure == nil {
+		return
+	}
+	cl.apply(&workload.Command{At: cl.now, Deregister: []workload.ExecutorKey{*departure}, Left: true}, cl.leader.term)
+	e.deregisteredAt, e.leavesAt = cl.now, cl.now+time.Second
+	e.nextReportAt = cl.now + 500*time.Millisecond
+	cl.crash(e)
 }
 
 func (cl *cluster) crash(e *modelExecutor) {
@@ -300,10 +335,25 @@
 		cl.state.Apply(0, e.term, e.data)
 	}
 	cl.log = nil
+	cl.restoreFromSnapshot()
+	cl.pausedUntil = 0
 	cl.leader = &leader{term: cl.leader.term + 1}
 	cl.leader.controller = fleet.New(modelSettings, cl.state, cl.leader.term, cl.now, logr.Discard())
 }
 
+// restoreFromSnapshot replaces the state by one that was written and read again.
+func (cl *cluster) restoreFromSnapshot() {
+	data, err := cl.state.Snapshot()
+	if err != nil {
+		cl.fail("snapshot: %v", err)
+		return
+	}
+	cl.state = workload.New()
+	if err := cl.state.Restore(data); err != nil {
+		cl.fail("restore: %v", err)
+	}
+}
+
 func (cl *cluster) commit() {
 	for len(cl.log) > 0 && cl.log[0].at <= cl.now {
 		cl.state.Apply(0, cl.log[0].term, cl.log[0].data)
@@ -332,7 +382,7 @@
 	cl.calls = later
 	var waiting []*pendingResponse
 	for _, a := range cl.responses {
-		if a.at > cl.now {
+		if a.at > cl.now || cl.now < cl.pausedUntil {
 			waiting = append(waiting, a)
 			continue
 		}
@@ -345,6 +395,9 @@
 
 func (cl *cluster) execute(p *pendingCall) {
 	e := cl.executor(p.executor)
+	if e != nil && p.call.Kind == fleet.CallStart && e.deregisteredAt > 0 && p.call.IssuedAt > e.deregisteredAt {
+		cl.fail("DRAIN: %v is sent to %s after its deregistration was stored", p.call.Task, e.key.ID)
+	}
 	if e == nil || !e.up || e.partitioned {
 		if !p.lost {
 			p.lost = true
@@ -545,6 +598,9 @@
 func (cl *cluster) runExecutors() {
 	for _, e := range cl.executors {
 		if !e.up {
+			if e.deregisteredAt > 0 {
+				cl.sendReport(e)
+			}
 			continue
 		}
 		if e.clock(cl.now) >= e.lease {
@@ -628,7 +684,7 @@
 }
 
 func (cl *cluster) sendReport(e *modelExecutor) {
-	if cl.now < e.nextReportAt || e.partitioned {
+	if cl.now < e.nextReportAt || e.partitioned || cl.now < cl.pausedUntil {
 		return
 	}
 	e.nextReportAt = cl.now + modelReportInterval
--- a/scheduler/workload/apply.go
+++ b/scheduler/workload/apply.go
@@ -31,6 +31,9 @@
 	}
 	for _, key := range c.Deregister {
 		s.deregister(key)
+		if c.Left {
+			s.recordDeparture(key, c.At)
+		}
 	}
 	for _, start := range c.Starts {
 		s.start(start, term)
--- a/scheduler/workload/command.go
+++ b/scheduler/workload/command.go
@@ -65,9 +65,11 @@
 	Ends      []End         `msgpack:"e,omitempty"`
 	Purge     []string      `msgpack:"f,omitempty"`
 	// Register adds or replaces an entry of the executor directory. Deregister removes the
-	// entries of incarnations that have ended.
+	// entries of incarnations that have ended. Left is set if they deregistered
+	// themselves, so that their late reports must be ignored.
 	Register   *Executor     `msgpack:"n,omitempty"`
 	Deregister []ExecutorKey `msgpack:"d,omitempty"`
+	Left       bool          `msgpack:"l,omitempty"`
 }
 
 // Encode returns the command in the encoding of the log.
--- a/scheduler/workload/directory.go
+++ b/scheduler/workload/directory.go
@@ -1,6 +1,20 @@
 package workload
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
+
+// departureRetention is how long the deregistration of an executor is stored. It
+// exceeds the time for which a connection can hold back a report.
+const departureRetention = 10 * time.Minute
+
+// departure records that an incarnation of an executor deregistered itself.
+type departure struct {
+	Incarnation int64 `msgpack:"i"`
+	// At is the Unix time of the deregistration.
+	At time.Duration `msgpack:"a"`
+}
 
 // Executor is the entry of an executor in the executor directory. The directory is
 // replicated, so that a new leader knows the executors before their next reports.
@@ -33,9 +47,32 @@
 	}
 }
 
-// register stores an entry unless one of a later incarnation is stored. It keeps
-// Draining set within an incarnation.
+// HasLeft reports whether an incarnation deregistered itself, or was followed by
+// one that did. A late report must not make it known again.
+func (s *State) HasLeft(key ExecutorKey) bool {
+	d, known := s.departures[key.ID]
+	return known && key.Incarnation <= d.Incarnation
+}
+
+// recordDeparture stores the deregistration of an incarnation and removes those
+// past their retention.
+func (s *State) recordDeparture(key ExecutorKey, at time.Duration) {
+	for id, d := range s.departures {
+		if at-d.At > departureRetention {
+			delete(s.departures, id)
+		}
+	}
+	if !s.HasLeft(key) {
+		s.departures[key.ID] = departure{Incarnation: key.Incarnation, At: at}
+	}
+}
+
+// register stores an entry unless its incarnation has left or one of a later
+// incarnation is stored. It keeps Draining set within an incarnation.
 func (s *State) register(e *Executor) {
+	if s.HasLeft(e.Key) {
+		return
+	}
 	if current := s.executors[e.Key.ID]; current != nil {
 		if current.Key.Incarnation > e.Key.Incarnation {
 			return
@@ -45,9 +82,10 @@
 	s.executors[e.Key.ID] = e
 }
 
-// deregister removes the entry of an incarnation, unless a later one has replaced it.
+// deregister removes the entry of an incarnation or an earlier one, unless a later
+// one has replaced it.
 func (s *State) deregister(key ExecutorKey) {
-	if current := s.executors[key.ID]; current != nil && current.Key == key {
+	if current := s.executors[key.ID]; current != nil && current.Key.Incarnation <= key.Incarnation {
 		delete(s.executors, key.ID)
 	}
 }
--- a/scheduler/workload/state.go
+++ b/scheduler/workload/state.go
@@ -13,6 +13,9 @@
 	jobs   map[string]*Job
 	// executors is the executor directory, by executor identifier.
 	executors map[string]*Executor
+	// departures holds the executors that deregistered themselves, by executor
+	// identifier.
+	departures map[string]departure
 	// sequence is the number of jobs accepted so far.
 	sequence uint64
 	// index and runs are derived from the replicated state and rebuilt after a
@@ -27,7 +30,7 @@
 
 // New returns an empty state.
 func New() *State {
-	s := &State{jobs: map[string]*Job{}, executors: map[string]*Executor{}}
+	s := &State{jobs: map[string]*Job{}, executors: map[string]*Executor{}, departures: map[string]departure{}}
 	s.rebuild()
 	return s
 }
@@ -130,12 +133,13 @@
 	Jobs     map[string]*Job `msgpack:"j"`
 	Sequence uint64          `msgpack:"s"`
 
-	Executors map[string]*Executor `msgpack:"x"`
+	Executors  map[string]*Executor `msgpack:"x"`
+	Departures map[string]departure `msgpack:"l,omitempty"`
 }
 
 // Snapshot implements replica.StateMachine.
 func (s *State) Snapshot() ([]byte, error) {
-	return msgpack.Marshal(&snapshot{Config: s.config, Jobs: s.jobs, Sequence: s.sequence, Executors: s.executors})
+	return msgpack.Marshal(&snapshot{Config: s.config, Jobs: s.jobs, Sequence: s.sequence, Executors: s.executors, Departures: s.departures})
 }
 
 // Restore implements replica.StateMachine.
@@ -150,7 +154,11 @@
 	if restored.Executors == nil {
 		restored.Executors = map[string]*Executor{}
 	}
-	s.config, s.jobs, s.sequence, s.executors = restored.Config, restored.Jobs, restored.Sequence, restored.Executors
+	if restored.Departures == nil {
+		restored.Departures = map[string]departure{}
+	}
+	s.config, s.jobs, s.sequence = restored.Config, restored.Jobs, restored.Sequence
+	s.executors, s.departures = restored.Executors, restored.Departures
 	s.rebuild()
 	return nil
 }
