Bound connections by the descriptors of the process; panics cost one request

Cause: each control host that led in turn held 4,030 to 4,414 connections, and the machine has 4,096 descriptors. The client of the executors kept up to 512 connections for each of them, idle ones for 30 s; all executors were told to report to the leader. A leader without descriptors accepts no peers and cannot open its log, so the next one took over and met the same end, 653 new connections a second. Ruled out: processor (23.6 % of the core), memory (135 of 336 MB), disk (syncs fell from 75 to 11 a second as an effect).

Change: daemon/descriptors divides the descriptors of the settings or of the operating system: peers and files first, then accepted connections, then dialled ones. At the limit the longest idle accepted, or the last used dialled connection is closed; if all are busy a connection is refused, and the order counts as not sent. Holds wait for an end only as far as connections allow, the others poll four times a lease; a new leader asks for the first lists in parts. The leader takes reports directly as far as it can accept them and names another host to the rest, by the name of the executor.

Also: a panic in a call or message of a peer, in an HTTP request or in a call to an executor costs that request and is logged with its stack and counted; on the goroutine of a log it ends the log, which the platform's control host opens again from disk. An order is checked against lease and age again when it is written, after the wait for a connection.

--- a/cmd/cranberrydrumd/platform.go
+++ b/cmd/cranberrydrumd/platform.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"cranberrydrum.dev/daemon/control"
+	"cranberrydrum.dev/daemon/descriptors"
 	"cranberrydrum.dev/daemon/entry"
 	"cranberrydrum.dev/daemon/logging"
 	"cranberrydrum.dev/daemon/metrics"
@@ -96,14 +97,15 @@
 	}
 	observer := metrics.NewPlatform()
 	serveMetrics(s, observer, log)
+	budget := descriptors.NewBudget(s.UsableDescriptors, true, observer)
 	cfg := control.Config{
-		Host: s.Host, PeerPort: s.PeerPort, ReportAddress: s.ControlListen, DataDir: s.DataDir, Bootstrap: s.Bootstrap,
+		Host: s.Host, PeerPort: s.PeerPort, ReportAddress: s.ControlListen, AcceptLimit: budget.AcceptLimit, DataDir: s.DataDir, Bootstrap: s.Bootstrap,
 		Seeds: seedReader(s, log), MaxFaults: s.MaxFaults, LowPriority: s.HasLargerRemoteRegion(), Fleet: s.Fleet,
-		Executors: platform.NewExecutorClient(s.AdviceAddress, log), HasAdviceService: s.AdviceAddress != "", Logger: log, Observer: observer,
+		Executors: platform.NewExecutorClient(s.AdviceAddress, budget, log), HasAdviceService: s.AdviceAddress != "", Logger: log, Observer: observer,
 	}
 	stop := stopSignal(log)
 	for {
-		err := serveControl(cfg, s, stop)
+		err := serveControl(cfg, s, budget, stop)
 		if err == nil {
 			return nil
 		}
@@ -120,7 +122,7 @@
 
 // serveControl runs a control host until stop is closed or its log or its API
 // server fails. Before a requested stop it transfers leadership to another host.
-func serveControl(cfg control.Config, s *platform.Settings, stop <-chan struct{}) error {
+func serveControl(cfg control.Config, s *platform.Settings, budget *descriptors.Budget, stop <-chan struct{}) error {
 	node, err := control.New(cfg)
 	if err != nil {
 		return err
@@ -129,7 +131,8 @@
 		node.Stop()
 		return err
 	}
-	server := platform.NewControlServer(node, cfg.Logger)
+	budget.SetPeers(node.PeerConnections)
+	server := platform.NewControlServer(node, budget, cfg.Observer, cfg.Logger)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(s.ControlListen) }()
 	select {
@@ -153,7 +156,9 @@
 		return err
 	}
 	serveMetrics(s, observer, log)
-	server := platform.NewCustomerServer(node, log)
+	budget := descriptors.NewBudget(s.UsableDescriptors, false, observer)
+	budget.SetPeers(node.PeerConnections)
+	server := platform.NewCustomerServer(node, budget, observer, log)
 	served := make(chan error, 2)
 	go func() { served <- server.Serve(s.CustomerListen) }()
 	go func() { served <- server.ServeReadiness(s.ReadyListen) }()
--- a/coord/raft/errors_test.go
+++ b/coord/raft/errors_test.go
@@ -4,8 +4,8 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
-	"io/fs"
 	"maps"
+	"path/filepath"
 	"slices"
 	"strings"
 
@@ -56,11 +56,15 @@
 // exportedErrorTypes returns the exported types of the package with an Error
 // method.
 func exportedErrorTypes() []string {
-	noTests := func(f fs.FileInfo) bool { return !strings.HasSuffix(f.Name(), "_test.go") }
-	packages, err := parser.ParseDir(token.NewFileSet(), ".", noTests, 0)
+	paths, err := filepath.Glob("*.go")
 	Expect(err).NotTo(HaveOccurred())
 	var names []string
-	for _, file := range packages["raft"].Files {
+	for _, path := range paths {
+		if strings.HasSuffix(path, "_test.go") {
+			continue
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+		Expect(err).NotTo(HaveOccurred())
 		for _, d := range file.Decls {
 			f, ok := d.(*ast.FuncDecl)
 			if !ok || f.Recv == nil || f.Name.Name != "Error" {
--- a/coord/raft/leader.go
+++ b/coord/raft/leader.go
@@ -133,8 +133,15 @@
 // HoldsLease reports whether the node is leader and no other node can be leader
 // at the time now. The caller must read now immediately before the call.
 func (n *Node) HoldsLease(now time.Duration) bool {
+	now = max(now, n.now)
+	return now < n.LeaseEnd(now)
+}
+
+// LeaseEnd returns the time until which no other node can be leader, as far as
+// the node knows at the time now, or 0 if it holds no lease.
+func (n *Node) LeaseEnd(now time.Duration) time.Duration {
 	if n.role != RoleLeader || n.leadership.sentTimeoutNow || n.commit < n.leadership.noopIndex {
-		return false
+		return 0
 	}
 	now = max(now, n.now)
 	ackTimes := make([]time.Duration, 0, len(n.membership().Voters))
@@ -148,7 +155,7 @@
 			ackTimes = append(ackTimes, n.leadership.peers[id].lastAckedSend)
 		}
 	}
-	return now < quorumValue(ackTimes)+n.cfg.Lease()
+	return quorumValue(ackTimes) + n.cfg.Lease()
 }
 
 // ProposeChange appends a membership change if the node is leader. The change
--- a/coord/replica/replica.go
+++ b/coord/replica/replica.go
@@ -204,6 +204,15 @@
 	return r.fatalErr == nil && r.node.HoldsLease(now)
 }
 
+// LeaseEnd returns the time until which no other replica can be leader, as far as
+// the replica knows at the time now, or 0 if it holds no lease.
+func (r *Replica) LeaseEnd(now time.Duration) time.Duration {
+	if r.fatalErr != nil {
+		return 0
+	}
+	return r.node.LeaseEnd(now)
+}
+
 // LeaseReadIndex returns the applied index and true if the replica holds the
 // lease and has applied an entry of its own term. The state machine then contains
 // every command that was acknowledged before the call, so a read of it is
--- a/daemon/api/refusal.go
+++ b/daemon/api/refusal.go
@@ -35,6 +35,7 @@
 // httpStatuses maps refusal codes to HTTP status codes.
 var httpStatuses = map[structs.Code]int{
 	structs.CodeInvalid:              http.StatusBadRequest,
+	structs.CodeInternal:             http.StatusBadGateway,
 	structs.CodeUnauthorized:         http.StatusUnauthorized,
 	structs.CodeForbidden:            http.StatusForbidden,
 	structs.CodeNotFound:             http.StatusNotFound,
--- a/daemon/control/api.go
+++ b/daemon/control/api.go
@@ -31,7 +31,11 @@
 
 // String returns the name used in logs and metrics.
 func (o Operation) String() string {
-	return [...]string{"none", "submit", "read", "cancel"}[o]
+	names := [...]string{"none", "submit", "read", "cancel"}
+	if int(o) >= len(names) {
+		return names[0]
+	}
+	return names[o]
 }
 
 // CustomerRequest is a customer request that an entry host forwards to the leader.
--- a/daemon/control/calls.go
+++ b/daemon/control/calls.go
@@ -10,6 +10,7 @@
 	"cranberrydrum.dev/coord/codec"
 	"cranberrydrum.dev/coord/raft"
 	"cranberrydrum.dev/daemon/clock"
+	"cranberrydrum.dev/daemon/panics"
 	"cranberrydrum.dev/daemon/transport"
 	"cranberrydrum.dev/scheduler/fleet"
 	"cranberrydrum.dev/scheduler/structs"
@@ -104,23 +105,46 @@
 func (n *Node) runAsLeader(f func(now time.Duration)) error {
 	isLeader := false
 	n.group.RunOnLoop(func(now time.Duration) {
-		if n.owner.controller != nil && n.group.HoldsLeaseOnLoop() {
-			isLeader = true
+		if n.leads() {
 			f(now)
+			isLeader = true
+		}
+	})
+	if !isLeader {
+		return notLeader(n.leader())
+	}
+	return nil
+}
+
+// readAsLeader is runAsLeader for a function that only reads the state. If the
+// function panics, only this call fails; nothing was proposed yet.
+func (n *Node) readAsLeader(f func()) error {
+	isLeader := false
+	_, err := n.group.ReadOnLoop(func(time.Duration) {
+		if isLeader = n.leads(); isLeader {
+			f()
 		}
 	})
+	if err != nil {
+		panics.Log(n.log, n.cfg.Observer, err)
+		return structs.RefuseNotRun(structs.CodeInternal, "this host failed to handle the call")
+	}
 	if !isLeader {
 		return notLeader(n.leader())
 	}
 	return nil
 }
 
+// leads reports whether this host is the leader, holds the lease and has a current
+// state. It runs on the goroutine of the replication group.
+func (n *Node) leads() bool { return n.owner.controller != nil && n.group.HoldsLeaseOnLoop() }
+
 // customer serves a customer request. A command is committed before the reply.
 func (n *Node) customer(r *CustomerRequest, remaining time.Duration) (*CustomerReply, error) {
 	var reply *CustomerReply
 	var command *workload.Command
 	var refused error
-	err := n.runAsLeader(func(time.Duration) { reply, command, refused = n.decide(r) })
+	err := n.readAsLeader(func() { reply, command, refused = n.decide(r) })
 	if err == nil {
 		err = refused
 	}
@@ -222,12 +246,14 @@
 
 func (n *Node) report(r fleet.Report) (*ReportReply, error) {
 	current := true
+	executors := 0
 	var entry *workload.Executor
 	err := n.runAsLeader(func(now time.Duration) {
 		// A report for a service that is not configured belongs to no executor
 		// pool and is ignored.
 		if n.state.Service(r.Service) != nil {
 			current, entry = n.owner.controller.Report(now, r)
+			executors = n.owner.controller.ExecutorCount()
 		}
 	})
 	if err != nil {
@@ -244,7 +270,7 @@
 	if !current {
 		n.log.Info("ignored a report of an earlier incarnation of the executor", "executor", r.Executor.ID, "born", r.Executor.Incarnation, "address", r.Address)
 	}
-	return &ReportReply{Address: n.cfg.ReportAddress}, nil
+	return &ReportReply{Address: n.reportAddressOf(r.Executor.ID, executors)}, nil
 }
 
 func (n *Node) leave(e workload.ExecutorKey) error {
@@ -269,7 +295,7 @@
 	}
 	currentVersion := int64(0)
 	configured := false
-	if err := n.runAsLeader(func(time.Duration) {
+	if err := n.readAsLeader(func() {
 		configured, currentVersion = n.state.Configured(), n.state.Config().Version
 	}); err != nil {
 		return err
@@ -293,7 +319,7 @@
 func (n *Node) config() (*configReply, error) {
 	var reply configReply
 	configured := false
-	err := n.runAsLeader(func(time.Duration) {
+	err := n.readAsLeader(func() {
 		configured = n.state.Configured()
 		reply.Document = n.state.Config().Document
 	})
--- a/daemon/control/control_test.go
+++ b/daemon/control/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strconv"
 	"testing"
 	"time"
 
@@ -143,3 +144,23 @@
 	Entry("a letter that is not a hexadecimal digit", "5c0e7a21d94b36fg", false),
 	Entry("with a slash", "5c0e7a21/94b36f8", false),
 )
+
+// Guards against executors that all report to the leader and take the descriptors
+// that its peers and its log need.
+var _ = Describe("reports of executors", func() {
+	It("go to the leader as far as it can accept them, and otherwise to all other hosts", func() {
+		const executors, direct = 3000, 600
+		addresses := map[string]int{}
+		for i := range executors {
+			addresses[chooseReportAddress("i-"+strconv.Itoa(i), executors, direct, "leader", []string{"b", "c", "d"})]++
+		}
+		Expect(addresses["leader"]).To(BeNumerically("~", direct, direct/5))
+		for _, other := range []string{"b", "c", "d"} {
+			Expect(addresses[other]).To(BeNumerically("~", (executors-direct)/3, executors/10))
+		}
+	})
+
+	It("go to the leader if no other host is reachable", func() {
+		Expect(chooseReportAddress("i-1", 3000, 0, "leader", nil)).To(Equal("leader"))
+	})
+})
--- a/daemon/control/members.go
+++ b/daemon/control/members.go
@@ -127,10 +127,7 @@
 		n.log.Error(err, "failed to clear the stored identity")
 		return
 	}
-	select {
-	case n.failed <- &MemberRemovedError{Member: n.member}:
-	default:
-	}
+	n.reportFailure(&MemberRemovedError{Member: n.member})
 }
 
 // join records the join request of a host.
--- a/daemon/control/node.go
+++ b/daemon/control/node.go
@@ -16,6 +16,7 @@
 	"cranberrydrum.dev/coord/replica"
 	"cranberrydrum.dev/daemon/clock"
 	"cranberrydrum.dev/daemon/group"
+	"cranberrydrum.dev/daemon/panics"
 	"cranberrydrum.dev/daemon/storage"
 	"cranberrydrum.dev/daemon/transport"
 	"cranberrydrum.dev/scheduler/fleet"
@@ -57,8 +58,11 @@
 	PeerPort int
 	// ReportAddress is the address at which this host accepts reports of executors.
 	ReportAddress string
-	DataDir       string
-	Bootstrap     bool
+	// AcceptLimit returns the number of connections that this host may accept. The
+	// leader leaves the reports of further executors to the other hosts.
+	AcceptLimit func() int
+	DataDir     string
+	Bootstrap   bool
 	// Seeds returns the control hosts in the current settings.
 	Seeds func() []string
 	// MaxFaults is the number of simultaneous failures of control hosts to tolerate; the
@@ -79,6 +83,7 @@
 type Observer interface {
 	Call(kind, verdict string, took time.Duration)
 	CountRefusal(method, code string)
+	panics.Observer
 }
 
 // Node is a control host.
@@ -125,7 +130,7 @@
 	}
 	n.transport = transport.New(transport.Config{
 		Host: cfg.Host, StoreID: member, Listen: n.peerAddress(cfg.Host),
-		HeartbeatInterval: PeerHeartbeatInterval, SilenceTimeout: PeerSilenceTimeout, Logger: n.log,
+		HeartbeatInterval: PeerHeartbeatInterval, SilenceTimeout: PeerSilenceTimeout, Logger: n.log, Panics: n.cfg.Observer,
 	}, n)
 	return n, nil
 }
@@ -144,12 +149,13 @@
 		_ = store.Close()
 		return err
 	}
-	n.owner = &owner{cfg: n.cfg.Fleet, state: n.state, executors: n.cfg.Executors, log: n.log}
+	n.owner = &owner{cfg: n.cfg.Fleet, state: n.state, executors: n.cfg.Executors, log: n.log, panics: n.cfg.Observer}
 	n.group = group.New(group.Config{
-		Name: groupName, Replica: r, Send: n.sendRaft, Owner: n.owner, Now: clock.Boot, Logger: n.log,
-		OnFailure: func(err error) { n.failed <- err },
+		Name: groupName, Replica: r, Send: n.sendRaft, Owner: n.owner, Now: clock.Boot, Logger: n.log, Panics: n.cfg.Observer,
+		OnFailure: n.reportFailure,
 	})
 	n.owner.runInGroup = n.group.RunOnLoop
+	n.owner.leaseEnd = n.group.LeaseEnd
 	n.owner.observeCall = func(call fleet.Call, a fleet.Response, took time.Duration) {
 		n.cfg.Observer.Call(call.Kind.String(), a.Verdict.String(), took)
 	}
@@ -198,6 +204,14 @@
 // MemberRemovedError.
 func (n *Node) Failed() <-chan error { return n.failed }
 
+// reportFailure passes the first failure on to Failed.
+func (n *Node) reportFailure(err error) {
+	select {
+	case n.failed <- err:
+	default:
+	}
+}
+
 // Stop stops the host and waits until its goroutines have returned. It may be called
 // more than once.
 func (n *Node) Stop() {
@@ -222,6 +236,9 @@
 	}
 }
 
+// PeerConnections returns the number of connections with other hosts.
+func (n *Node) PeerConnections() int { return n.transport.OpenConnections() }
+
 func (n *Node) peerAddress(host string) string {
 	return net.JoinHostPort(host, strconv.Itoa(n.cfg.PeerPort))
 }
--- a/daemon/control/owner.go
+++ b/daemon/control/owner.go
@@ -8,6 +8,7 @@
 	"cranberrydrum.dev/coord/raft"
 	"cranberrydrum.dev/daemon/clock"
 	"cranberrydrum.dev/daemon/group"
+	"cranberrydrum.dev/daemon/panics"
 	"cranberrydrum.dev/scheduler/fleet"
 	"cranberrydrum.dev/scheduler/workload"
 )
@@ -18,7 +19,10 @@
 
 // Executors sends calls to executors.
 type Executors interface {
-	Perform(call fleet.Call) fleet.Response
+	// Perform sends a call and returns the response. maySend is checked right
+	// before the call is written; if it is false, the verdict is
+	// fleet.VerdictNotSent.
+	Perform(call fleet.Call, maySend func() bool) fleet.Response
 }
 
 // owner runs the fleet controller while this host is the leader. All methods except
@@ -36,6 +40,9 @@
 	refused [][]byte
 	// runInGroup runs a function on the goroutine of the group.
 	runInGroup func(func(now time.Duration)) bool
+	// leaseEnd returns the end of the lease of this host as the leader.
+	leaseEnd func() time.Duration
+	panics   panics.Observer
 	// observeCall counts a call and its response, for metrics.
 	observeCall func(call fleet.Call, response fleet.Response, took time.Duration)
 }
@@ -94,12 +101,23 @@
 // HandleRefused implements group.RefusedCommandHandler.
 func (o *owner) HandleRefused(commands [][]byte) { o.refused = commands }
 
+// maySend reports whether a decision is recent and this host still the leader.
+func (o *owner) maySend(call fleet.Call) bool {
+	now := clock.Boot()
+	return now-call.IssuedAt < maxCallAge && now < o.leaseEnd()
+}
+
 // perform makes a call and passes its response to the controller that issued the call.
 func (o *owner) perform(issuer *fleet.Controller, call fleet.Call) {
-	response := fleet.Response{Verdict: fleet.VerdictNotSent, Reason: "stale_decision"}
 	startedAt := clock.Boot()
-	if startedAt-call.IssuedAt < maxCallAge {
-		response = o.executors.Perform(call)
+	// Without a response the call counts as one that may have been carried out.
+	var response fleet.Response
+	caught := panics.Catch("executor_call", func() {
+		response = o.executors.Perform(call, func() bool { return o.maySend(call) })
+	})
+	if caught != nil {
+		response = fleet.Response{Verdict: fleet.VerdictNoResponse, Reason: caught.Error()}
+		panics.Log(o.log, o.panics, caught, "kind", call.Kind.String(), "executor", call.Executor.ID, "job", call.Task.Job)
 	}
 	o.observeCall(call, response, clock.Boot()-startedAt)
 	o.runInGroup(func(now time.Duration) {
--- /dev/null
+++ b/daemon/descriptors/accept.go
@@ -0,0 +1,119 @@
+package descriptors
+
+import (
+	"container/list"
+	"net"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Accepted tracks the accepted connections of the servers of a process. Over the
+// limit it closes the connection that has been idle for longest, or refuses the
+// new one if all are busy.
+type Accepted struct {
+	budget *Budget
+
+	mu   sync.Mutex
+	open map[net.Conn]*acceptedConn
+	// idle holds the idle *acceptedConn, the longest idle first.
+	idle *list.List
+}
+
+type acceptedConn struct {
+	net.Conn
+	tracker *Accepted
+	element *list.Element
+	once    sync.Once
+}
+
+// NewAccepted returns a tracker without connections.
+func NewAccepted(b *Budget) *Accepted {
+	return &Accepted{budget: b, open: map[net.Conn]*acceptedConn{}, idle: list.New()}
+}
+
+// Close implements net.Conn.
+func (c *acceptedConn) Close() error {
+	c.once.Do(func() { c.tracker.remove(c) })
+	return c.Conn.Close()
+}
+
+// Listener returns a listener whose connections are tracked. ConnState must be
+// the ConnState of its server.
+func (a *Accepted) Listener(l net.Listener) net.Listener { return &acceptedListener{l, a} }
+
+type acceptedListener struct {
+	net.Listener
+	tracker *Accepted
+}
+
+// Accept implements net.Listener.
+func (l *acceptedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if tracked := l.tracker.add(conn); tracked != nil {
+			return tracked, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+// add tracks a connection. It returns nil if there is no descriptor for it.
+func (a *Accepted) add(conn net.Conn) *acceptedConn {
+	for int(a.budget.accepted.Load()) >= a.budget.AcceptLimit() {
+		if !a.closeLongestIdle() {
+			a.budget.observer.CountShed("accepted", EventRefused)
+			return nil
+		}
+		a.budget.observer.CountShed("accepted", EventClosedIdle)
+	}
+	c := &acceptedConn{Conn: conn, tracker: a}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.open[c] = c
+	a.budget.accepted.Add(1)
+	return c
+}
+
+func (a *Accepted) closeLongestIdle() bool {
+	a.mu.Lock()
+	front := a.idle.Front()
+	a.mu.Unlock()
+	if front == nil {
+		return false
+	}
+	_ = front.Value.(*acceptedConn).Close()
+	return true
+}
+
+func (a *Accepted) remove(c *acceptedConn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.setBusy(c)
+	delete(a.open, c)
+	a.budget.accepted.Add(-1)
+}
+
+func (a *Accepted) setBusy(c *acceptedConn) {
+	if c.element != nil {
+		a.idle.Remove(c.element)
+		c.element = nil
+	}
+}
+
+// ConnState records whether a connection waits for its next request.
+func (a *Accepted) ConnState(conn net.Conn, state fasthttp.ConnState) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c := a.open[conn]
+	if c == nil {
+		return
+	}
+	a.setBusy(c)
+	if state == fasthttp.StateIdle {
+		c.element = a.idle.PushBack(c)
+	}
+}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -20,6 +20,7 @@
 	"cranberrydrum.dev/daemon/control"
 	"cranberrydrum.dev/daemon/transport"
 	"cranberrydrum.dev/scheduler/structs"
+	"cranberrydrum.dev/scheduler/workload"
 )
 
 const (
@@ -104,6 +105,9 @@
 // Ready reports whether the host has found a leader and is not draining.
 func (n *Node) Ready() bool { return n.hasFoundLeader.Load() && !n.draining.Load() }
 
+// PeerConnections returns the number of connections with control hosts.
+func (n *Node) PeerConnections() int { return n.transport.OpenConnections() }
+
 // Drain makes Ready return false from now on.
 func (n *Node) Drain() { n.draining.Store(true) }
 
@@ -335,6 +339,9 @@
 	if err := codec.Unmarshal(data, &reply); err != nil {
 		return nil, structs.RefuseUnknown(structs.CodeInvalid, err.Error())
 	}
+	if reply.Phase > workload.Cancelled {
+		return nil, structs.RefuseUnknown(structs.CodeInvalid, "the reply has no known phase")
+	}
 	return &reply, nil
 }
 
--- a/daemon/group/group.go
+++ b/daemon/group/group.go
@@ -11,6 +11,7 @@
 
 	"cranberrydrum.dev/coord/raft"
 	"cranberrydrum.dev/coord/replica"
+	"cranberrydrum.dev/daemon/panics"
 	"cranberrydrum.dev/scheduler/structs"
 )
 
@@ -68,6 +69,8 @@
 	// Now returns the monotonic time of the process.
 	Now    func() time.Duration
 	Logger logr.Logger
+	// Panics counts panics on the goroutine of the group; it may be nil.
+	Panics panics.Observer
 	// OnFailure is called once when the replica fails, for example in its storage.
 	OnFailure func(error)
 }
@@ -100,6 +103,8 @@
 	mu      sync.Mutex
 	status  raft.Status
 	isReady atomic.Bool
+	// leaseEnd is the end of the leader lease in nanoseconds, as of the last step.
+	leaseEnd atomic.Int64
 }
 
 // New returns a group. Start starts it.
@@ -121,8 +126,13 @@
 // before the group is used.
 func (g *Group) Start() {
 	g.started = true
-	g.handleOutput(g.cfg.Replica.Tick(g.cfg.Now()))
-	g.step()
+	err := panics.Catch("replicated_log", func() {
+		g.handleOutput(g.cfg.Replica.Tick(g.cfg.Now()))
+		g.step()
+	})
+	if err != nil {
+		g.fail(err)
+	}
 	go g.run()
 }
 
@@ -220,6 +230,18 @@
 	}
 }
 
+// ReadOnLoop is RunOnLoop for a function that only reads the state. A panic in it
+// ends only this call and is returned.
+func (g *Group) ReadOnLoop(f func(now time.Duration)) (ran bool, err error) {
+	ran = g.RunOnLoop(func(now time.Duration) {
+		err = panics.Catch("read_of_log", func() { f(now) })
+	})
+	if !ran {
+		return false, nil
+	}
+	return true, err
+}
+
 // HoldsLease reports whether this host leads at this moment and no other host
 // can lead. Check it before an effect outside the group.
 func (g *Group) HoldsLease() bool {
@@ -295,24 +317,40 @@
 			interval = wanted
 			ticker.Reset(interval)
 		}
-		select {
-		case <-g.stop:
+		stopped := false
+		// After a panic the state may be half changed, so the group ends. It is
+		// opened again from its storage.
+		err := panics.Catch("replicated_log", func() { stopped = g.handleNext(ticker.C) })
+		if err != nil {
+			g.fail(err)
+		}
+		if stopped {
 			return
-		case <-ticker.C:
-			g.handleOutput(g.cfg.Replica.Tick(g.cfg.Now()))
-		case m := <-g.inbox:
-			g.receive(m)
-		case p := <-g.proposals:
-			g.queued = append(g.queued, p)
-		case fn := <-g.functions:
-			fn(g.cfg.Now())
 		}
-		g.handlePending()
-		g.step()
 	}
 	g.refuseQueued()
 }
 
+// handleNext waits for the next events, handles them and takes a step. It reports
+// whether the group was stopped.
+func (g *Group) handleNext(tick <-chan time.Time) (stopped bool) {
+	select {
+	case <-g.stop:
+		return true
+	case <-tick:
+		g.handleOutput(g.cfg.Replica.Tick(g.cfg.Now()))
+	case m := <-g.inbox:
+		g.receive(m)
+	case p := <-g.proposals:
+		g.queued = append(g.queued, p)
+	case fn := <-g.functions:
+		fn(g.cfg.Now())
+	}
+	g.handlePending()
+	g.step()
+	return false
+}
+
 // handlePending handles the events that are already queued, so that they share
 // one step and one sync. A sync takes longer than any other work of the group,
 // and events queue up meanwhile.
@@ -404,14 +442,18 @@
 // permanent: its storage failed or its state contradicts that of the group.
 func (g *Group) handleOutput(out replica.Output, err error) {
 	if err != nil {
-		g.failure = err
-		g.cfg.Logger.Error(err, "replicated log failed; stopping the group", "group", g.cfg.Name)
-		g.cfg.OnFailure(err)
+		g.fail(err)
 		return
 	}
 	g.processOutput(out)
 }
 
+func (g *Group) fail(err error) {
+	g.failure = err
+	panics.Log(g.cfg.Logger.WithValues("group", g.cfg.Name), g.cfg.Panics, err, "effect", "the replicated log stops")
+	g.cfg.OnFailure(err)
+}
+
 func (g *Group) processOutput(out replica.Output) {
 	for _, m := range out.Messages {
 		g.cfg.Send(m)
@@ -437,6 +479,7 @@
 	// A replica that is ready holds the lease.
 	view := View{Status: g.status, HoldsLease: ready || g.cfg.Replica.HoldsLease(now), Ready: ready, Restored: g.restored}
 	g.isReady.Store(ready)
+	g.leaseEnd.Store(int64(g.cfg.Replica.LeaseEnd(now)))
 	g.restored = false
 	var ownerCommands [][]byte
 	if g.cfg.Owner != nil {
@@ -461,6 +504,11 @@
 	g.status = status
 }
 
+// LeaseEnd returns the end of the leader lease as of the last step, or 0 if this
+// host held none. It is cheap enough to check right before each effect outside
+// the group; the lease may have been extended since.
+func (g *Group) LeaseEnd() time.Duration { return time.Duration(g.leaseEnd.Load()) }
+
 // HoldsLeaseOnLoop is HoldsLease for callers that already run on the goroutine
 // of the group, where HoldsLease would deadlock.
 func (g *Group) HoldsLeaseOnLoop() bool { return g.cfg.Replica.HoldsLease(g.cfg.Now()) }
--- a/daemon/group/group_test.go
+++ b/daemon/group/group_test.go
@@ -18,6 +18,7 @@
 	"cranberrydrum.dev/coord/raft"
 	"cranberrydrum.dev/coord/replica"
 	"cranberrydrum.dev/daemon/group"
+	"cranberrydrum.dev/daemon/panics"
 	"cranberrydrum.dev/scheduler/structs"
 )
 
@@ -260,6 +261,28 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// Guards against a panic on the goroutine of the group that ends the process. The
+	// state may be half changed, so the group must end and accept nothing more.
+	It("are refused after a panic that may have changed the state by half", func() {
+		n := newNetwork("a")
+		_, leader := n.leader()
+		Expect(leader.RunOnLoop(func(time.Duration) { panic("unexpected") })).To(BeFalse())
+		var caught *panics.Error
+		Eventually(leader.failures, time.Second).Should(Receive(BeAssignableToTypeOf(caught)))
+		_, err := leader.Propose([]byte("x"), time.Second)
+		Expect(asRefusal(err).Outcome).To(Equal(structs.OutcomeNotRun))
+	})
+
+	It("are accepted after a panic in a function that only reads", func() {
+		n := newNetwork("a")
+		_, leader := n.leader()
+		_, err := leader.ReadOnLoop(func(time.Duration) { panic("unexpected") })
+		Expect(err).To(HaveOccurred())
+		_, err = leader.Propose([]byte("x"), time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(leader.failures).NotTo(Receive())
+	})
+
 	It("that wait at the same time share syncs", func() {
 		n := newNetwork("a")
 		_, leader := n.leader()
--- a/daemon/httpapi/server.go
+++ b/daemon/httpapi/server.go
@@ -20,6 +20,7 @@
 
 	"cranberrydrum.dev/daemon/api"
 	"cranberrydrum.dev/daemon/node"
+	"cranberrydrum.dev/daemon/panics"
 	"cranberrydrum.dev/scheduler/structs"
 )
 
@@ -81,7 +82,7 @@
 	}
 	s.routes = s.fixedRoutes()
 	s.server = &fasthttp.Server{
-		Handler:     s.handle,
+		Handler:     s.recoverPanics(s.handle),
 		ReadTimeout: cfg.Timeouts.HTTPRead,
 		IdleTimeout: cfg.Timeouts.HTTPIdle,
 		// Without a write timeout, a client that does not read its response would
@@ -125,6 +126,19 @@
 // error.
 type handler func(ctx *fasthttp.RequestCtx) (any, error)
 
+// recoverPanics returns a handler that refuses a request whose handling panics, with
+// an unknown outcome, and goes on with the others.
+func (s *Server) recoverPanics(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		err := panics.Catch("http_request", func() { handler(ctx) })
+		if err == nil {
+			return
+		}
+		panics.Log(s.log, s.node.Metrics(), err, "method", string(ctx.Method()), "path", string(ctx.Path()))
+		s.respondRefusal(ctx, structs.RefuseUnknown(structs.CodeInternal, "this host failed to handle the request"))
+	}
+}
+
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch path {
--- a/daemon/metrics/labels.go
+++ b/daemon/metrics/labels.go
@@ -18,7 +18,7 @@
 	structs.CodeKeyExpired, structs.CodeKeyCapacity, structs.CodeKeyInProgress, structs.CodeOutcomeUnknown,
 	structs.CodeStopping, structs.CodeCancelled, structs.CodeNeverRunnable, structs.CodeQuotaExceeded,
 	structs.CodeVersionConflict, structs.CodeRulesInvalid, structs.CodeGuaranteeDoesNotFit, structs.CodeKeyHomesFixed,
-	structs.CodeTooLarge, structs.CodeMembershipChange, structs.CodeQuorumUnavailable,
+	structs.CodeTooLarge, structs.CodeMembershipChange, structs.CodeQuorumUnavailable, structs.CodeInternal,
 }
 
 var outcomes = []structs.Outcome{structs.OutcomeNotRun, structs.OutcomeUnknown}
--- a/daemon/metrics/metrics.go
+++ b/daemon/metrics/metrics.go
@@ -37,6 +37,7 @@
 	queued          *prometheus.GaugeVec
 	roundSeconds    prometheus.Histogram
 	keys            *prometheus.GaugeVec
+	panics          *prometheus.CounterVec
 
 	// services is the set of services whose series exist.
 	services sync.Map
@@ -70,6 +71,7 @@
 	m.term = m.gauge("group_term", "Term of the replicated log.", "group")
 	m.queued = m.gauge("queue_length", "Requests waiting on this host.", "service", "class")
 	m.keys = m.gauge("request_keys", "Request keys recorded in the log of the failure domain.", "state")
+	m.panics = m.counter("panics_total", "Panics that ended one request or one call, by the place where they occurred.", "where")
 	m.configVersion = prometheus.NewGauge(prometheus.GaugeOpts{
 		Namespace: namespace,
 		Name:      "config_version",
@@ -110,6 +112,9 @@
 	return h
 }
 
+// CountPanic implements panics.Observer.
+func (m *Metrics) CountPanic(where string) { m.panics.WithLabelValues(where).Inc() }
+
 // ObserveRequest counts a request that was answered with the response of a backend
 // server, and records the time from its arrival.
 func (m *Metrics) ObserveRequest(service string, class structs.Class, elapsed time.Duration) {
--- a/daemon/metrics/platform.go
+++ b/daemon/metrics/platform.go
@@ -16,6 +16,8 @@
 	calls    *prometheus.HistogramVec
 	refused  *prometheus.CounterVec
 	attempts *prometheus.HistogramVec
+	shed     *prometheus.CounterVec
+	panics   *prometheus.CounterVec
 }
 
 // NewPlatform returns the metrics of one process in a new registry.
@@ -31,8 +33,14 @@
 		attempts: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "cranberrydrum_attempt_seconds", Help: "Time of attempts at the leader by operation and result.", Buckets: latencyBuckets,
 		}, []string{"operation", "result"}),
+		shed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cranberrydrum_connections_shed_total", Help: "Connections closed or refused for want of file descriptors.",
+		}, []string{"direction", "event"}),
+		panics: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cranberrydrum_panics_total", Help: "Panics that ended one request or one call, by the place where they occurred.",
+		}, []string{"where"}),
 	}
-	p.registry.MustRegister(p.calls, p.refused, p.attempts)
+	p.registry.MustRegister(p.calls, p.refused, p.attempts, p.shed, p.panics)
 	return p
 }
 
@@ -47,6 +55,12 @@
 // CountRefusal implements control.Observer.
 func (p *Platform) CountRefusal(method, code string) { p.refused.WithLabelValues(method, code).Inc() }
 
+// CountShed implements descriptors.Observer.
+func (p *Platform) CountShed(direction, event string) { p.shed.WithLabelValues(direction, event).Inc() }
+
+// CountPanic implements panics.Observer.
+func (p *Platform) CountPanic(where string) { p.panics.WithLabelValues(where).Inc() }
+
 // Attempt implements entry.Observer.
 func (p *Platform) Attempt(operation, result string, elapsed time.Duration) {
 	p.attempts.WithLabelValues(operation, result).Observe(elapsed.Seconds())
--- a/daemon/node/groups.go
+++ b/daemon/node/groups.go
@@ -142,6 +142,7 @@
 		Owner:     owner,
 		Now:       n.now,
 		Logger:    n.log,
+		Panics:    n.metrics,
 		OnFailure: n.reportFailure,
 	})
 	n.mu.Lock()
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -159,6 +159,7 @@
 		IsBulkMethod:      hasBulkReply,
 		Logger:            n.log,
 		Observer:          &observer{node: n},
+		Panics:            n.metrics,
 	}
 }
 
--- a/daemon/transport/call_test.go
+++ b/daemon/transport/call_test.go
@@ -70,6 +70,35 @@
 	return last
 }
 
+var _ = Describe("a panic", func() {
+	// Guards against one call or message that ends the process and with it all
+	// others, and against reporting such a call as not run.
+	It("in the handling of a call costs that call only", func() {
+		a, b := connectedPair(nil, nil)
+		b.handler.onCall = func(_ string, body []byte, _ time.Duration) ([]byte, error) {
+			if string(body) == "bad" {
+				panic("unexpected")
+			}
+			return body, nil
+		}
+		_, err := a.Call("b", "m", []byte("bad"), time.Second)
+		var failed *RemoteError
+		Expect(errors.As(err, &failed)).To(BeTrue(), "%v", err)
+		reply, err := a.Call("b", "m", []byte("good"), time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(reply)).To(Equal("good"))
+	})
+
+	It("in the handling of a message costs that message only", func() {
+		a, b := connectedPair(nil, nil)
+		close(b.handler.messages)
+		Expect(a.Send("b", KindRaft, []byte("bad"))).To(Succeed())
+		Eventually(func() int { return b.events.droppedCount(KindRaft.String() + "/panic") }, time.Second).Should(Equal(1))
+		_, err := a.Call("b", "m", []byte("good"), time.Second)
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
+
 var _ = Describe("calls", func() {
 	It("return the reply and distinguish refusals from failures", func() {
 		a, b := connectedPair(nil, nil)
--- a/daemon/transport/inbound.go
+++ b/daemon/transport/inbound.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"cranberrydrum.dev/daemon/panics"
 	"cranberrydrum.dev/scheduler/structs"
 )
 
@@ -89,10 +90,18 @@
 	case KindHello, KindChallenge, KindProof, KindReply, KindVerdict:
 		in.t.cfg.Observer.FrameDropped(in.peer, f.Kind, "unexpected")
 	default:
-		in.t.handler.HandleMessage(in.peer, f.Kind, f.Body)
+		err := panics.Catch("peer_message", func() { in.t.handler.HandleMessage(in.peer, f.Kind, f.Body) })
+		if err != nil {
+			in.logPanic(err, f)
+			in.t.cfg.Observer.FrameDropped(in.peer, f.Kind, "panic")
+		}
 	}
 }
 
+func (in *inbound) logPanic(err error, f *frame) {
+	panics.Log(in.t.cfg.Logger, in.t.cfg.Panics, err, "peer", in.peer, "kind", f.Kind.String(), "method", f.Method, "id", f.ID, "bytes", len(f.Body))
+}
+
 func (in *inbound) startCall(f *frame) {
 	if !in.admitCall(f) {
 		in.reply(&frame{Kind: KindReply, ID: f.ID, Code: codeBusy})
@@ -104,7 +113,14 @@
 	go func() {
 		defer in.t.runningCalls.Done()
 		defer in.releaseCall(f)
-		body, err := in.t.handler.HandleCall(in.peer, f.Method, f.Body, remaining)
+		var body []byte
+		var err error
+		caught := panics.Catch("peer_call", func() { body, err = in.t.handler.HandleCall(in.peer, f.Method, f.Body, remaining) })
+		if caught != nil {
+			// The call may have taken effect, which the caller learns from codeFailed.
+			in.logPanic(caught, f)
+			err = caught
+		}
 		reply := replyFrame(f.ID, body, err)
 		if remaining > 0 {
 			reply.deadline = received.Add(remaining)
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"cranberrydrum.dev/daemon/panics"
 )
 
 // Peer is the name and address of another host of the deployment.
@@ -64,6 +66,8 @@
 	IsBulkMethod func(method string) bool
 	Logger       logr.Logger
 	Observer     Observer
+	// Panics counts panics in the handling of calls and messages; it may be nil.
+	Panics panics.Observer
 }
 
 // Defaults of Config.
@@ -184,6 +188,14 @@
 	return out != nil && out.connected()
 }
 
+// OpenConnections returns the number of connections with peers, including those
+// in the handshake.
+func (t *Transport) OpenConnections() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.conns)
+}
+
 // LastError returns the error of the last connection attempt to a peer, or nil
 // if that attempt succeeded.
 func (t *Transport) LastError(host string) error {
--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -17,6 +17,13 @@
 	holdWait = 2 * time.Second
 	// holdTimeoutMargin is added to the wait of a hold to get its timeout.
 	holdTimeoutMargin = 700 * time.Millisecond
+	// leasePollDivisor is the number of holds within a lease if the holds of an
+	// executor do not wait for an end.
+	leasePollDivisor = 4
+	// shortPollDivisor is the number of holds that may wait for an end for each one
+	// in progress that does not. A new leader asks every executor for a list, and
+	// holds that it cannot send soon would be dropped as too old.
+	shortPollDivisor = 4
 	// holdRetryDelay is the pause after a failed hold. It is multiplied by
 	// the number of consecutive failures, up to maxRetryFactor.
 	holdRetryDelay = 200 * time.Millisecond
@@ -178,11 +185,22 @@
 }
 
 func (c *Controller) sendHold(now time.Duration, e *executor) {
-	e.holdInFlight = true
-	call := Call{Kind: CallHold, Cursor: e.cursor, Wait: holdWait}
-	if len(e.runs) == 0 || e.failedHolds > 0 || e.hasUnansweredOrder || !e.reported {
-		call.Wait = 0
+	call := Call{Kind: CallHold, Cursor: e.cursor}
+	isBounded := c.cfg.MaxLongPolls > 0
+	mayWait := len(e.runs) > 0 && e.failedHolds == 0 && !e.hasUnansweredOrder && e.reported
+	switch {
+	case mayWait && !(isBounded && c.longPolls >= c.cfg.MaxLongPolls):
+		call.Wait = holdWait
+		c.longPolls++
+	case isBounded && c.shortPolls >= c.cfg.MaxLongPolls/shortPollDivisor:
+		return
+	default:
+		c.shortPolls++
+		if mayWait {
+			e.nextHoldAt = now + min(holdWait, c.cfg.Lease/leasePollDivisor)
+		}
 	}
+	e.holdInFlight = true
 	if len(e.runs) > 0 && e.failedHolds < maxFailedHoldsForLease {
 		call.Deadline = e.extendLease(now, &c.cfg)
 	}
@@ -193,6 +211,7 @@
 // HandleResponse processes the response to a call.
 func (c *Controller) HandleResponse(now, unix time.Duration, call Call, response Response) Output {
 	c.out = Output{}
+	c.countAnsweredHold(&call)
 	if call.Kind == CallAdvise {
 		c.handleAdvice(now, call, response)
 		return c.out
@@ -228,6 +247,17 @@
 	return c.out
 }
 
+// countAnsweredHold ends the count of a hold as in progress.
+func (c *Controller) countAnsweredHold(call *Call) {
+	switch {
+	case call.Kind != CallHold:
+	case call.Wait > 0:
+		c.longPolls--
+	default:
+		c.shortPolls--
+	}
+}
+
 func (c *Controller) handleStartResponse(now, unix time.Duration, e *executor, call Call, response Response) {
 	r := e.runs[call.Task]
 	if r == nil || r.number != call.Run {
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -35,9 +35,12 @@
 	nextCleanup    time.Duration
 	nextRound      time.Duration
 	// dirty is set if something has changed since the last round.
-	dirty        bool
-	preemptions  map[stepKey]*preemption
-	reservations map[stepKey]*reservation
+	dirty bool
+	// longPolls is the number of holds in progress that wait for an end, shortPolls
+	// that of the others.
+	longPolls, shortPolls int
+	preemptions           map[stepKey]*preemption
+	reservations          map[stepKey]*reservation
 	// pendingStarts holds the starts that are proposed but not yet applied.
 	pendingStarts map[workload.TaskKey]workload.Start
 	// runnableSince is when the tasks of a step became runnable.
@@ -139,6 +142,9 @@
 	return n
 }
 
+// ExecutorCount returns the number of known executors.
+func (c *Controller) ExecutorCount() int { return len(c.executors) }
+
 // Report processes an executor's report and returns whether it came from the
 // current incarnation. If registration is not nil, it must be stored in the directory
 // before the report is acknowledged.
--- a/scheduler/fleet/fleet_test.go
+++ b/scheduler/fleet/fleet_test.go
@@ -91,3 +91,29 @@
 		}
 	})
 }
+
+// TestReclaim submits urgent jobs inside the guarantee of their customer while the
+// executors are full of less urgent work. It guards against a reclaim that begins
+// too late or frees too little.
+func TestReclaim(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cl := newCluster(rapid.Uint64().Draw(t, "seed"), 4, faults{})
+		cl.faultFree = true
+		cl.run(3 * time.Second)
+		for n := range 4 {
+			cl.submitFiller(n + 1)
+		}
+		cl.run(2 * time.Second)
+		for n := range 3 {
+			gpus := int64(1) << rapid.IntRange(0, 3).Draw(t, "accelerators")
+			j := cl.submitGuaranteed(100+n, gpus, rapid.Bool().Draw(t, "gang"))
+			cl.expectStart(j)
+			cl.run(time.Duration(4+rapid.IntRange(0, 3).Draw(t, "pause")) * time.Second)
+			cl.cancel(j.ID)
+			cl.run(time.Second)
+		}
+		if cl.violation != "" {
+			t.Fatal(cl.violation)
+		}
+	})
+}
--- a/scheduler/fleet/model_test.go
+++ b/scheduler/fleet/model_test.go
@@ -734,6 +734,27 @@
 	return id
 }
 
+// submitFiller submits a job of low priority that occupies one executor for the
+// whole simulation.
+func (cl *cluster) submitFiller(n int) {
+	cl.apply(&workload.Command{At: cl.now, Submit: &workload.Job{
+		ID: fmt.Sprintf("%016x", n), Queue: "q", Service: "s", Customer: "b", Priority: 2, MaxAttempts: 3, Stretch: 2, Target: time.Second,
+		Spec: workload.Spec{Steps: []workload.Step{{Count: 8, Estimate: 10 * time.Minute, Demand: workload.Resources{CPU: 1000, MemoryMB: 1000, GPU: 1}}}},
+	}}, cl.leader.term)
+}
+
+// submitGuaranteed submits an urgent job whose tasks need all accelerators of the
+// guarantee together, each a given number of them.
+func (cl *cluster) submitGuaranteed(n int, gpus int64, gang bool) *workload.Job {
+	id := fmt.Sprintf("%016x", n)
+	step := workload.Step{Count: int(cl.state.Guaranteed("a") / gpus), Estimate: time.Minute, Gang: gang,
+		Demand: workload.Resources{CPU: 1000, MemoryMB: 1000, GPU: gpus}}
+	cl.apply(&workload.Command{At: cl.now, Submit: &workload.Job{
+		ID: id, Queue: "q", Service: "s", Customer: "a", MaxAttempts: 3, Stretch: 2, Target: time.Second, Spec: workload.Spec{Steps: []workload.Step{step}},
+	}}, cl.leader.term)
+	return cl.state.Job(id)
+}
+
 // expectStart records that a job must start in time, provided that its
 // customer's guarantee covers all urgent jobs that have not ended.
 func (cl *cluster) expectStart(j *workload.Job) {
--- a/scheduler/fleet/types.go
+++ b/scheduler/fleet/types.go
@@ -24,6 +24,9 @@
 	// SpreadFactor is the factor by which tasks take longer away from their
 	// preferred rack.
 	SpreadFactor float64
+	// MaxLongPolls is the number of executors whose holds may wait for an end at
+	// the same time, because each of them occupies a connection; 0 means no bound.
+	MaxLongPolls int
 }
 
 // Report is an executor's report about itself.
--- a/scheduler/structs/refusal.go
+++ b/scheduler/structs/refusal.go
@@ -51,6 +51,8 @@
 	CodeTooLarge             Code = "too_large"
 	CodeMembershipChange     Code = "membership_change_refused"
 	CodeQuorumUnavailable    Code = "quorum_unavailable"
+	// CodeInternal reports a fault of the host in handling this request.
+	CodeInternal Code = "internal_error"
 )
 
 // Refusal is the error for every request that gets no other response.
--- a/scheduler/workload/apply.go
+++ b/scheduler/workload/apply.go
@@ -55,7 +55,12 @@
 	return ResultApplied
 }
 
+// submit stores a job. The specification was validated before it was proposed; one
+// that is invalid all the same would end every host that applies it.
 func (s *State) submit(j *Job, at time.Duration) Result {
+	if j.Spec.Validate() != nil {
+		return ResultInvalid
+	}
 	if s.jobs[j.ID] != nil {
 		return ResultUnchanged
 	}
--- a/scheduler/workload/job.go
+++ b/scheduler/workload/job.go
@@ -16,7 +16,11 @@
 
 // String returns the name used in logs.
 func (p Phase) String() string {
-	return [...]string{"queued", "running", "completed", "failed", "cancelled"}[p]
+	names := [...]string{"queued", "running", "completed", "failed", "cancelled"}
+	if int(p) >= len(names) {
+		return "unknown"
+	}
+	return names[p]
 }
 
 // Ended reports whether the phase is final.
--- a/scheduler/workload/spec.go
+++ b/scheduler/workload/spec.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"math"
 	"strings"
 	"time"
 )
@@ -140,6 +141,8 @@
 		return &SpecError{Field: "repeats", Reason: "out of range"}
 	case s.Repeats > 1 && s.Interval <= 0:
 		return &SpecError{Field: "interval", Reason: "must be positive"}
+	case s.FirstDue < 0 || s.Interval < 0 || s.Interval > (math.MaxInt64-s.FirstDue)/time.Duration(s.Occurrences()):
+		return &SpecError{Field: "due times", Reason: "out of range"}
 	}
 	tasks := 0
 	for i := range s.Steps {
@@ -160,6 +163,8 @@
 		return &SpecError{Step: position, Field: "count", Reason: "out of range"}
 	case s.Demand.CPU < 0 || s.Demand.MemoryMB < 0 || s.Demand.GPU < 0:
 		return &SpecError{Step: position, Field: "resources", Reason: "negative"}
+	case s.Estimate < 0 || s.TailLatencyTarget < 0:
+		return &SpecError{Step: position, Field: "times", Reason: "negative"}
 	case s.PerExecutor < 0 || s.MaxUnavailable < 0:
 		return &SpecError{Step: position, Field: "limits", Reason: "negative"}
 	}
--- a/scheduler/workload/workload_test.go
+++ b/scheduler/workload/workload_test.go
@@ -264,3 +264,29 @@
 		apply(s, workload.Command{Purge: []string{id}})
 	}
 }
+
+// Guards against a key or a route that was withdrawn and is in force again after a
+// restart, or after an older configuration that arrives late.
+var _ = Describe("a withdrawn key and route", func() {
+	It("stay withdrawn after a restart and a late older configuration", func() {
+		config := func(version int64, key, prefix string) *workload.Config {
+			return &workload.Config{
+				Version: version, Document: []byte(key), Services: []workload.Service{{Name: "s"}},
+				Queues:    []workload.Queue{{Name: "q", Host: "h", Prefix: prefix, Service: "s", Timeout: time.Second}},
+				Customers: []workload.Customer{{Name: "a", Keys: []string{key}}},
+			}
+		}
+		s := workload.New()
+		apply(s, workload.Command{Configure: config(1, "old", "/old/")})
+		apply(s, workload.Command{Configure: config(2, "new", "/new/")})
+		snapshot, err := s.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		restored := workload.New()
+		Expect(restored.Restore(snapshot)).To(Succeed())
+		Expect(apply(restored, workload.Command{Configure: config(1, "old", "/old/")})).To(Equal(workload.ResultUnchanged))
+		_, known := restored.CustomerOf("old")
+		Expect(known).To(BeFalse())
+		Expect(restored.Match("h", "/old/x")).To(BeNil())
+		Expect(restored.Match("h", "/new/x")).NotTo(BeNil())
+	})
+})
