control: bound the time for steps of the controller

Cause: the leader took a step, which looks at every executor and run, after each batch of events, and the events grow with the fleet as well. At 3,000 executors the busiest control host used 71.5 % of a core, and after all processes had been killed it took 8.5 s until jobs were served again.

Change: a step that took a time is followed by the next one after four times that, 20 ms at most. Responses and reports are still handled at once.

node: non-idempotent requests wait for the backend servers after a start

Readiness keeps callers away, but not the other hosts, which pass requests on to the owner.

Change: the owner waits for the announcements, at most until the deadline of the request. The specs in daemon/node/requests_test.go are new with the function.

--- a/daemon/control/control_test.go
+++ b/daemon/control/control_test.go
@@ -28,9 +28,13 @@
 
 var _ = Describe("owner", func() {
 	var o *owner
+	// stepStart and stepCost are the time of a step and how long it takes.
+	var stepStart, stepCost time.Duration
 
 	BeforeEach(func() {
+		stepCost = 0
 		o = &owner{cfg: fleet.Settings{Lease: time.Second}, state: workload.New(), log: logr.Discard()}
+		o.now = func() time.Duration { return stepStart + stepCost }
 	})
 
 	// Guards against tasks that run again after their end. A controller that is
@@ -54,6 +58,23 @@
 		Expect(o.controller).NotTo(BeIdenticalTo(before))
 	})
 
+	// Guards against a leader of a large fleet that spends all its time on steps, one
+	// after each event, and loses its leadership.
+	DescribeTable("takes no further step for a time that its last one justifies",
+		func(cost, after time.Duration, stepped bool) {
+			stepStart, stepCost = time.Second, cost
+			o.Step(stepStart, view(2, raft.RoleLeader, true))
+			before := o.nextStep
+			stepStart += after
+			o.Step(stepStart, view(2, raft.RoleLeader, true))
+			Expect(o.nextStep != before).To(Equal(stepped))
+		},
+		Entry("a short step", 10*time.Microsecond, 50*time.Microsecond, true),
+		Entry("a long step", time.Millisecond, 3*time.Millisecond, false),
+		Entry("a long step, later", time.Millisecond, 5*time.Millisecond, true),
+		Entry("a step of any length, at the next tick", time.Second, maxStepDelay, true),
+	)
+
 	// Guards against losing or reordering commands that the group refused.
 	It("proposes refused commands again, before new ones", func() {
 		o.Step(time.Second, view(2, raft.RoleLeader, true))
--- a/daemon/control/node.go
+++ b/daemon/control/node.go
@@ -149,7 +149,7 @@
 		_ = store.Close()
 		return err
 	}
-	n.owner = &owner{cfg: n.cfg.Fleet, state: n.state, executors: n.cfg.Executors, log: n.log, panics: n.cfg.Observer}
+	n.owner = &owner{cfg: n.cfg.Fleet, state: n.state, executors: n.cfg.Executors, log: n.log, panics: n.cfg.Observer, now: clock.Boot}
 	n.group = group.New(group.Config{
 		Name: groupName, Replica: r, Send: n.sendRaft, Owner: n.owner, Now: clock.Boot, Logger: n.log, Panics: n.cfg.Observer,
 		OnFailure: n.reportFailure,
--- a/daemon/control/owner.go
+++ b/daemon/control/owner.go
@@ -17,6 +17,15 @@
 // been suspended since the decision, and another host may be the leader.
 const maxCallAge = 300 * time.Millisecond
 
+const (
+	// stepCostFactor bounds the share of time that steps of the controller take: a
+	// step looks at every executor and run, and one after each event would cost more
+	// than the events of a large fleet leave.
+	stepCostFactor = 4
+	// maxStepDelay bounds the delay of a decision by that.
+	maxStepDelay = 20 * time.Millisecond
+)
+
 // Executors sends calls to executors.
 type Executors interface {
 	// Perform sends a call and returns the response. maySend is checked right
@@ -40,6 +49,10 @@
 	refused [][]byte
 	// runInGroup runs a function on the goroutine of the group.
 	runInGroup func(func(now time.Duration)) bool
+	// now reads the clock of leases. nextStep is the time before which the controller
+	// takes no step.
+	now      func() time.Duration
+	nextStep time.Duration
 	// leaseEnd returns the end of the lease of this host as the leader.
 	leaseEnd func() time.Duration
 	panics   panics.Observer
@@ -66,10 +79,13 @@
 	if o.controller == nil {
 		o.term = view.Status.Term
 		o.controller = fleet.New(o.cfg, o.state, o.term, now, o.log)
-		o.commands, o.refused = nil, nil
+		o.commands, o.refused, o.nextStep = nil, nil, 0
 		o.log.Info("leadership taken", "term", o.term, "config_version", o.state.Config().Version)
 	}
-	o.execute(o.controller.Step(now, clock.Unix()))
+	if now >= o.nextStep {
+		o.execute(o.controller.Step(now, clock.Unix()))
+		o.nextStep = now + min(maxStepDelay, stepCostFactor*(o.now()-now))
+	}
 	return o.encodeCommands()
 }
 
--- a/daemon/node/requests.go
+++ b/daemon/node/requests.go
@@ -223,6 +223,7 @@
 	for {
 		response, err := n.recordedResponse(c)
 		if response == nil && err == nil {
+			n.awaitBackends(deadline)
 			c.Request.Remaining = max(deadline-n.now(), time.Millisecond)
 			response, err = n.serveLocally(c)
 		}
@@ -232,6 +233,17 @@
 	}
 }
 
+// awaitBackends waits until this host knows the backend servers after its start, at
+// most until the deadline. A restarted host may own request keys before that,
+// because leadership goes to a host of the failure domain as soon as it is back.
+func (n *Node) awaitBackends(deadline time.Duration) {
+	for !n.backends.isSynced(n.now()) && n.now()+keyPollInterval < deadline {
+		if !n.wait(keyPollInterval) {
+			return
+		}
+	}
+}
+
 func isKeyInProgress(err error) bool {
 	var refusal *structs.Refusal
 	return errors.As(err, &refusal) && refusal.Code == structs.CodeKeyInProgress
--- /dev/null
+++ b/daemon/node/requests_test.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"cranberrydrum.dev/coord/registry"
+)
+
+// newStartedNode returns the part of a host that knows the backend servers, as it is
+// right after the start.
+func newStartedNode() *Node {
+	n := &Node{start: time.Now(), stop: make(chan struct{}), backends: newBackendDirectory("d", 3*time.Second)}
+	n.backends.startAccepting(n.now())
+	return n
+}
+
+// Guards against non-idempotent requests that are refused because no backend server
+// is known: a restarted host becomes the owner of request keys again before its
+// peers have sent it the announcements.
+func TestRequestsWaitForBackendsAfterStart(t *testing.T) {
+	g := NewWithT(t)
+	n := newStartedNode()
+	const syncAfter = 100 * time.Millisecond
+	time.AfterFunc(syncAfter, func() {
+		n.backends.merge(n.now(), []registry.Entry{{ID: "x", Incarnation: 1, Sequence: 1, State: registry.Up, TTL: time.Second}})
+	})
+	n.awaitBackends(2 * time.Second)
+	g.Expect(n.backends.isSynced(n.now())).To(BeTrue())
+	g.Expect(n.now()).To(BeNumerically(">=", syncAfter))
+	g.Expect(n.now()).To(BeNumerically("<", time.Second))
+}
+
+// Guards against a request that waits beyond its deadline, or beyond the stop of
+// the host.
+func TestRequestsStopWaitingForBackends(t *testing.T) {
+	g := NewWithT(t)
+	n := newStartedNode()
+	n.awaitBackends(100 * time.Millisecond)
+	g.Expect(n.now()).To(BeNumerically("~", 100*time.Millisecond, 80*time.Millisecond))
+	n = newStartedNode()
+	close(n.stop)
+	n.awaitBackends(2 * time.Second)
+	g.Expect(n.now()).To(BeNumerically("<", time.Second))
+}
