node: no request goes to a host that knows no executors yet

Change: a host that knows executors goes before one that does not, in the view of a failure domain and in the choice of the host; a host that has just started lets forwarded requests wait for the announcements as well.

Before: the new test does not compile against the old choice, which took the shortest wait.

--- a/daemon/node/forward.go
+++ b/daemon/node/forward.go
@@ -160,7 +160,7 @@
 		}
 		candidate, ok := n.domainView(h, s.name, r.Class)
 		known, seen := byDomain[h.Domain]
-		if ok && (!seen || candidate.Wait < known.Wait) {
+		if ok && (!seen || isPreferred(candidate, known)) {
 			byDomain[h.Domain] = candidate
 		}
 	}
@@ -170,6 +170,16 @@
 	return view
 }
 
+// isPreferred reports whether requests for a failure domain should go to the host of
+// the first view. A host that has just started knows no executors yet, so that its
+// short wait says nothing about the failure domain.
+func isPreferred(a, b routing.DomainView) bool {
+	if (a.Executors > 0) != (b.Executors > 0) {
+		return a.Executors > 0
+	}
+	return a.Wait < b.Wait
+}
+
 // domainView returns the load of a service according to the last status of a
 // host.
 func (n *Node) domainView(h host, service string, class structs.Class) (routing.DomainView, bool) {
@@ -205,14 +215,18 @@
 
 // leastLoadedHost returns the host of a failure domain with the most free slots.
 func (n *Node) leastLoadedHost(domain, service string) (host, bool) {
+	hosts := n.hosts.inDomain(domain)
+	return leastLoaded(slices.DeleteFunc(hosts, func(h host) bool { return !n.usable(h) }), service)
+}
+
+// leastLoaded returns the host with the most free slots among those that know
+// executors of a service.
+func leastLoaded(hosts []host, service string) (host, bool) {
 	var best host
 	most := -1
-	for _, h := range n.hosts.inDomain(domain) {
-		if !n.usable(h) {
-			continue
-		}
+	for _, h := range hosts {
 		for _, load := range h.status.Services {
-			if load.Service == service && load.FreeSlots > most {
+			if load.Service == service && load.Executors > 0 && load.FreeSlots > most {
 				best, most = h, load.FreeSlots
 			}
 		}
--- a/daemon/node/requests.go
+++ b/daemon/node/requests.go
@@ -171,7 +171,9 @@
 	}
 	n.inFlight.begin()
 	defer n.inFlight.end()
-	response, err := n.serveLocally(r.toCall(remaining))
+	deadline := n.now() + remaining
+	n.awaitBackends(deadline)
+	response, err := n.serveLocally(r.toCall(deadline - n.now()))
 	if err != nil {
 		return nil, err
 	}
@@ -186,7 +188,9 @@
 	}
 	n.inFlight.begin()
 	defer n.inFlight.end()
-	c := r.toCall(remaining)
+	deadline := n.now() + remaining
+	n.awaitBackends(deadline)
+	c := r.toCall(deadline - n.now())
 	c.Begun = true
 	response, err := n.serveLocally(c)
 	if err != nil {
--- a/daemon/node/requests_test.go
+++ b/daemon/node/requests_test.go
@@ -7,6 +7,8 @@
 	. "github.com/onsi/gomega"
 
 	"cranberrydrum.dev/coord/registry"
+	"cranberrydrum.dev/daemon/settings"
+	"cranberrydrum.dev/scheduler/routing"
 )
 
 // newStartedNode returns the part of a host that knows the backend servers, as it is
@@ -45,3 +47,24 @@
 	n.awaitBackends(2 * time.Second)
 	g.Expect(n.now()).To(BeNumerically("<", time.Second))
 }
+
+// Guards against requests that are refused because a host that has just started and
+// knows no executors stands for its whole failure domain.
+func TestRequestsAvoidHostsWithoutExecutors(t *testing.T) {
+	g := NewWithT(t)
+	started := routing.DomainView{Domain: "d"}
+	busy := routing.DomainView{Domain: "d", Executors: 2, Wait: time.Second}
+	g.Expect(isPreferred(started, busy)).To(BeFalse())
+	g.Expect(isPreferred(busy, started)).To(BeTrue())
+	g.Expect(isPreferred(routing.DomainView{Executors: 1}, busy)).To(BeTrue())
+
+	hostWith := func(id string, load serviceStatus) host {
+		load.Service = "s"
+		return host{Peer: settings.Peer{ID: id}, status: hostStatus{Services: []serviceStatus{load}}}
+	}
+	best, found := leastLoaded([]host{hostWith("started", serviceStatus{}), hostWith("busy", serviceStatus{Executors: 2})}, "s")
+	g.Expect(found).To(BeTrue())
+	g.Expect(best.ID).To(Equal("busy"))
+	_, found = leastLoaded([]host{hostWith("started", serviceStatus{})}, "s")
+	g.Expect(found).To(BeFalse())
+}
