node: retries of a call count from the last leader that worked on it

Their first attempt failed at 29.4 s, when oer-1 passed its leadership on; alt-1 led from 29.48 to 30.83 s and worked on them; then no host led until 32.35 s, because oer-1 took 2.3 s to start. The 2.5 s for which a call waits for a leader counted from the first failure and were over at 31.8 s.

Change: the wait counts from the end of the last attempt that a leader worked on, within the deadline of the request.

--- a/daemon/node/calls.go
+++ b/daemon/node/calls.go
@@ -104,12 +104,11 @@
 // method; after such a retry, a refusal does not prove that nothing has run.
 func callLeader[R any](n *Node, group, method string, request any, timeout time.Duration, resend bool) (*R, error) {
 	start := n.now()
-	// The retry deadline counts from the first failure, because a call may wait
-	// long in the queue of a leader that then transfers its leadership.
 	retryDeadline := time.Duration(0)
 	var outcomeUnknown error
 	for {
-		remaining := timeout - (n.now() - start)
+		called := n.now()
+		remaining := timeout - (called - start)
 		result, err := callCurrentLeader[R](n, group, method, request, remaining)
 		if err == nil {
 			return result, nil
@@ -119,9 +118,7 @@
 			outcomeUnknown = err
 		}
 		retryable := kind == failureRetryable || (kind == failureUnknown && resend)
-		if retryDeadline == 0 {
-			retryDeadline = min(start+timeout, n.now()+leaderWaitTimeout)
-		}
+		retryDeadline = nextRetryDeadline(retryDeadline, called, n.now(), start+timeout)
 		if !retryable || n.now()+leaderRetryInterval >= retryDeadline {
 			return nil, finalError(err, outcomeUnknown)
 		}
@@ -131,6 +128,17 @@
 	}
 }
 
+// nextRetryDeadline returns the time until which a call to a leader is retried after
+// a failure. It counts from the last time that a leader worked on the call, because
+// a call may wait long in the queue of a leader that then loses its leadership, and
+// that may happen several times.
+func nextRetryDeadline(previous, called, failed, end time.Duration) time.Duration {
+	if previous == 0 || failed-called > leaderRetryInterval {
+		return min(end, failed+leaderWaitTimeout)
+	}
+	return previous
+}
+
 func callCurrentLeader[R any](n *Node, group, method string, request any, timeout time.Duration) (*R, error) {
 	leader := n.leaderOf(group)
 	if leader == "" {
--- a/daemon/node/requests_test.go
+++ b/daemon/node/requests_test.go
@@ -70,3 +70,15 @@
 	_, found = leastLoaded([]host{hostWith("started", serviceStatus{})}, "s")
 	g.Expect(found).To(BeFalse())
 }
+
+// Guards against requests that are refused while a leader is elected, because an
+// earlier leader had held them for longer than an election takes.
+func TestRetriesCountFromTheLastLeader(t *testing.T) {
+	g := NewWithT(t)
+	const end = time.Minute
+	first := nextRetryDeadline(0, time.Second, time.Second, end)
+	g.Expect(first).To(Equal(time.Second + leaderWaitTimeout))
+	g.Expect(nextRetryDeadline(first, 2*time.Second, 2*time.Second, end)).To(Equal(first), "no leader worked on the call")
+	g.Expect(nextRetryDeadline(first, 2*time.Second, 4*time.Second, end)).To(Equal(4*time.Second + leaderWaitTimeout))
+	g.Expect(nextRetryDeadline(0, 0, 59*time.Second, end)).To(Equal(end))
+}
