--- a/daemon/descriptors/doc.go
+++ b/daemon/descriptors/doc.go
@@ -4,5 +4,5 @@
 //
 // The order of importance is: peers and files first, which are only counted, then
 // accepted connections of clients, operators and executors, then dialled
-// connections. Only idle connections are closed, so no request is cut.
+// connections. Connections are closed only while they wait for a request.
 package descriptors
