workload: jobs of earlier versions stay; departures before the first entry

Found by reading the change. Apply refused every job that the present checks refuse, so a log with a job that an earlier version accepted would have lost it on a replay, on the hosts of the new build only. It now checks only what the allocation of the tasks needs. A refused command is answered as not run instead of as accepted. A deregistration that comes before the first report is stored leaves a departure as well; an executor without an incarnation leaves none, because its reports after a restart could not be told from late ones.

--- a/daemon/control/calls.go
+++ b/daemon/control/calls.go
@@ -156,6 +156,9 @@
 		n.log.Info("request not stored", "operation", r.Operation.String(), "path", r.Path, "error", err.Error())
 		return nil, err
 	}
+	if result == workload.ResultInvalid {
+		return nil, structs.RefuseNotRun(structs.CodeInvalid, "the log refused the command")
+	}
 	n.log.Info("request stored", "operation", r.Operation.String(), "path", r.Path, "known", result == workload.ResultUnchanged)
 	return &CustomerReply{Unknown: result == workload.ResultUnknownJob}, nil
 }
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -200,14 +200,16 @@
 // not identify the incarnation. If departure is not nil, it must be stored before
 // the notice is acknowledged.
 func (c *Controller) Leave(now time.Duration, id string, incarnation int64) (departure *workload.ExecutorKey) {
-	if e := c.executors[id]; e != nil && (incarnation == 0 || incarnation >= e.key.Incarnation) {
+	isOver := func(key workload.ExecutorKey) bool { return incarnation == 0 || incarnation >= key.Incarnation }
+	if e := c.executors[id]; e != nil && isOver(e.key) {
+		// Its first report may still be waiting to be stored.
+		departure = &workload.ExecutorKey{ID: id, Incarnation: max(incarnation, e.key.Incarnation)}
 		c.removeExecutor(now, e, "left")
 	}
-	entry := c.state.Executor(id)
-	if entry == nil || (incarnation > 0 && incarnation < entry.Key.Incarnation) {
-		return nil
+	if entry := c.state.Executor(id); entry != nil && departure == nil && isOver(entry.Key) {
+		departure = &workload.ExecutorKey{ID: id, Incarnation: max(incarnation, entry.Key.Incarnation)}
 	}
-	return &workload.ExecutorKey{ID: id, Incarnation: max(incarnation, entry.Key.Incarnation)}
+	return departure
 }
 
 // removeExecutor ends an executor incarnation. All of its runs are over.
--- a/scheduler/fleet/silence_test.go
+++ b/scheduler/fleet/silence_test.go
@@ -223,6 +223,18 @@
 		Expect(h.state.Executor("i-1")).To(BeNil())
 	})
 
+	// Guards against an executor that deregisters before its first report is stored:
+	// the entry would be stored after the departure.
+	It("stays away if its first report is not stored yet", func() {
+		_, entry := h.controller.Report(h.now, fleet.Report{Executor: workload.ExecutorKey{ID: "i-9", Incarnation: 1}, Sequence: 1, Service: "s", Address: "10.0.0.9:80"})
+		Expect(entry).NotTo(BeNil())
+		departure := h.controller.Leave(h.now, "i-9", 1)
+		Expect(departure).NotTo(BeNil())
+		h.apply(&workload.Command{At: h.now, Deregister: []workload.ExecutorKey{*departure}, Left: true})
+		h.apply(&workload.Command{At: h.now, Register: entry})
+		Expect(h.state.Executor("i-9")).To(BeNil())
+	})
+
 	// Guards against a later incarnation under the same name that is never used.
 	It("is used again in a later incarnation", func() {
 		leave(1)
--- a/scheduler/workload/apply.go
+++ b/scheduler/workload/apply.go
@@ -56,9 +56,10 @@
 }
 
 // submit stores a job. The specification was validated before it was proposed; one
-// that is invalid all the same would end every host that applies it.
+// whose structure is invalid all the same would end every host that applies it.
+// Nothing else is checked here, so that jobs accepted by an earlier version stay.
 func (s *State) submit(j *Job, at time.Duration) Result {
-	if j.Spec.Validate() != nil {
+	if j.Spec.validateStructure() != nil {
 		return ResultInvalid
 	}
 	if s.jobs[j.ID] != nil {
--- a/scheduler/workload/directory.go
+++ b/scheduler/workload/directory.go
@@ -62,7 +62,8 @@
 			delete(s.departures, id)
 		}
 	}
-	if !s.HasLeft(key) {
+	// Without an incarnation, a late report cannot be told from one after a restart.
+	if key.Incarnation > 0 && !s.HasLeft(key) {
 		s.departures[key.ID] = departure{Incarnation: key.Incarnation, At: at}
 	}
 }
--- a/scheduler/workload/spec.go
+++ b/scheduler/workload/spec.go
@@ -132,23 +132,39 @@
 
 // Validate returns an error if the job cannot be accepted.
 func (s *Spec) Validate() error {
+	if err := s.validateStructure(); err != nil {
+		return err
+	}
 	switch {
 	case len(s.Payload) > maxPayloadBytes:
 		return &SpecError{Field: "payload", Reason: "too long"}
-	case len(s.Steps) == 0 || len(s.Steps) > maxSteps:
-		return &SpecError{Field: "steps", Reason: "empty or too many"}
-	case s.Repeats < 0 || s.Repeats > maxOccurrences:
-		return &SpecError{Field: "repeats", Reason: "out of range"}
 	case s.Repeats > 1 && s.Interval <= 0:
 		return &SpecError{Field: "interval", Reason: "must be positive"}
 	case s.FirstDue < 0 || s.Interval < 0 || s.Interval > (math.MaxInt64-s.FirstDue)/time.Duration(s.Occurrences()):
 		return &SpecError{Field: "due times", Reason: "out of range"}
 	}
-	tasks := 0
 	for i := range s.Steps {
 		if err := s.Steps[i].validate(i); err != nil {
 			return err
 		}
+	}
+	return nil
+}
+
+// validateStructure checks the numbers of steps, tasks and occurrences and the
+// dependencies, for which the state of the job is allocated.
+func (s *Spec) validateStructure() error {
+	switch {
+	case len(s.Steps) == 0 || len(s.Steps) > maxSteps:
+		return &SpecError{Field: "steps", Reason: "empty or too many"}
+	case s.Repeats < 0 || s.Repeats > maxOccurrences:
+		return &SpecError{Field: "repeats", Reason: "out of range"}
+	}
+	tasks := 0
+	for i := range s.Steps {
+		if err := s.Steps[i].validateStructure(i); err != nil {
+			return err
+		}
 		tasks += s.Steps[i].Count
 	}
 	if tasks > maxTasks || tasks*s.Occurrences() > 10*maxTasks {
@@ -157,10 +173,20 @@
 	return nil
 }
 
+func (s *Step) validateStructure(position int) error {
+	if s.Count <= 0 || s.Count > maxTasks {
+		return &SpecError{Step: position, Field: "count", Reason: "out of range"}
+	}
+	for _, d := range s.DependsOn {
+		if d < 0 || d >= position {
+			return &SpecError{Step: position, Field: "dependencies", Reason: "not an earlier step"}
+		}
+	}
+	return nil
+}
+
 func (s *Step) validate(position int) error {
 	switch {
-	case s.Count <= 0 || s.Count > maxTasks:
-		return &SpecError{Step: position, Field: "count", Reason: "out of range"}
 	case s.Demand.CPU < 0 || s.Demand.MemoryMB < 0 || s.Demand.GPU < 0:
 		return &SpecError{Step: position, Field: "resources", Reason: "negative"}
 	case s.Estimate < 0 || s.TailLatencyTarget < 0:
@@ -168,10 +194,5 @@
 	case s.PerExecutor < 0 || s.MaxUnavailable < 0:
 		return &SpecError{Step: position, Field: "limits", Reason: "negative"}
 	}
-	for _, d := range s.DependsOn {
-		if d < 0 || d >= position {
-			return &SpecError{Step: position, Field: "dependencies", Reason: "not an earlier step"}
-		}
-	}
 	return nil
 }
