serving: an estimate that is too long no longer refuses a flow for ever

Cause: the attempts in progress when a host is paused measure the pause as their service time. Non-idempotent requests are refused if the 95th percentile does not fit before their deadline, and refused requests give no measurements, so the estimate never changes: with 8 attempts over a pause of 3.6 s after 100 of 15 ms, 0 of the next 200 requests with a deadline of 4 s are answered. The same trap exists without a pause if all executors are slow for a while.

Change: one request of a flow at a time may test an estimate that would refuse it, a non-idempotent one only if the median fits or the last measurement is 10 s old.

--- a/scheduler/serving/admit.go
+++ b/scheduler/serving/admit.go
@@ -93,7 +93,7 @@
 	}
 	r.estimatedWait = d.uncorrectedWait(r.flow)
 	wait := d.estimateWait(r.flow)
-	if d.hasMeasurements(r.flow) && now+wait+d.requiredServiceTime(r) > r.deadline {
+	if d.isTooLate(now+wait, r, r.flow.len()) {
 		d.forwardOrRefuse(now, r, structs.CodeDeadlineUnreachable, wait)
 		return
 	}
--- a/scheduler/serving/attempts.go
+++ b/scheduler/serving/attempts.go
@@ -268,6 +268,7 @@
 	d.running--
 	d.byTier[a.tier]--
 	d.queues[r.class].running--
+	r.flow.running--
 	if a.aged {
 		d.agedRunning--
 	}
@@ -314,6 +315,7 @@
 	}
 	a.executor.recordSuccess(now)
 	r.flow.estimate.observe(elapsed)
+	r.flow.lastMeasured = now
 	d.classEstimates[r.class].observe(elapsed)
 	over := min(elapsed.Seconds()/r.cost-1, maxOverrunCharge) * r.cost
 	r.flow.virtualTime += max(-r.cost, over) / r.flow.weight
--- a/scheduler/serving/dispatch.go
+++ b/scheduler/serving/dispatch.go
@@ -105,7 +105,7 @@
 // refuseIfTooLate refuses a queued request that cannot complete before its
 // deadline, so that it does not take a slot from one that can.
 func (d *Dispatcher) refuseIfTooLate(now time.Duration, r *request) bool {
-	if !d.hasMeasurements(r.flow) || now+d.requiredServiceTime(r) <= r.deadline {
+	if !d.isTooLate(now, r, 0) {
 		return false
 	}
 	d.updateWaitCorrection(now, r)
@@ -267,6 +267,7 @@
 	d.running++
 	d.byTier[a.tier]++
 	d.queues[r.class].running++
+	r.flow.running++
 	if mode.aged {
 		d.agedRunning++
 		d.counters.Aged++
--- a/scheduler/serving/queue.go
+++ b/scheduler/serving/queue.go
@@ -11,6 +11,10 @@
 	estimate estimator
 	tier     tier
 	lastSeen time.Duration
+	// running is the number of attempts that hold a slot, lastMeasured the time of
+	// the last service time in estimate.
+	running      int
+	lastMeasured time.Duration
 
 	// items[head:] are the queued requests.
 	items []*request
--- a/scheduler/serving/refresh.go
+++ b/scheduler/serving/refresh.go
@@ -196,6 +196,27 @@
 	return expected
 }
 
+// staleMeasurements is the time without a measurement after which an estimate no
+// longer keeps a request from testing it.
+const staleMeasurements = 10 * time.Second
+
+// isTooLate reports whether a request that starts at a time, behind other queued
+// requests of its flow, cannot be expected to complete before its deadline. Refused requests give no measurements, so an
+// estimate that is too long, for example after a pause of this host or while all
+// executors were slow, would refuse all requests of a flow for ever. One request at
+// a time may therefore test it, a non-idempotent one only if the median allows it
+// or the estimate is old.
+func (d *Dispatcher) isTooLate(start time.Duration, r *request, ahead int) bool {
+	if !d.hasMeasurements(r.flow) || start+d.requiredServiceTime(r) <= r.deadline {
+		return false
+	}
+	if r.flow.running+ahead > 0 || start >= r.deadline {
+		return true
+	}
+	fitsMedian := start+d.expectedServiceTime(r.flow) <= r.deadline
+	return r.nonIdempotent && !fitsMedian && start-r.flow.lastMeasured < staleMeasurements
+}
+
 // meanServiceTime returns the mean time for which a request of the flow uses a
 // slot.
 func (d *Dispatcher) meanServiceTime(f *flow) time.Duration {
