--- a/scheduler/serving/refresh.go
+++ b/scheduler/serving/refresh.go
@@ -201,16 +201,19 @@
 const staleMeasurements = 10 * time.Second
 
 // isTooLate reports whether a request that starts at a time, behind other queued
-// requests of its flow, cannot be expected to complete before its deadline. Refused requests give no measurements, so an
-// estimate that is too long, for example after a pause of this host or while all
-// executors were slow, would refuse all requests of a flow for ever. One request at
-// a time may therefore test it, a non-idempotent one only if the median allows it
-// or the estimate is old.
+// requests of its flow, cannot be expected to complete before its deadline.
+// Refused requests give no measurements, so an estimate that alone exceeds the time
+// of every request, for example after a pause of this host or while all executors
+// were slow, would refuse the flow for ever. One request at a time may therefore
+// test such an estimate, a non-idempotent one only if the median fits or the last
+// measurement is old.
 func (d *Dispatcher) isTooLate(start time.Duration, r *request, ahead int) bool {
-	if !d.hasMeasurements(r.flow) || start+d.requiredServiceTime(r) <= r.deadline {
+	required := d.requiredServiceTime(r)
+	if !d.hasMeasurements(r.flow) || start+required <= r.deadline {
 		return false
 	}
-	if r.flow.running+ahead > 0 || start >= r.deadline {
+	isDelayed := r.arrived+required <= r.deadline
+	if isDelayed || r.flow.running+ahead > 0 || start >= r.deadline {
 		return true
 	}
 	fitsMedian := start+d.expectedServiceTime(r.flow) <= r.deadline
