fleet: the first list of a new leader proves which runs never began

Runs of earlier terms counted as settled at the time at which the controller was created, which is that of its first holds, and a list proves the end of a run only if it was asked for after that. So the second list decides, a long poll of 2 s, and where the gang was broken meanwhile, the third one.

Ruled out: the executors (they answered the first list within 0.1 s), the election (1.3 s after the power was back), the reservation of executors for gangs.

Change: runs of earlier terms are settled before the first call of the term: each hold carries the new token and fences off every earlier start.

--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -268,6 +268,10 @@
 	})
 }
 
+// settledBefore is the settledAt of a run of an earlier term. It precedes every call
+// of this term.
+const settledBefore = time.Nanosecond
+
 func (c *Controller) reconcileRuns(now time.Duration, e *executor) {
 	logged := c.state.RunsOn(e.key)
 	for key, r := range e.runs {
@@ -280,8 +284,9 @@
 		if e.runs[key] == nil {
 			r := &run{number: entry.Number, term: entry.Term, progressedAt: now}
 			if entry.Term < c.term {
-				// The first hold of this term fences off every earlier start.
-				r.settledAt = now
+				// Each hold of this term fences off every earlier start, so the first
+				// list proves whether the run began.
+				r.settledAt = settledBefore
 			}
 			e.runs[key] = r
 		}
--- a/scheduler/fleet/decisions_test.go
+++ b/scheduler/fleet/decisions_test.go
@@ -203,6 +203,21 @@
 		Expect(h.executorsOf("a")).To(HaveLen(4))
 	})
 
+	// Guards against a new leader that learns only from a second list, after a wait of
+	// seconds, that a start of the earlier leader never arrived.
+	It("knows from the first list that a run of an earlier term never began", func() {
+		h.dropOrders = true
+		h.submit("a", 1, workload.Step{Count: 1, Demand: needGPUs(8)})
+		h.step()
+		on := h.executorsOf("a")[0]
+		h.dropOrders = false
+		h.changeLeader(3)
+		h.answerHold(int(on[2]-'0'), nil)
+		h.now += 20 * time.Millisecond
+		h.step()
+		Expect(h.state.Job("a").Occurrences[0].Steps[0].Tasks[0].LastRun).To(Equal(2))
+	})
+
 	// Guards against starts after a departure notice that an earlier leader
 	// acknowledged, and against an older report that arrives after the notice.
 	It("keeps an executor draining under the next leader and after late reports", func() {
