node: requests wait after a start for the first executors only

The wait for the announcements of peers lasts 3 s if the other host of the failure domain is cut off, although the executors announce themselves to the restarted host within a second.

Change: the wait also ends once the dispatcher knows an executor of the service.

--- a/daemon/node/requests.go
+++ b/daemon/node/requests.go
@@ -172,7 +172,7 @@
 	n.inFlight.begin()
 	defer n.inFlight.end()
 	deadline := n.now() + remaining
-	n.awaitBackends(deadline)
+	n.awaitBackends(r.Service, deadline)
 	response, err := n.serveLocally(r.toCall(deadline - n.now()))
 	if err != nil {
 		return nil, err
@@ -189,7 +189,7 @@
 	n.inFlight.begin()
 	defer n.inFlight.end()
 	deadline := n.now() + remaining
-	n.awaitBackends(deadline)
+	n.awaitBackends(r.Service, deadline)
 	c := r.toCall(deadline - n.now())
 	c.Begun = true
 	response, err := n.serveLocally(c)
@@ -227,7 +227,7 @@
 	for {
 		response, err := n.recordedResponse(c)
 		if response == nil && err == nil {
-			n.awaitBackends(deadline)
+			n.awaitBackends(c.Request.Service, deadline)
 			c.Request.Remaining = max(deadline-n.now(), time.Millisecond)
 			response, err = n.serveLocally(c)
 		}
@@ -237,17 +237,24 @@
 	}
 }
 
-// awaitBackends waits until this host knows the backend servers after its start, at
-// most until the deadline. A restarted host may own request keys before that,
-// because leadership goes to a host of the failure domain as soon as it is back.
-func (n *Node) awaitBackends(deadline time.Duration) {
-	for !n.backends.isSynced(n.now()) && n.now()+keyPollInterval < deadline {
+// awaitBackends waits until this host knows executors of a service after its start,
+// or all that its peers know, at most until the deadline. A restarted host may own
+// request keys before that, because leadership goes to a host of the failure domain
+// as soon as it is back.
+func (n *Node) awaitBackends(service string, deadline time.Duration) {
+	for !n.backends.isSynced(n.now()) && !n.knowsExecutors(service) && n.now()+keyPollInterval < deadline {
 		if !n.wait(keyPollInterval) {
 			return
 		}
 	}
 }
 
+// knowsExecutors reports whether the dispatcher of a service can send requests.
+func (n *Node) knowsExecutors(service string) bool {
+	s := n.service(service)
+	return s != nil && s.publishedLoad().Executors > 0
+}
+
 func isKeyInProgress(err error) bool {
 	var refusal *structs.Refusal
 	return errors.As(err, &refusal) && refusal.Code == structs.CodeKeyInProgress
--- a/daemon/node/requests_test.go
+++ b/daemon/node/requests_test.go
@@ -32,21 +32,32 @@
 	time.AfterFunc(syncAfter, func() {
 		n.backends.merge(n.now(), []registry.Entry{{ID: "x", Incarnation: 1, Sequence: 1, State: registry.Up, TTL: time.Minute}})
 	})
-	n.awaitBackends(testDeadline)
+	n.awaitBackends("s", testDeadline)
 	g.Expect(n.backends.isSynced(n.now())).To(BeTrue())
 	g.Expect(n.now()).To(And(BeNumerically(">=", syncAfter), BeNumerically("<", testDeadline)))
 }
 
+// Guards against requests that wait for a peer that is cut off, although executors
+// have announced themselves to this host.
+func TestRequestsWaitOnlyForTheFirstExecutors(t *testing.T) {
+	g := NewWithT(t)
+	n := newStartedNode()
+	n.services = map[string]*service{"s": {published: serviceStatus{Executors: 1}}}
+	n.awaitBackends("s", testDeadline)
+	g.Expect(n.backends.isSynced(n.now())).To(BeFalse())
+	g.Expect(n.now()).To(BeNumerically("<", testDeadline))
+}
+
 // Guards against a request that waits beyond its deadline, or beyond the stop of
 // the host.
 func TestRequestsStopWaitingForBackends(t *testing.T) {
 	g := NewWithT(t)
 	n := newStartedNode()
-	n.awaitBackends(100 * time.Millisecond)
+	n.awaitBackends("s", 100*time.Millisecond)
 	g.Expect(n.backends.isSynced(n.now())).To(BeFalse())
 	n = newStartedNode()
 	close(n.stop)
-	n.awaitBackends(testDeadline)
+	n.awaitBackends("s", testDeadline)
 	g.Expect(n.now()).To(BeNumerically("<", testDeadline))
 }
 
