node: a restarted host tries another failure domain before it waits

The wait for announcements came before the request was offered to another failure domain, which has executors in that spec.

Change: the request is served or forwarded first. If it is refused as not run with no_backend while the host may still learn of backend servers, it is tried again.

The tests of the former wait are replaced by one of the condition for trying again.

--- a/daemon/node/requests.go
+++ b/daemon/node/requests.go
@@ -171,9 +171,8 @@
 	}
 	n.inFlight.begin()
 	defer n.inFlight.end()
-	deadline := n.now() + remaining
-	n.awaitBackends(r.Service, deadline)
-	response, err := n.serveLocally(r.toCall(deadline - n.now()))
+	c := r.toCall(remaining)
+	response, err := n.serveAfterStart(c, n.now()+c.Request.Remaining)
 	if err != nil {
 		return nil, err
 	}
@@ -188,11 +187,9 @@
 	}
 	n.inFlight.begin()
 	defer n.inFlight.end()
-	deadline := n.now() + remaining
-	n.awaitBackends(r.Service, deadline)
-	c := r.toCall(deadline - n.now())
+	c := r.toCall(remaining)
 	c.Begun = true
-	response, err := n.serveLocally(c)
+	response, err := n.serveAfterStart(c, n.now()+c.Request.Remaining)
 	if err != nil {
 		return nil, err
 	}
@@ -227,9 +224,7 @@
 	for {
 		response, err := n.recordedResponse(c)
 		if response == nil && err == nil {
-			n.awaitBackends(c.Request.Service, deadline)
-			c.Request.Remaining = max(deadline-n.now(), time.Millisecond)
-			response, err = n.serveLocally(c)
+			response, err = n.serveAfterStart(c, deadline)
 		}
 		if !isKeyInProgress(err) || n.now()+keyPollInterval >= deadline || !n.wait(keyPollInterval) {
 			return response, err
@@ -237,22 +232,25 @@
 	}
 }
 
-// awaitBackends waits until this host knows executors of a service after its start,
-// or all that its peers know, at most until the deadline. A restarted host may own
-// request keys before that, because leadership goes to a host of the failure domain
-// as soon as it is back.
-func (n *Node) awaitBackends(service string, deadline time.Duration) {
-	for !n.backends.isSynced(n.now()) && !n.knowsExecutors(service) && n.now()+keyPollInterval < deadline {
-		if !n.wait(keyPollInterval) {
-			return
+// serveAfterStart serves a request here or forwards it. A host that does not yet know
+// all backend servers after its start tries again instead of refusing it, because
+// a restarted host owns request keys as soon as it is back.
+func (n *Node) serveAfterStart(c Call, deadline time.Duration) (*upstream.Response, error) {
+	for {
+		c.Request.Remaining = max(deadline-n.now(), time.Millisecond)
+		response, err := n.serveLocally(c)
+		if !n.mayLearnBackends(err) || n.now()+keyPollInterval >= deadline || !n.wait(keyPollInterval) {
+			return response, err
 		}
 	}
 }
 
-// knowsExecutors reports whether the dispatcher of a service can send requests.
-func (n *Node) knowsExecutors(service string) bool {
-	s := n.service(service)
-	return s != nil && s.publishedLoad().Executors > 0
+// mayLearnBackends reports whether a request was refused as not run for want of
+// backend servers that this host may still learn of after its start.
+func (n *Node) mayLearnBackends(err error) bool {
+	var refusal *structs.Refusal
+	isRefused := errors.As(err, &refusal) && refusal.Code == structs.CodeNoBackend && refusal.Outcome == structs.OutcomeNotRun
+	return isRefused && !n.backends.isSynced(n.now())
 }
 
 func isKeyInProgress(err error) bool {
--- a/daemon/node/requests_test.go
+++ b/daemon/node/requests_test.go
@@ -9,11 +9,9 @@
 	"cranberrydrum.dev/coord/registry"
 	"cranberrydrum.dev/daemon/settings"
 	"cranberrydrum.dev/scheduler/routing"
+	"cranberrydrum.dev/scheduler/structs"
 )
 
-// testDeadline is far beyond what a loaded machine needs.
-const testDeadline = 30 * time.Second
-
 // newStartedNode returns the part of a host that knows the backend servers, as it is
 // right after the start.
 func newStartedNode() *Node {
@@ -22,43 +20,18 @@
 	return n
 }
 
-// Guards against non-idempotent requests that are refused because no backend server
-// is known: a restarted host becomes the owner of request keys again before its
-// peers have sent it the announcements.
-func TestRequestsWaitForBackendsAfterStart(t *testing.T) {
-	g := NewWithT(t)
-	n := newStartedNode()
-	const syncAfter = 100 * time.Millisecond
-	time.AfterFunc(syncAfter, func() {
-		n.backends.merge(n.now(), []registry.Entry{{ID: "x", Incarnation: 1, Sequence: 1, State: registry.Up, TTL: time.Minute}})
-	})
-	n.awaitBackends("s", testDeadline)
-	g.Expect(n.backends.isSynced(n.now())).To(BeTrue())
-	g.Expect(n.now()).To(And(BeNumerically(">=", syncAfter), BeNumerically("<", testDeadline)))
-}
-
-// Guards against requests that wait for a peer that is cut off, although executors
-// have announced themselves to this host.
-func TestRequestsWaitOnlyForTheFirstExecutors(t *testing.T) {
-	g := NewWithT(t)
-	n := newStartedNode()
-	n.services = map[string]*service{"s": {published: serviceStatus{Executors: 1}}}
-	n.awaitBackends("s", testDeadline)
-	g.Expect(n.backends.isSynced(n.now())).To(BeFalse())
-	g.Expect(n.now()).To(BeNumerically("<", testDeadline))
-}
-
-// Guards against a request that waits beyond its deadline, or beyond the stop of
-// the host.
-func TestRequestsStopWaitingForBackends(t *testing.T) {
+// Guards against requests that a restarted host refuses before its peers have sent
+// it the announcements, and against retries of any other refusal.
+func TestRequestsWithoutBackendsAreRetriedAfterStart(t *testing.T) {
 	g := NewWithT(t)
 	n := newStartedNode()
-	n.awaitBackends("s", 100*time.Millisecond)
-	g.Expect(n.backends.isSynced(n.now())).To(BeFalse())
-	n = newStartedNode()
-	close(n.stop)
-	n.awaitBackends("s", testDeadline)
-	g.Expect(n.now()).To(BeNumerically("<", testDeadline))
+	noBackend := structs.RefuseNotRun(structs.CodeNoBackend, "")
+	g.Expect(n.mayLearnBackends(noBackend)).To(BeTrue())
+	g.Expect(n.mayLearnBackends(structs.RefuseUnknown(structs.CodeNoBackend, ""))).To(BeFalse())
+	g.Expect(n.mayLearnBackends(structs.RefuseNotRun(structs.CodeShed, ""))).To(BeFalse())
+	g.Expect(n.mayLearnBackends(nil)).To(BeFalse())
+	n.backends.merge(n.now(), []registry.Entry{{ID: "x", Incarnation: 1, Sequence: 1, State: registry.Up, TTL: time.Minute}})
+	g.Eventually(func() bool { return n.mayLearnBackends(noBackend) }, "30s", "10ms").Should(BeFalse())
 }
 
 // Guards against requests that are refused because a host that has just started and
