--- a/daemon/control/control_test.go
+++ b/daemon/control/control_test.go
@@ -35,7 +35,7 @@
 
 	BeforeEach(func() {
 		stepCost = 0
-		o = &owner{cfg: fleet.Settings{Lease: time.Second}, state: workload.New(), log: logr.Discard(), observeGangs: func(fleet.GangCounts) {}}
+		o = &owner{cfg: fleet.Settings{Lease: time.Second}, state: workload.New(), log: logr.Discard(), observeGangs: func(fleet.GangCounts) {}, observeEnds: func(fleet.EndCounts) {}}
 		o.now = func() time.Duration { return stepStart + stepCost }
 	})
 
--- a/daemon/control/membership_nodes_test.go
+++ b/daemon/control/membership_nodes_test.go
@@ -62,6 +62,7 @@
 
 func (quietObserver) SetMembers(MemberCounts)                    {}
 func (quietObserver) ObserveGangs(fleet.GangCounts)              {}
+func (quietObserver) ObserveEnds(fleet.EndCounts)                {}
 func (quietObserver) CountMembershipChange(string, string, bool) {}
 func (quietObserver) CountRefusal(string, string)                {}
 
--- a/daemon/control/node.go
+++ b/daemon/control/node.go
@@ -99,6 +99,8 @@
 	CountMembershipChange(operation, reason string, done bool)
 	// ObserveGangs sets the number of waiting gangs and counts dropped reservations.
 	ObserveGangs(fleet.GangCounts)
+	// ObserveEnds counts the runs that ended, by the evidence for it.
+	ObserveEnds(fleet.EndCounts)
 	panics.Observer
 }
 
@@ -178,6 +180,7 @@
 	n.owner.runInGroup = n.group.RunOnLoop
 	n.owner.leaseEnd = n.group.LeaseEnd
 	n.owner.observeGangs = n.cfg.Observer.ObserveGangs
+	n.owner.observeEnds = n.cfg.Observer.ObserveEnds
 	n.owner.observeCall = func(call fleet.Call, a fleet.Response, took time.Duration) {
 		n.cfg.Observer.Call(call.Kind.String(), a.Verdict.String(), took)
 	}
--- a/daemon/control/owner.go
+++ b/daemon/control/owner.go
@@ -60,6 +60,8 @@
 	observeCall func(call fleet.Call, response fleet.Response, took time.Duration)
 	// observeGangs counts the waiting gangs of a round, for metrics.
 	observeGangs func(fleet.GangCounts)
+	// observeEnds counts the runs that ended, for metrics.
+	observeEnds func(fleet.EndCounts)
 }
 
 // Step implements group.Owner.
@@ -95,6 +97,7 @@
 // execute queues the commands and starts the calls of the controller.
 func (o *owner) execute(out fleet.Output) {
 	o.commands = append(o.commands, out.Commands...)
+	o.observeEnds(out.Ends)
 	if out.Gangs != nil {
 		o.observeGangs(*out.Gangs)
 	}
--- a/daemon/metrics/platform.go
+++ b/daemon/metrics/platform.go
@@ -26,6 +26,7 @@
 	changes  *prometheus.CounterVec
 	waiting  *prometheus.GaugeVec
 	dropped  *prometheus.CounterVec
+	ended    *prometheus.CounterVec
 }
 
 // NewPlatform returns the metrics of one process in a new registry.
@@ -62,8 +63,11 @@
 		dropped: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cranberrydrum_reservations_dropped_total", Help: "Reservations dropped before their gang started, by reason.",
 		}, []string{"reason"}),
+		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cranberrydrum_runs_ended_total", Help: "Runs that ended, by the evidence that the leader had for it.",
+		}, []string{"evidence"}),
 	}
-	p.registry.MustRegister(p.calls, p.refused, p.attempts, p.shed, p.panics, p.members, p.losses, p.changes, p.waiting, p.dropped)
+	p.registry.MustRegister(p.calls, p.refused, p.attempts, p.shed, p.panics, p.members, p.losses, p.changes, p.waiting, p.dropped, p.ended)
 	return p
 }
 
@@ -102,6 +106,11 @@
 	c.EachDropped(func(reason string, n int) { p.dropped.WithLabelValues(reason).Add(float64(n)) })
 }
 
+// ObserveEnds implements control.Observer.
+func (p *Platform) ObserveEnds(c fleet.EndCounts) {
+	c.Each(func(evidence string, runs int) { p.ended.WithLabelValues(evidence).Add(float64(runs)) })
+}
+
 // CountShed implements descriptors.Observer.
 func (p *Platform) CountShed(direction, event string) { p.shed.WithLabelValues(direction, event).Inc() }
 
--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -141,7 +141,7 @@
 	}
 	if r.firstSent == 0 && r.term == c.term {
 		r.settledAt = now
-		c.propose(0, []workload.End{c.recordEnd(e, key, r, workload.EndNotStarted, "")})
+		c.propose(0, []workload.End{c.recordEnd(e, key, r, workload.EndNotStarted, EvidenceNeverSent, "")})
 		return
 	}
 	r.stopInFlight = true
@@ -272,18 +272,18 @@
 			r.firstSent = 0
 		}
 	case VerdictAccepted:
-		r.settledAt = now
+		r.settle(now, EvidenceUnlistedAfterStart)
 	case VerdictRefused, VerdictNoCapacity, VerdictNoTicket:
 		if response.Verdict == VerdictNoTicket {
 			c.discardTicket(call)
 		}
 		if r.startCalls > 1 {
 			// The executor may hold this run because of an earlier start call.
-			r.settledAt = now
+			r.settle(now, EvidenceUnlistedAfterRefusal)
 			return
 		}
 		e.health.pause(now)
-		c.propose(unix, []workload.End{c.recordEnd(e, call.Task, r, workload.EndNotStarted, "")})
+		c.propose(unix, []workload.End{c.recordEnd(e, call.Task, r, workload.EndNotStarted, EvidenceOnlyStartRefused, "")})
 	}
 }
 
@@ -295,7 +295,8 @@
 	r.stopInFlight = false
 	if response.Verdict == VerdictAccepted {
 		// The executor will not carry out any further start of this run.
-		r.stopConfirmedAt, r.settledAt = now, now
+		r.stopConfirmedAt = now
+		r.settle(now, EvidenceUnlistedAfterStop)
 	}
 }
 
@@ -328,7 +329,7 @@
 		if r.end != nil || listed[key] == r.number || r.settledAt == 0 || r.settledAt >= call.IssuedAt {
 			continue
 		}
-		ends = append(ends, c.recordEnd(e, key, r, workload.EndNotStarted, r.checkpoint))
+		ends = append(ends, c.recordEnd(e, key, r, workload.EndNotStarted, r.settledBy, r.checkpoint))
 	}
 	if e.lastSeenEnd > e.cursor && len(ends) == 0 && !c.endsPending(e) {
 		e.cursor = e.lastSeenEnd
@@ -347,7 +348,9 @@
 	}
 	// The run was started, so from now on any list without it proves that it is
 	// over.
-	r.settledAt = max(r.settledAt, 1)
+	if r.settledAt == 0 {
+		r.settle(settledBefore, EvidenceUnlistedAfterStart)
+	}
 	r.lastListedAt = now
 	if t.Percent != r.percent {
 		r.percent, r.progressedAt = t.Percent, now
@@ -385,7 +388,7 @@
 		if e.health.observe(now, end.Task.Job, end.Ending) {
 			c.log.Info("executor quarantined", "executor", e.key.ID, "for_ms", (e.health.suspendedUntil - now).Milliseconds(), "reason", "different jobs failed")
 		}
-		ends = append(ends, c.recordEnd(e, end.Task, r, end.Ending, end.Checkpoint))
+		ends = append(ends, c.recordEnd(e, end.Task, r, end.Ending, EvidenceReported, end.Checkpoint))
 	}
 	return ends
 }
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -297,7 +297,7 @@
 			if entry.Term < c.term {
 				// Each hold of this term fences off every earlier start, so the first
 				// list proves whether the run began.
-				r.settledAt = settledBefore
+				r.settle(settledBefore, EvidenceUnlistedInNewTerm)
 			}
 			e.runs[key] = r
 		}
@@ -329,35 +329,28 @@
 	var ends []workload.End
 	for _, e := range c.executors {
 		if len(e.runs) > 0 && now >= e.leaseEnd {
-			ends = c.endRuns(ends, e, workload.EndLeaseExpired)
+			ends = c.endRuns(ends, e, workload.EndLeaseExpired, EvidenceLeaseExpired)
 		}
 	}
 	for _, e := range c.lost {
 		if now >= e.leaseEnd {
-			ends = c.endRuns(ends, e, workload.EndExecutorGone)
+			ends = c.endRuns(ends, e, workload.EndExecutorGone, EvidenceExecutorGone)
 		}
 	}
 	c.propose(unix, ends)
 }
 
-func (c *Controller) endRuns(ends []workload.End, e *executor, ending workload.Ending) []workload.End {
+func (c *Controller) endRuns(ends []workload.End, e *executor, ending workload.Ending, evidence Evidence) []workload.End {
 	for key, r := range e.runs {
 		// A start that this leader has not sent has no lease that can expire.
 		if r.end != nil || (r.firstSent == 0 && r.term == c.term && ending == workload.EndLeaseExpired) {
 			continue
 		}
-		ends = append(ends, c.recordEnd(e, key, r, ending, r.checkpoint))
+		ends = append(ends, c.recordEnd(e, key, r, ending, evidence, r.checkpoint))
 	}
 	return ends
 }
 
-func (c *Controller) recordEnd(e *executor, key workload.TaskKey, r *run, ending workload.Ending, checkpoint string) workload.End {
-	r.end = &workload.End{Task: key, Run: r.number, Executor: e.key, Ending: ending, Checkpoint: checkpoint}
-	c.log.Info("run ended", "job", key.Job, "occurrence", key.Occurrence, "step", key.Step, "task", key.Index, "run", r.number,
-		"executor", e.key.ID, "ending", ending.String(), "percent", r.percent, "stop_reason", r.stopCause)
-	return *r.end
-}
-
 func (c *Controller) propose(unix time.Duration, ends []workload.End) {
 	if len(ends) > 0 {
 		c.out.Commands = append(c.out.Commands, &workload.Command{At: unix, Ends: ends})
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -32,8 +32,10 @@
 	startCalls    int
 	startInFlight bool
 	// settledAt is the time from which a list without this run proves that the
-	// run is over. It is 0 while a start may still be carried out.
+	// run is over, and settledBy the evidence that such a list is. settledAt is 0 while
+	// a start may still be carried out.
 	settledAt time.Duration
+	settledBy Evidence
 	wasListed bool
 	// firstListedAt is when the executor first listed the run, firstPercent its
 	// progress then.
@@ -63,6 +65,9 @@
 	r.stopCause, r.stopRequestedAt = cause, now
 }
 
+// settle records that a list without the run proves from now on that it is over.
+func (r *run) settle(now time.Duration, evidence Evidence) { r.settledAt, r.settledBy = now, evidence }
+
 // executor is one incarnation of an executor.
 type executor struct {
 	key      workload.ExecutorKey
--- a/scheduler/fleet/types.go
+++ b/scheduler/fleet/types.go
@@ -160,6 +160,8 @@
 type Output struct {
 	Commands []*workload.Command
 	Calls    []Call
+	// Ends counts the runs whose end was found.
+	Ends EndCounts
 	// Gangs describes the waiting gangs if the step had a round, otherwise it is nil.
 	Gangs *GangCounts
 }
