fleet: executors of the model refuse calls

Executors of the model never answered 429 or 503 and never refused a repeated start whose first call was delayed, so the model could not show a task that runs twice after such a repetition. They now refuse each call with a probability of up to 0.5.

--- a/scheduler/fleet/fleet_test.go
+++ b/scheduler/fleet/fleet_test.go
@@ -25,7 +25,8 @@
 	RunSpecs(t, "fleet")
 }
 
-// TestModel runs random jobs with random faults: lost responses, late orders,
+// TestModel runs random jobs with random faults: lost responses, late orders, calls that
+// an executor refuses although an earlier one is still on its way,
 // orders that the leader did not send, paused and replaced leaders that start
 // from a snapshot, executors that crash, drain, leave or are partitioned. It guards against two
 // concurrent runs of a task, a start after an acknowledged end, exceeding the
@@ -41,6 +42,7 @@
 			loseResponse: share(0.2, "loseResponse"), delayCall: share(0.15, "delayCall"), fail: share(0.1, "fail"),
 			crash: share(0.05, "crash"), partition: share(0.1, "partition"), newLeader: share(0.3, "newLeader"),
 			drain: share(0.05, "drain"), pause: share(0.05, "pause"), leave: share(0.05, "leave"), notSend: share(0.1, "notSend"),
+			refuse: share(0.5, "refuse"),
 		}
 		cl := newCluster(rapid.Uint64().Draw(t, "seed"), 4, f)
 		cl.run(3 * time.Second)
--- a/scheduler/fleet/model_test.go
+++ b/scheduler/fleet/model_test.go
@@ -120,6 +120,9 @@
 	crash, partition, newLeader, drain float64
 	// pause and leave are per second, notSend per call.
 	pause, leave, notSend float64
+	// refuse is per call that an executor receives, whether or not it has been
+	// sent before.
+	refuse float64
 }
 
 type cluster struct {
@@ -405,6 +408,10 @@
 		}
 		return
 	}
+	if cl.chance(cl.faults.refuse) {
+		cl.reply(e, p, fleet.Response{Verdict: cl.refusalOf(p.call.Kind)})
+		return
+	}
 	if p.call.Token < e.token {
 		cl.reply(e, p, fleet.Response{Verdict: fleet.VerdictFenced, Reason: "fence"})
 		return
@@ -426,6 +433,15 @@
 	}
 }
 
+// refusalOf returns a refusal that says nothing about other calls.
+func (cl *cluster) refusalOf(kind fleet.CallKind) fleet.Verdict {
+	verdicts := []fleet.Verdict{fleet.VerdictRefused}
+	if kind == fleet.CallStart {
+		verdicts = append(verdicts, fleet.VerdictNoCapacity, fleet.VerdictNoTicket)
+	}
+	return verdicts[cl.rng.IntN(len(verdicts))]
+}
+
 func (cl *cluster) reply(e *modelExecutor, p *pendingCall, a fleet.Response) {
 	if p.lost {
 		return
