fleet: a refused start speaks only for its own call

Callers saw a task run twice, and an executor over its capacity: a start got no response and was sent again, the executor refused the repetition (429, 503, or 409 room or ticket), and the leader then took the next list without the run for proof that it had never begun. The first call was carried out seconds later, when the task ran elsewhere and the capacity had been given to others.

Cause: the refusal of one call was taken for the outcome of all calls of the start.

A run now counts its open starts. A refusal closes its own call; the run has not begun only if no other call is open. Otherwise task and capacity stay allocated until the start is accepted, the executor says that the run has ended there (409 old, its own verdict now), its stop is confirmed, or the lease is over. A refusal for capacity or a ticket is followed by the stop at once, one that may pass by a repetition.

A stop that is refused is sent again every 100 ms instead of with each step. If a stop does not take effect within two leases and the time of a stop, the lease of the executor is not renewed, so that the task does not wait for ever.

'a start that got no response' failed for a refusal, lack of capacity and lack of a ticket. Without the bound on stops, or their interval, the last two specs fail.

--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -35,9 +35,9 @@
 	// which a hold no longer extends the lease. The lease must then run out,
 	// because the leader cannot see which runs are active.
 	maxFailedHoldsForLease = 2
-	// startRetryInterval is the minimum time between two start calls for one
-	// run.
-	startRetryInterval = 100 * time.Millisecond
+	// orderRetryInterval is the minimum time between two start calls, or two stop
+	// calls, for one run.
+	orderRetryInterval = 100 * time.Millisecond
 	// startResponseTimeout is how long an unanswered start is repeated before the
 	// run is stopped. Gang members use half of the gang wait instead.
 	startResponseTimeout = 3 * time.Second
@@ -60,18 +60,23 @@
 	j := c.state.Job(key.Job)
 	if r.stopCause == "" {
 		if cause := c.stopReason(now, e, j, key, r); cause != "" {
-			r.requestStop(now, cause)
-			c.log.Info("stopping run", "job", key.Job, "step", key.Step, "task", key.Index, "run", r.number, "executor", e.key.ID, "reason", r.stopCause)
+			c.stopRun(now, e, key, r, cause)
 		}
 	}
 	switch {
 	case r.stopCause != "":
 		c.sendStop(now, e, key, r)
-	case r.settledAt == 0 && !r.startInFlight && e.reported && now >= r.lastSent+startRetryInterval:
+	case r.settledAt == 0 && !r.startInFlight && e.reported && now >= r.lastSent+orderRetryInterval:
 		c.sendStart(now, e, key, r, j)
 	}
 }
 
+// stopRun decides that a run has to stop.
+func (c *Controller) stopRun(now time.Duration, e *executor, key workload.TaskKey, r *run, cause string) {
+	r.requestStop(now, cause)
+	c.log.Info("stopping run", "job", key.Job, "step", key.Step, "task", key.Index, "run", r.number, "executor", e.key.ID, "reason", cause)
+}
+
 // stopReason returns the reason why a run has to stop, or "" if it may
 // continue.
 func (c *Controller) stopReason(now time.Duration, e *executor, j *workload.Job, key workload.TaskKey, r *run) string {
@@ -128,6 +133,7 @@
 	}
 	r.lastSent = now
 	r.startCalls++
+	r.openStarts++
 	r.startInFlight = true
 	c.call(now, e, Call{
 		Kind: CallStart, Task: key, Run: r.number, Payload: j.Spec.Payload, Checkpoint: task.Checkpoint,
@@ -136,7 +142,7 @@
 }
 
 func (c *Controller) sendStop(now time.Duration, e *executor, key workload.TaskKey, r *run) {
-	if r.stopInFlight || r.stopConfirmedAt > 0 || !e.reported {
+	if r.stopInFlight || r.stopConfirmedAt > 0 || !e.reported || (r.lastStopSent > 0 && now < r.lastStopSent+orderRetryInterval) {
 		return
 	}
 	if r.firstSent == 0 && r.term == c.term {
@@ -144,7 +150,7 @@
 		c.propose(0, []workload.End{c.recordEnd(e, key, r, workload.EndNotStarted, EvidenceNeverSent, "")})
 		return
 	}
-	r.stopInFlight = true
+	r.stopInFlight, r.lastStopSent = true, now
 	c.call(now, e, Call{Kind: CallStop, Task: key, Run: r.number, Timeout: orderTimeout})
 }
 
@@ -198,7 +204,7 @@
 		}
 	}
 	e.holdInFlight = true
-	if len(e.runs) > 0 && e.failedHolds < maxFailedHoldsForLease {
+	if len(e.runs) > 0 && e.failedHolds < maxFailedHoldsForLease && !e.ignoresStops(now, &c.cfg) {
 		call.Deadline = e.extendLease(now, &c.cfg)
 	}
 	call.Timeout = call.Wait + holdTimeoutMargin
@@ -268,23 +274,55 @@
 	switch response.Verdict {
 	case VerdictNotSent:
 		r.startCalls--
+		r.openStarts--
 		if r.startCalls == 0 {
 			r.firstSent = 0
 		}
 	case VerdictAccepted:
 		r.settle(now, EvidenceUnlistedAfterStart)
+	case VerdictRunOver:
+		r.openStarts--
+		c.handleRunOver(now, unix, e, call.Task, r)
 	case VerdictRefused, VerdictNoCapacity, VerdictNoTicket:
-		if response.Verdict == VerdictNoTicket {
-			c.discardTicket(call)
-		}
-		if r.startCalls > 1 {
-			// The executor may hold this run because of an earlier start call.
-			r.settle(now, EvidenceUnlistedAfterRefusal)
-			return
-		}
-		e.health.pause(now)
-		c.propose(unix, []workload.End{c.recordEnd(e, call.Task, r, workload.EndNotStarted, EvidenceOnlyStartRefused, "")})
+		r.openStarts--
+		c.handleRefusedStart(now, unix, e, call, r, response.Verdict)
+	}
+}
+
+// handleRunOver processes the response that no start of a run will be carried out any
+// more. Without another start the run has not begun; otherwise a list shows whether it
+// did.
+func (c *Controller) handleRunOver(now, unix time.Duration, e *executor, key workload.TaskKey, r *run) {
+	if r.openStarts > 0 {
+		r.settle(now, EvidenceUnlistedAfterRunOver)
+		return
 	}
+	c.endUnstarted(now, unix, e, key, r)
+}
+
+// handleRefusedStart processes the refusal of one start call. The run has not begun if no
+// other start call is open. Otherwise an earlier call may be carried out at any time
+// until the stop of the run is confirmed or the lease is over, so the task and its capacity
+// stay allocated and lists prove nothing.
+func (c *Controller) handleRefusedStart(now, unix time.Duration, e *executor, call Call, r *run, verdict Verdict) {
+	if verdict == VerdictNoTicket {
+		c.discardTicket(call)
+	}
+	if r.openStarts == 0 {
+		c.endUnstarted(now, unix, e, call.Task, r)
+		return
+	}
+	// A repetition may succeed at an executor that was overloaded for a moment, but
+	// neither capacity nor a ticket comes by repeating.
+	if verdict != VerdictRefused && r.stopCause == "" {
+		c.stopRun(now, e, call.Task, r, "start_refused")
+	}
+}
+
+// endUnstarted ends a run of which every start call was refused.
+func (c *Controller) endUnstarted(now, unix time.Duration, e *executor, key workload.TaskKey, r *run) {
+	e.health.pause(now)
+	c.propose(unix, []workload.End{c.recordEnd(e, key, r, workload.EndNotStarted, EvidenceStartsRefused, "")})
 }
 
 func (c *Controller) handleStopResponse(now time.Duration, e *executor, call Call, response Response) {
--- a/scheduler/fleet/evidence.go
+++ b/scheduler/fleet/evidence.go
@@ -13,10 +13,10 @@
 	EvidenceReported
 	// EvidenceNeverSent means that no start was sent.
 	EvidenceNeverSent
-	// EvidenceOnlyStartRefused means that the only start that was sent was refused.
-	EvidenceOnlyStartRefused
+	// EvidenceStartsRefused means that every start that was sent was refused.
+	EvidenceStartsRefused
 	EvidenceUnlistedAfterStart
-	EvidenceUnlistedAfterRefusal
+	EvidenceUnlistedAfterRunOver
 	EvidenceUnlistedAfterStop
 	EvidenceUnlistedInNewTerm
 	EvidenceLeaseExpired
@@ -26,7 +26,7 @@
 
 // String returns the name used in logs and metrics.
 func (e Evidence) String() string {
-	return [...]string{"none", "reported", "never_sent", "only_start_refused", "unlisted_after_start", "unlisted_after_refusal",
+	return [...]string{"none", "reported", "never_sent", "starts_refused", "unlisted_after_start", "unlisted_after_run_over",
 		"unlisted_after_stop", "unlisted_in_new_term", "lease_expired", "executor_gone"}[e]
 }
 
@@ -46,7 +46,7 @@
 	r.end = &workload.End{Task: key, Run: r.number, Executor: e.key, Ending: ending, Checkpoint: checkpoint}
 	c.out.Ends[evidence]++
 	c.log.Info("run ended", "job", key.Job, "occurrence", key.Occurrence, "step", key.Step, "task", key.Index, "run", r.number,
-		"executor", e.key.ID, "ending", ending.String(), "evidence", evidence.String(), "start_calls", r.startCalls,
+		"executor", e.key.ID, "ending", ending.String(), "evidence", evidence.String(), "start_calls", r.startCalls, "open_starts", r.openStarts,
 		"percent", r.percent, "stop_reason", r.stopCause)
 	return *r.end
 }
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -28,9 +28,11 @@
 	// firstSent and lastSent are the times of the first and the last start
 	// call.
 	firstSent, lastSent time.Duration
-	// startCalls counts the start calls that may have been sent.
-	startCalls    int
-	startInFlight bool
+	// startCalls counts the start calls that may have been sent, openStarts those of
+	// them that the executor may still carry out: they have no response yet, or got
+	// none in time.
+	startCalls, openStarts int
+	startInFlight          bool
 	// settledAt is the time from which a list without this run proves that the
 	// run is over, and settledBy the evidence that such a list is. settledAt is 0 while
 	// a start may still be carried out.
@@ -52,6 +54,8 @@
 	stopCause       string
 	stopRequestedAt time.Duration
 	stopInFlight    bool
+	// lastStopSent is the time of the last stop call.
+	lastStopSent    time.Duration
 	stopConfirmedAt time.Duration
 	// end is set from the proposal of the end until it is applied.
 	end *workload.End
@@ -137,7 +141,7 @@
 
 // isSchedulable reports whether new runs may be placed on the executor.
 func (e *executor) isSchedulable(now time.Duration, cfg *Settings) bool {
-	if !e.reported || e.draining || e.hasUnansweredOrder || e.failedHolds > 0 || now < e.health.suspendedUntil {
+	if !e.reported || e.draining || e.hasUnansweredOrder || e.failedHolds > 0 || now < e.health.suspendedUntil || e.ignoresStops(now, cfg) {
 		return false
 	}
 	return now-e.lastHeard < maxMissedReports*cfg.ReportInterval
@@ -155,6 +159,19 @@
 	return until
 }
 
+// ignoresStops reports whether a run is still there long after its stop was decided. Only
+// the end of the lease frees its task and its capacity then. The bound leaves two leases
+// for the calls to get through, because the end of the lease ends all other runs too.
+func (e *executor) ignoresStops(now time.Duration, cfg *Settings) bool {
+	bound := 2*cfg.Lease + cfg.StopTime
+	for _, r := range e.runs {
+		if r.stopCause != "" && r.end == nil && now-r.stopRequestedAt > bound {
+			return true
+		}
+	}
+	return false
+}
+
 // recordClock stores a reading of the executor's clock. A reading of 0 is
 // ignored.
 func (e *executor) recordClock(now, clock time.Duration) {
--- a/scheduler/fleet/types.go
+++ b/scheduler/fleet/types.go
@@ -105,7 +105,9 @@
 	VerdictAccepted
 	// VerdictFenced means that the token was too low.
 	VerdictFenced
-	// VerdictRefused means that the call had no effect and will have none.
+	// VerdictRefused means that the call had no effect and will have none. Like the
+	// other refusals it says nothing about earlier calls, which may still be on their
+	// way.
 	VerdictRefused
 	// VerdictNoCapacity means that a start was refused for lack of resources.
 	VerdictNoCapacity
@@ -116,11 +118,14 @@
 	VerdictNoTicket
 	// VerdictNotSent means that the call was dropped before it was sent.
 	VerdictNotSent
+	// VerdictRunOver means that the executor has stopped or ended this run or a later one
+	// of the task. It carries out no start of the run any more, whenever that was sent.
+	VerdictRunOver
 )
 
 // String returns the name used in logs and metrics.
 func (v Verdict) String() string {
-	return [...]string{"no_answer", "accepted", "fenced", "refused", "no_room", "other_life", "no_ticket", "not_sent"}[v]
+	return [...]string{"no_answer", "accepted", "fenced", "refused", "no_room", "other_life", "no_ticket", "not_sent", "run_over"}[v]
 }
 
 // RunningTask describes a run that is active on an executor.
