fleet: a truncated list of ended runs proves nothing about runs it does not name

An executor lists 500 ended runs at a time. A run whose end is beyond them is neither in the list of running nor in that of ended runs, so the leader took it for one that never began and started its task again; once the end, done, was listed and acknowledged, the task had run twice.

Runs without an entry are given up only by a list that names all ends.

--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -363,11 +363,8 @@
 		c.recordProgress(now, e, t)
 	}
 	ends := c.listedEnds(now, e, response.Ended)
-	for key, r := range e.runs {
-		if r.end != nil || listed[key] == r.number || r.settledAt == 0 || r.settledAt >= call.IssuedAt {
-			continue
-		}
-		ends = append(ends, c.recordEnd(e, key, r, workload.EndNotStarted, r.settledBy, r.checkpoint))
+	if !response.EndsTruncated {
+		ends = append(ends, c.unlistedEnds(e, call.IssuedAt, listed)...)
 	}
 	if e.lastSeenEnd > e.cursor && len(ends) == 0 && !c.endsPending(e) {
 		e.cursor = e.lastSeenEnd
@@ -375,6 +372,19 @@
 	c.propose(unix, ends)
 }
 
+// unlistedEnds returns the ends of runs that are over because a list requested at a given
+// time names them neither as running nor as ended.
+func (c *Controller) unlistedEnds(e *executor, requestedAt time.Duration, listed map[workload.TaskKey]int) []workload.End {
+	var ends []workload.End
+	for key, r := range e.runs {
+		if r.end != nil || listed[key] == r.number || r.settledAt == 0 || r.settledAt >= requestedAt {
+			continue
+		}
+		ends = append(ends, c.recordEnd(e, key, r, workload.EndNotStarted, r.settledBy, r.checkpoint))
+	}
+	return ends
+}
+
 // recordProgress stores the state that an executor reports for a run.
 func (c *Controller) recordProgress(now time.Duration, e *executor, t RunningTask) {
 	r := e.runs[t.Task]
--- a/scheduler/fleet/types.go
+++ b/scheduler/fleet/types.go
@@ -157,6 +157,9 @@
 	Complete bool
 	Running  []RunningTask
 	Ended    []EndedRun
+	// EndsTruncated is set if Ended may lack ends, because the executor lists only so many
+	// at a time.
+	EndsTruncated bool
 	// Tickets are the tickets for the executors that may run the step.
 	Tickets []Ticket
 }
