fleet: executors of the model list two ended runs at a time

The model listed all ends, so it could not show a run that is taken for one that never began because its end is beyond those listed. Also a spec for the task of an unanswered start once its stop is confirmed.

--- a/scheduler/fleet/model_test.go
+++ b/scheduler/fleet/model_test.go
@@ -30,6 +30,8 @@
 	// may start there.
 	drainTime       = 6 * time.Second
 	drainStartBound = 3 * time.Second
+	// modelListedEnds is how many ended runs an executor lists at a time.
+	modelListedEnds = 2
 	// cancelStartBound is the time after a cancel from which nothing may start.
 	cancelStartBound = 3 * time.Second
 )
@@ -685,7 +687,8 @@
 		if len(e.ended) == 0 && cl.now < p.until {
 			return false
 		}
-		a := fleet.Response{Verdict: fleet.VerdictAccepted, Complete: true, Ended: slices.Clone(e.ended)}
+		a := fleet.Response{Verdict: fleet.VerdictAccepted, Complete: true, Ended: slices.Clone(e.ended[:min(len(e.ended), modelListedEnds)])}
+		a.EndsTruncated = len(a.Ended) == modelListedEnds
 		for _, r := range e.running {
 			a.Running = append(a.Running, fleet.RunningTask{Task: r.task, Run: r.run, Checkpoint: r.checkpoint, Percent: cl.percent(r)})
 		}
--- a/scheduler/fleet/start_calls_test.go
+++ b/scheduler/fleet/start_calls_test.go
@@ -65,6 +65,16 @@
 		Entry("that was not sent", fleet.VerdictNotSent),
 	)
 
+	// Guards against a task that waits for the end of a lease although its stop was confirmed.
+	It("is over once its stop is confirmed and a list does not name it", func() {
+		repeat(fleet.VerdictNoCapacity)
+		h.advance(100*time.Millisecond, 4)
+		h.answer(h.lastCall(fleet.CallStop, on), fleet.Response{Verdict: fleet.VerdictAccepted, Incarnation: 1, Clock: h.now})
+		Expect(task().LastRun).To(Equal(1))
+		listNothing()
+		Expect(task().LastRun).To(Equal(2))
+	})
+
 	// Guards against a task that waits for the end of a lease although the executor has said
 	// that it carries out no start of the run any more.
 	It("is over after the response that the run has ended there and a list without it", func() {
