platform: reports with numbers or addresses out of range are refused by reason

What callers saw: a report with a port such as :99999, :0 or a name, an empty or unspecified host, a capacity of 2^63-1, a sequence or a born that nothing can follow, a clock near the end of the range of times, an identifier with a line break or bytes that are not UTF-8 was accepted, made the executor known and was stored in the log. A high sequence or born made the later reports of the true executor count as late.

Cause: decodeReport checked the types of the fields that are used, the sign of the capacity and that the address has a colon.

The description of an executor is now checked by workload.Executor.Validate and fleet.Report.Validate, at the host that receives it and, because that host may run an older version, at the leader. Bounds come from arithmetic (sums over as many executors as there are IPv4 addresses, the range of time.Duration, whole numbers that JSON keeps exactly) and from where a value is used (an IPv4 address that can be dialled, an identifier that a header carries unchanged). Only the canonical form of an address is accepted, because executors are told apart by it. Unused fields of another type make a report invalid, too. Log entries are applied as before.

Very deep nesting and numbers that no type can hold were refused before.

--- a/daemon/control/calls.go
+++ b/daemon/control/calls.go
@@ -251,6 +251,10 @@
 }
 
 func (n *Node) report(r fleet.Report) (*ReportReply, error) {
+	// The host that forwarded the report may run a version that did not check it.
+	if err := r.Validate(); err != nil {
+		return nil, structs.RefuseNotRun(structs.CodeInvalid, err.Error())
+	}
 	current := true
 	executors := 0
 	var entry *workload.Executor
--- /dev/null
+++ b/daemon/control/entries_test.go
@@ -0,0 +1,82 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"cranberrydrum.dev/scheduler/fleet"
+	"cranberrydrum.dev/scheduler/structs"
+	"cranberrydrum.dev/scheduler/workload"
+)
+
+// silentExecutors leave all calls without an answer.
+type silentExecutors struct{ quietObserver }
+
+func (silentExecutors) Perform(fleet.Call, func() bool) fleet.Response { return fleet.Response{} }
+func (silentExecutors) Call(string, string, time.Duration)             {}
+
+// startLeader starts a control host that leads a group of its own and has a configuration
+// with the service "s".
+func startLeader(host string) *Node {
+	GinkgoHelper()
+	node, err := New(Config{
+		Host: host, PeerPort: freePort(host), DataDir: GinkgoT().TempDir(), Bootstrap: true, ReplaceWithin: 4 * time.Second,
+		Seeds: func() []string { return []string{host} }, AcceptLimit: func() int { return 1 },
+		Fleet:  fleet.Settings{Lease: time.Second, ReportInterval: time.Second, Retention: time.Minute},
+		Logger: logr.Discard(), Observer: silentExecutors{}, Executors: silentExecutors{},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	Expect(node.Start()).To(Succeed())
+	DeferCleanup(node.Stop)
+	c := &workload.Config{Version: 1, Services: []workload.Service{{Name: "s"}}, Document: []byte("{}")}
+	Eventually(func() error { return node.Configure(c) }, 10*time.Second, 50*time.Millisecond).Should(Succeed())
+	return node
+}
+
+func reportOf(id string, n int) fleet.Report {
+	return fleet.Report{Executor: workload.ExecutorKey{ID: id, Incarnation: 7}, Sequence: 1, Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", n)}
+}
+
+// executorsOf returns the identifiers that the leader uses or has stored.
+func (n *Node) executorsOf(ids ...string) (known int, stored []string) {
+	n.group.RunOnLoop(func(time.Duration) {
+		known = n.owner.controller.ExecutorCount()
+		for _, id := range ids {
+			if n.state.Executor(id) != nil {
+				stored = append(stored, id)
+			}
+		}
+	})
+	return known, stored
+}
+
+var _ = Describe("a report that the log cannot hold or use", func() {
+	// Guards against an odd report that makes the leader use what is not stored, or that
+	// keeps the reports of other executors from being stored.
+	DescribeTable("costs that report only",
+		func(change func(*fleet.Report), code structs.Code) {
+			node := startLeader("127.0.0.8")
+			odd := reportOf("i-odd", 1)
+			change(&odd)
+			body, err := msgpack.Marshal(&reportMessage{Report: odd})
+			Expect(err).NotTo(HaveOccurred())
+			_, err = node.HandleCall("127.0.0.9", MethodReport, body, time.Second)
+			var refused *structs.Refusal
+			Expect(errors.As(err, &refused)).To(BeTrue())
+			Expect(refused.Code).To(Equal(code))
+			_, err = node.Report(reportOf("i-2", 2))
+			Expect(err).NotTo(HaveOccurred())
+			known, stored := node.executorsOf("i-odd", "i-2")
+			Expect(known).To(Equal(1))
+			Expect(stored).To(Equal([]string{"i-2"}))
+		},
+		Entry("a port out of range", func(r *fleet.Report) { r.Address = "10.0.0.1:99999" }, structs.CodeInvalid),
+		Entry("a capacity out of range", func(r *fleet.Report) { r.Capacity.CPU = 1 << 62 }, structs.CodeInvalid),
+	)
+})
--- a/scheduler/workload/errors.go
+++ b/scheduler/workload/errors.go
@@ -23,6 +23,16 @@
 // Error implements error.
 func (e *ConfigError) Error() string { return "configuration: " + e.Item + ": " + e.Reason }
 
+// ExecutorError reports a description of an executor that cannot be used. Field names
+// what is wrong with it.
+type ExecutorError struct {
+	Field  string
+	Reason string
+}
+
+// Error implements error.
+func (e *ExecutorError) Error() string { return "executor: " + e.Field + ": " + e.Reason }
+
 // CommandError reports a log entry or a snapshot that cannot be decoded.
 type CommandError struct{ Cause error }
 
