control: a report that the log cannot hold is refused before the leader uses it

What callers saw: a report with more labels than fit into an entry of the log (a report may have 4 MiB, an entry 640 KiB) made its executor known to the leader, which placed tasks on it, although the next leader would not know it. The log refused its entry as too large, and with it all commands that were proposed in the same batch: registrations, submissions and the decisions of the leader, again with each report.

Cause: the size was checked by the log only, after the controller had taken the report.

node.report now bounds the encoded size before the controller sees the report, on the host that receives it, and propose refuses any command that is too large before it joins a batch.

Evidence: "go test ./daemon/control -run TestControl -ginkgo.focus='report that the log'" failed before with "Expected <int>: 2 to equal <int>: 1" in "[It] more labels than fit" and "[It] a label that does not fit", and passes now.

--- a/daemon/control/calls.go
+++ b/daemon/control/calls.go
@@ -243,6 +243,9 @@
 	if err != nil {
 		return 0, structs.RefuseNotRun(structs.CodeInvalid, err.Error())
 	}
+	if len(data) > maxEncodedBytes {
+		return 0, tooLarge(len(data))
+	}
 	result, err := n.group.Propose(data, timeout)
 	if err != nil {
 		return 0, err
@@ -255,6 +258,9 @@
 	if err := r.Validate(); err != nil {
 		return nil, structs.RefuseNotRun(structs.CodeInvalid, err.Error())
 	}
+	if size := entryBytes(&r); size > maxEncodedBytes {
+		return nil, tooLarge(size)
+	}
 	current := true
 	executors := 0
 	var entry *workload.Executor
--- a/daemon/control/entries_test.go
+++ b/daemon/control/entries_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -78,5 +79,7 @@
 		},
 		Entry("a port out of range", func(r *fleet.Report) { r.Address = "10.0.0.1:99999" }, structs.CodeInvalid),
 		Entry("a capacity out of range", func(r *fleet.Report) { r.Capacity.CPU = 1 << 62 }, structs.CodeInvalid),
+		Entry("more labels than fit", func(r *fleet.Report) { r.Labels = strings.Split(strings.Repeat("label,", 1<<17), ",") }, structs.CodeTooLarge),
+		Entry("a label that does not fit", func(r *fleet.Report) { r.Labels = []string{strings.Repeat("l", maxCommandBytes)} }, structs.CodeTooLarge),
 	)
 })
--- a/daemon/control/node.go
+++ b/daemon/control/node.go
@@ -36,7 +36,10 @@
 	clockError = 100 * time.Millisecond
 	// maxCommandBytes is enough for the largest configuration and fits into a frame
 	// of the transport.
-	maxCommandBytes    = 640 << 10
+	maxCommandBytes = 640 << 10
+	// maxEncodedBytes leaves room for what the log adds to a command. The log refuses
+	// all commands that are proposed together with one that is too large.
+	maxEncodedBytes    = maxCommandBytes - 1<<10
 	snapshotChunkBytes = 64 << 10
 	snapshotEntries    = 4096
 	snapshotBytes      = 8 << 20
