control: a decision that is too large for an entry of the log is stored in parts

What callers would see: tasks that are neither started nor ended any more, on a leader that stays leader. The owner proposes the commands that the log refused again, before all later ones. A command of more than 640 KiB (the ends of many runs at once with long checkpoints, many starts, the removal of a very large fleet) is refused each time, and all decisions behind it with it.

Cause: a refusal of the log was taken for a temporary one; the size of a command was not bounded.

The owner now splits such a command at its lists. The order of the parts is that of the lists, which Apply goes through one by one, so the effect is the same. One end whose checkpoint alone does not fit is stored without it, with a log line; the task resumes from an earlier one.

Evidence: "go test ./daemon/control -run TestControl -ginkgo.focus='too large for one|ends of runs'" failed before: "[FAILED] Timed out after 5.001s. Expected <[]string | len:1, cap:1>: ["i-1"]" (an executor whose removal was never stored) and "Expected <int>: 655509 to be <= <int>: 654336", and passes now.

--- a/daemon/control/entries_test.go
+++ b/daemon/control/entries_test.go
@@ -83,3 +83,44 @@
 		Entry("a label that does not fit", func(r *fleet.Report) { r.Labels = []string{strings.Repeat("l", maxCommandBytes)} }, structs.CodeTooLarge),
 	)
 })
+
+var _ = Describe("a decision of the leader that is too large for one entry of the log", func() {
+	// Guards against a leader that proposes the same command without end, and no other.
+	It("is stored in several entries", func() {
+		node := startLeader("127.0.0.9")
+		_, err := node.Report(reportOf("i-1", 1))
+		Expect(err).NotTo(HaveOccurred())
+		c := &workload.Command{}
+		for range 1 << 15 {
+			c.Deregister = append(c.Deregister, workload.ExecutorKey{ID: "i-unknown", Incarnation: 1 << 40})
+		}
+		c.Deregister = append(c.Deregister, workload.ExecutorKey{ID: "i-1", Incarnation: 7})
+		node.group.RunOnLoop(func(time.Duration) { node.owner.commands = append(node.owner.commands, c) })
+		Eventually(func() []string { _, stored := node.executorsOf("i-1"); return stored }, 5*time.Second, 50*time.Millisecond).Should(BeEmpty())
+	})
+})
+
+var _ = Describe("the ends of runs", func() {
+	// Guards against a checkpoint that keeps the leader from storing any end.
+	It("are stored without a checkpoint that no entry of the log can hold", func() {
+		o := &owner{log: logr.Discard()}
+		task := func(i int) workload.TaskKey { return workload.TaskKey{Job: "a", Index: i} }
+		o.commands = []*workload.Command{{At: 5, Ends: []workload.End{
+			{Task: task(0), Run: 1, Ending: workload.EndFailed, Checkpoint: "c"},
+			{Task: task(1), Run: 2, Ending: workload.EndStopped, Checkpoint: strings.Repeat("c", maxCommandBytes)},
+			{Task: task(2), Run: 3, Ending: workload.EndDone},
+		}}}
+		var ends []workload.End
+		for _, data := range o.encodeCommands() {
+			Expect(len(data)).To(BeNumerically("<=", maxEncodedBytes))
+			c, err := workload.DecodeCommand(data)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(c.At).To(Equal(time.Duration(5)))
+			ends = append(ends, c.Ends...)
+		}
+		Expect(ends).To(Equal([]workload.End{
+			{Task: task(0), Run: 1, Ending: workload.EndFailed, Checkpoint: "c"},
+			{Task: task(1), Run: 2, Ending: workload.EndStopped}, {Task: task(2), Run: 3, Ending: workload.EndDone},
+		}))
+	})
+})
--- a/daemon/control/owner.go
+++ b/daemon/control/owner.go
@@ -112,12 +112,7 @@
 	encoded := o.refused
 	o.refused = nil
 	for _, c := range o.commands {
-		data, err := c.Encode()
-		if err != nil {
-			o.log.Error(err, "failed to encode a command")
-			continue
-		}
-		encoded = append(encoded, data)
+		encoded = o.appendEncoded(encoded, c)
 	}
 	o.commands = nil
 	return encoded
--- a/scheduler/workload/command.go
+++ b/scheduler/workload/command.go
@@ -72,6 +72,30 @@
 	Left       bool          `msgpack:"l,omitempty"`
 }
 
+// Split returns two commands that have the same effect one after the other. ok is false
+// if the command has no list of several elements.
+func (c *Command) Split() (first, second *Command, ok bool) {
+	a, b := *c, *c
+	switch {
+	case len(c.Starts) > 1:
+		a.Starts, b.Starts = halve(c.Starts)
+	case len(c.Ends) > 1:
+		a.Ends, b.Ends = halve(c.Ends)
+	case len(c.Purge) > 1:
+		a.Purge, b.Purge = halve(c.Purge)
+	case len(c.Deregister) > 1:
+		a.Deregister, b.Deregister = halve(c.Deregister)
+	default:
+		return nil, nil, false
+	}
+	return &a, &b, true
+}
+
+func halve[T any](list []T) (first, second []T) {
+	middle := len(list) / 2
+	return list[:middle], list[middle:]
+}
+
 // Encode returns the command in the encoding of the log.
 func (c *Command) Encode() ([]byte, error) { return msgpack.Marshal(c) }
 
