platform: a deregistration that cannot be read ends no executor

What callers would see: tasks of an executor that still runs are started elsewhere, after a call in its name with a born that is a string, too large or in a body that cannot be read. With a born near 2^63 the identifier counted as left in all its later lives.

Cause: a body that could not be read was logged and then taken for a missing one, which means the current incarnation, whatever it is; Leave then ends its runs at once. Values were not checked.

A deregistration without a body works as before.

Evidence: "go test ./platform -run TestPlatform -ginkgo.focus='odd call'" gave "7 Passed | 5 Failed" before; the failed ones reached the leader, among them "[It] a deregistration of another type" and "[It] a deregistration of an incarnation out of range". All pass now.

--- a/daemon/control/calls.go
+++ b/daemon/control/calls.go
@@ -290,6 +290,9 @@
 }
 
 func (n *Node) leave(e workload.ExecutorKey) error {
+	if err := e.Validate(); err != nil {
+		return structs.RefuseNotRun(structs.CodeInvalid, err.Error())
+	}
 	var departure *workload.ExecutorKey
 	err := n.runAsLeader(func(now time.Duration) { departure = n.owner.controller.Leave(now, e.ID, e.Incarnation) })
 	if err != nil || departure == nil {
