fleet: a new leader uses no odd entry of the executor directory

What callers would see after an earlier version stored an odd report: each new leader holds an address that cannot be dialled, or its own (a port without a host), without end, adds up capacities that overflow, and takes the entry with the highest incarnation for the executor at an address. An entry with the identifier of an executor and an incarnation near 2^63 kept that executor out of the directory for good.

loadDirectory now checks each entry with workload.Executor.Validate, logs those that fail and removes them by a Deregister command. Apply and Restore are unchanged, so that hosts of all versions apply the same log alike.

--- a/scheduler/fleet/directory.go
+++ b/scheduler/fleet/directory.go
@@ -7,9 +7,15 @@
 )
 
 // loadDirectory adds the executors known to earlier leaders. They are polled at
-// once, and receive new runs as soon as they have answered.
+// once, and receive new runs as soon as they have answered. An entry that an earlier
+// version stored and that cannot be used is removed.
 func (c *Controller) loadDirectory(now time.Duration) {
 	c.state.Executors(func(entry *workload.Executor) {
+		if err := entry.Validate(); err != nil {
+			c.log.Info("entry of the directory not used", "executor", entry.Key.ID, "born", entry.Key.Incarnation, "address", entry.Address, "error", err.Error())
+			c.departed = append(c.departed, entry.Key)
+			return
+		}
 		if other := c.byAddress[entry.Address]; other != nil {
 			// Of two incarnations at one address, the later one is current.
 			if other.key.Incarnation > entry.Key.Incarnation {
