--- a/daemon/descriptors/dial.go
+++ b/daemon/descriptors/dial.go
@@ -35,6 +35,8 @@
 	// MinPerServer and MaxPerServer bound the connections to one server. Further
 	// requests wait for one of them.
 	MinPerServer, MaxPerServer int
+	// MaxResponseBytes bounds the body of a response; a request with a longer one fails.
+	MaxResponseBytes int
 }
 
 type server struct {
@@ -107,7 +109,7 @@
 func (p *Pool) newClient(address string) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
 		Addr: address, Dial: p.dial, MaxIdleConnDuration: p.cfg.MaxIdleTime,
-		MaxConnWaitTimeout: time.Hour, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
+		MaxResponseBodySize: p.cfg.MaxResponseBytes, MaxConnWaitTimeout: time.Hour, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
 	}
 }
 
