workload: the failure of a run that was never started does not count

What callers would see: a job fails although none of its runs did, after one row of an executor's list with a run number that was never given out: the row counts as a late failure, and each other number as a further attempt.

Cause: FailureCounted, which the leader asks before it proposes a late failure, compared the run with the failures counted so far only. LastRun of a task is the highest run that the log holds, and a start is sent only after the log holds it. Apply is unchanged.

Evidence: "go test ./scheduler/workload -ginkgo.focus='never started'" failed before: "Expected <bool>: false to be true".

--- a/scheduler/workload/apply.go
+++ b/scheduler/workload/apply.go
@@ -236,10 +236,10 @@
 }
 
 // FailureCounted reports whether the failure of a run need not be proposed: it is
-// counted already, or it no longer counts for the task.
+// counted already, it no longer counts for the task, or the run was never started.
 func (s *State) FailureCounted(key TaskKey, run int) bool {
 	j, t := s.TaskOf(key)
-	if t == nil || j.Phase.Ended() || t.Done || j.Spec.Steps[key.Step].LongRunning {
+	if t == nil || j.Phase.Ended() || t.Done || run > t.LastRun || j.Spec.Steps[key.Step].LongRunning {
 		return true
 	}
 	_, runs := j.failures(key)
--- a/scheduler/workload/workload_test.go
+++ b/scheduler/workload/workload_test.go
@@ -74,6 +74,15 @@
 		Entry("of a gang", true),
 	)
 
+	// Guards against a job that fails by a run that nobody started.
+	It("needs no failure of a run that was never started", func() {
+		apply(s, workload.Command{Submit: job("a", 1, workload.Step{Count: 1})})
+		Expect(s.FailureCounted(key("a", 0, 0), 1)).To(BeTrue())
+		start(s, key("a", 0, 0), 1)
+		Expect(s.FailureCounted(key("a", 0, 0), 1)).To(BeFalse())
+		Expect(s.FailureCounted(key("a", 0, 0), 1<<53)).To(BeTrue())
+	})
+
 	// Guards against a directory that returns to an earlier incarnation of an executor
 	// or loses its Draining mark, also across a snapshot.
 	It("keeps the latest incarnation of an executor and its Draining mark", func() {
