workload, fleet: a job with extreme numbers costs only itself

What callers would see: a job with priority 0 that asks for 2^63-1 accelerators made the sum of what its customer uses negative, so that all further jobs of this customer counted as guaranteed, at the cost of other customers. A job whose estimates add up beyond 292 years had a negative objective, so that it was placed after all others.

Cause: the sums overflow; Validate checked signs only.

Validate refuses demands that overflow when added up over the tasks that a job may have, and estimates that overflow when added up over the steps. For jobs that an earlier version stored, the guarantee is compared without a sum, and the critical path and the objective are limited. The structure that Apply checks is unchanged.

--- a/scheduler/fleet/job_value.go
+++ b/scheduler/fleet/job_value.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"time"
 
 	"cranberrydrum.dev/scheduler/workload"
@@ -9,12 +10,18 @@
 // lateFactor times the objective is the age after which a job has no value.
 const lateFactor = 3
 
+// maxTime bounds the expected times of a job, so that lateFactor times their sum stays in
+// range.
+const maxTime = time.Duration(math.MaxInt64 / (4 * lateFactor))
+
 // objective is the time within which a job should complete.
 func (c *Controller) objective(j *workload.Job) time.Duration {
-	return time.Duration(j.Stretch*float64(c.criticalPath(j))) + j.Target
+	stretched := min(j.Stretch*float64(c.criticalPath(j)), float64(maxTime))
+	return time.Duration(stretched) + min(j.Target, maxTime)
 }
 
-// criticalPath is the longest chain of dependent steps, by expected time.
+// criticalPath is the longest chain of dependent steps, by expected time, at most
+// maxTime.
 func (c *Controller) criticalPath(j *workload.Job) time.Duration {
 	s := &j.Spec
 	longest := time.Duration(0)
@@ -24,7 +31,7 @@
 			ends[i] = max(ends[i], ends[d])
 		}
 		expected, _ := c.runTimes.predict(j, i)
-		ends[i] += expected
+		ends[i] = min(ends[i]+min(expected, maxTime), maxTime)
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/scheduler/fleet/round.go
+++ b/scheduler/fleet/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -192,7 +193,7 @@
 	used := map[string]int64{}
 	for _, j := range urgent {
 		need := widestGPU(j)
-		if used[j.Customer]+need <= c.state.Guaranteed(j.Customer) {
+		if need <= c.state.Guaranteed(j.Customer)-used[j.Customer] {
 			used[j.Customer] += need
 			guaranteed[j.ID] = true
 		}
@@ -200,11 +201,16 @@
 	return guaranteed
 }
 
-// widestGPU is the number of accelerators that the widest step of a job needs.
+// widestGPU is the number of accelerators that the widest step of a job needs, or
+// math.MaxInt64 if that is larger.
 func widestGPU(j *workload.Job) int64 {
 	widest := int64(0)
 	for i := range j.Spec.Steps {
-		widest = max(widest, int64(j.Spec.Steps[i].Count)*j.Spec.Steps[i].Demand.GPU)
+		count, gpus := int64(j.Spec.Steps[i].Count), j.Spec.Steps[i].Demand.GPU
+		if gpus > math.MaxInt64/count {
+			return math.MaxInt64
+		}
+		widest = max(widest, count*gpus)
 	}
 	return widest
 }
--- a/scheduler/workload/spec.go
+++ b/scheduler/workload/spec.go
@@ -12,6 +12,10 @@
 	maxSteps        = 256
 	maxTasks        = 10_000
 	maxOccurrences  = 10_000
+	// maxTaskRuns bounds the tasks of all occurrences.
+	maxTaskRuns = 10 * maxTasks
+	// maxDemand keeps the sum of a resource over these tasks in range.
+	maxDemand = math.MaxInt64 / maxTaskRuns
 )
 
 // Resources is an amount of resources of an executor.
@@ -143,10 +147,15 @@
 	case s.FirstDue < 0 || s.Interval < 0 || s.Interval > (math.MaxInt64-s.FirstDue)/time.Duration(s.Occurrences()):
 		return &SpecError{Field: "due times", Reason: "out of range"}
 	}
+	estimates := time.Duration(0)
 	for i := range s.Steps {
 		if err := s.Steps[i].validate(i); err != nil {
 			return err
 		}
+		if s.Steps[i].Estimate > math.MaxInt64-estimates {
+			return &SpecError{Step: i, Field: "times", Reason: "out of range"}
+		}
+		estimates += s.Steps[i].Estimate
 	}
 	return nil
 }
@@ -167,7 +176,7 @@
 		}
 		tasks += s.Steps[i].Count
 	}
-	if tasks > maxTasks || tasks*s.Occurrences() > 10*maxTasks {
+	if tasks > maxTasks || tasks*s.Occurrences() > maxTaskRuns {
 		return &SpecError{Field: "count", Reason: "too many tasks"}
 	}
 	return nil
@@ -189,6 +198,8 @@
 	switch {
 	case s.Demand.CPU < 0 || s.Demand.MemoryMB < 0 || s.Demand.GPU < 0:
 		return &SpecError{Step: position, Field: "resources", Reason: "negative"}
+	case s.Demand.CPU > maxDemand || s.Demand.MemoryMB > maxDemand || s.Demand.GPU > maxDemand:
+		return &SpecError{Step: position, Field: "resources", Reason: "out of range"}
 	case s.Estimate < 0 || s.TailLatencyTarget < 0:
 		return &SpecError{Step: position, Field: "times", Reason: "negative"}
 	case s.PerExecutor < 0 || s.MaxUnavailable < 0:
--- a/scheduler/workload/workload_test.go
+++ b/scheduler/workload/workload_test.go
@@ -227,6 +227,10 @@
 	Entry("no tasks", workload.Spec{Steps: []workload.Step{{}}}),
 	Entry("a dependency that is not an earlier step", workload.Spec{Steps: []workload.Step{{Count: 1, DependsOn: []int{0}}}}),
 	Entry("negative resources", workload.Spec{Steps: []workload.Step{{Count: 1, Demand: workload.Resources{GPU: -1}}}}),
+	Entry("resources whose sum overflows", workload.Spec{Steps: []workload.Step{{Count: 2, Demand: workload.Resources{GPU: 1 << 62}}}}),
+	Entry("resources whose sum over occurrences overflows", workload.Spec{Repeats: 10, Interval: time.Second, Steps: []workload.Step{
+		{Count: 10, Demand: workload.Resources{MemoryMB: 1 << 58}}}}),
+	Entry("estimates whose sum overflows", workload.Spec{Steps: []workload.Step{{Count: 1, Estimate: 1 << 62}, {Count: 1, Estimate: 1 << 62}}}),
 	Entry("repeats without an interval", workload.Spec{Repeats: 2, Steps: []workload.Step{{Count: 1}}}),
 	Entry("too many tasks", workload.Spec{Repeats: 10_000, Interval: time.Second, Steps: []workload.Step{{Count: 10_000}}}),
 )
