--- a/daemon/control/calls.go
+++ b/daemon/control/calls.go
@@ -243,6 +243,9 @@
 	if err != nil {
 		return 0, structs.RefuseNotRun(structs.CodeInvalid, err.Error())
 	}
+	if len(data) > maxEncodedBytes {
+		return 0, tooLarge(len(data))
+	}
 	result, err := n.group.Propose(data, timeout)
 	if err != nil {
 		return 0, err
@@ -251,6 +254,13 @@
 }
 
 func (n *Node) report(r fleet.Report) (*ReportReply, error) {
+	// The host that forwarded the report may run a version that did not check it.
+	if err := r.Validate(); err != nil {
+		return nil, structs.RefuseNotRun(structs.CodeInvalid, err.Error())
+	}
+	if size := entryBytes(&r); size > maxEncodedBytes {
+		return nil, tooLarge(size)
+	}
 	current := true
 	executors := 0
 	var entry *workload.Executor
@@ -280,6 +290,9 @@
 }
 
 func (n *Node) leave(e workload.ExecutorKey) error {
+	if err := e.Validate(); err != nil {
+		return structs.RefuseNotRun(structs.CodeInvalid, err.Error())
+	}
 	var departure *workload.ExecutorKey
 	err := n.runAsLeader(func(now time.Duration) { departure = n.owner.controller.Leave(now, e.ID, e.Incarnation) })
 	if err != nil || departure == nil {
