node: a resend is not refused as not run while the request waits

Seen by callers: a non-idempotent request whose answer was lost is sent again with its key and refused as not_run, for example with queue_full. The first send still waits in the queue of the same host, and runs.

Cause: the owner of a key knew only the requests whose key is recorded. A request is recorded when it is sent, so that one in the queue, or one whose attempt outlives it while the key is made durable, was unknown, and the resend was judged by itself.

Evidence: TestResendIsNotRefusedWhileTheRequestWaits. Before: "queue_full (not_run): the queue is full", while the first send was answered later. TestResendWaitsForAnAttemptThatOutlivesItsRequest: before, the resend ran beside it.

Why it works: the owner counts the requests and attempts of each key that it is serving. A resend is not served beside them: it waits for their answer, or ends with an unknown outcome. If they end as not run, it is served itself. A host that has lost the key refuses the resend at once as unknown, and the caller's host tries the new owner.

What no host can know is documented: a refusal holds for the send that it answers, and says nothing about an earlier send that is still on its way to another host.

--- a/daemon/node/forward.go
+++ b/daemon/node/forward.go
@@ -77,7 +77,9 @@
 		return
 	}
 	p.forwarding = true
+	release := s.holdKey(p.call)
 	go func() {
+		defer release()
 		result := forwardResult{event: serving.ForwardFinished{RequestID: e.RequestID, Result: serving.ResultBroken}}
 		s.node.guard("forward", func() { result = s.forwardTo(target, p.call, e) }, "service", s.name)
 		s.post(func() { s.finishForward(p, result) })
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -71,7 +71,8 @@
 	refusing atomic.Bool
 	refusals refusalCounts
 	// tokens is the number of tokens that newToken has returned.
-	tokens atomic.Uint64
+	tokens     atomic.Uint64
+	keyedSends keyedSends
 
 	stop   chan struct{}
 	wg     sync.WaitGroup
--- a/daemon/node/requests.go
+++ b/daemon/node/requests.go
@@ -222,16 +222,45 @@
 func (n *Node) serveKeyed(c Call) (*upstream.Response, error) {
 	deadline := n.now() + c.Request.Remaining
 	for {
-		response, err := n.recordedResponse(c)
-		if response == nil && err == nil {
-			response, err = n.serveAfterStart(c, deadline)
-		}
+		response, err := n.serveKeyedOnce(c, deadline)
 		if !isKeyInProgress(err) || n.now()+keyPollInterval >= deadline || !n.wait(keyPollInterval) {
 			return response, err
 		}
 	}
 }
 
+// serveKeyedOnce is serveKeyed without the wait. A resend is not served beside the
+// request that it repeats.
+func (n *Node) serveKeyedOnce(c Call, deadline time.Duration) (*upstream.Response, error) {
+	key := storedKey(c.Request)
+	if !n.keyedSends.tryBegin(key) {
+		return n.responseToResend(c)
+	}
+	defer n.keyedSends.release(key)
+	response, err := n.recordedResponse(c)
+	if response == nil && err == nil {
+		response, err = n.serveAfterStart(c, deadline)
+	}
+	return response, err
+}
+
+// responseToResend answers a resend of a request that is in progress on this host: with
+// the recorded response, or with a refusal that leaves the outcome open. A host that
+// does not own the key any more refuses at once, since the new owner may answer.
+func (n *Node) responseToResend(c Call) (*upstream.Response, error) {
+	response, err := n.recordedResponse(c)
+	var refusal *structs.Refusal
+	switch {
+	case response != nil:
+		return response, nil
+	case !errors.As(err, &refusal):
+		return nil, structs.RefuseUnknown(structs.CodeKeyInProgress, "an earlier send with this key is in progress on this host")
+	case refusal.Outcome == structs.OutcomeNotRun && refusal.Code != structs.CodeKeyConflict:
+		return nil, structs.RefuseUnknown(structs.CodeOutcomeUnknown, "an earlier send with this key is in progress on this host: "+refusal.Message)
+	}
+	return nil, refusal
+}
+
 // serveAfterStart serves a request here or forwards it. A host that does not yet know
 // all backend servers after its start tries again instead of refusing it, because
 // a restarted host owns request keys as soon as it is back.
--- a/daemon/node/service.go
+++ b/daemon/node/service.go
@@ -245,7 +245,9 @@
 		Body:        p.call.Body,
 		Timeout:     e.Timeout,
 	}
+	release := s.holdKey(p.call)
 	go func() {
+		defer release()
 		result := attemptResult{event: serving.AttemptFinished{RequestID: e.RequestID, Attempt: e.Attempt, Result: serving.ResultBroken}}
 		s.node.guard("attempt", func() { result = s.attempt(p, e, attempt) }, "service", s.name)
 		s.post(func() { s.finishAttempt(p, result) })
