serving: a refusal of another host does not hold for an earlier try

Seen: none yet. The dispatcher passed on the refusal that came with the end of a forward as it was, whatever the result of the forward.

Why no test found it: the model of the dispatcher gave forwards and withdrawn attempts no refusals, and did not count a forward that may have run.

Evidence: TestDispatcherInvariants. Before: "[rapid] failed after 4 tests: refused as not run after an attempt that may have run: {RequestID:r1 Refusal:{Code:shed Outcome:not_run".

Why it works: a forward with any other result than not sent or withdrawn counts as one that may have run, and each refusal is combined with all tries of its request in one place, emitRefusal: unknown wins.

--- a/scheduler/serving/admit.go
+++ b/scheduler/serving/admit.go
@@ -202,6 +202,7 @@
 		d.countAnswer(r)
 		d.emit(Answer{RequestID: r.id})
 	case ev.Refusal != nil:
+		r.mayHaveBeenSent = r.mayHaveBeenSent || !ev.Result.certainlyNotRun()
 		d.markFinished(r)
 		d.emitRefusal(r, *ev.Refusal)
 	case ev.Result.certainlyNotRun():
@@ -240,7 +241,12 @@
 	d.emitRefusal(r, structs.Refusal{Code: code, Outcome: outcome, Message: refusalMessages[code], RetryAfter: d.returnTime(r, code)})
 }
 
+// emitRefusal refuses a finished request. A refusal of another host, or of the log of
+// the key, holds for one try and not for the others.
 func (d *Dispatcher) emitRefusal(r *request, refusal structs.Refusal) {
+	if refusal.Outcome == structs.OutcomeNotRun && r.mayHaveRun() {
+		refusal = *structs.RefuseUnknown(structs.CodeOutcomeUnknown, "an earlier try may have run; the last one was refused: "+refusal.Message)
+	}
 	d.counters.Refusals[refusal.Code]++
 	d.emit(Refuse{RequestID: r.id, Refusal: refusal})
 }
--- a/scheduler/serving/dispatcher_rapid_test.go
+++ b/scheduler/serving/dispatcher_rapid_test.go
@@ -30,6 +30,8 @@
 	sends         int
 	// mayHaveBeenSent counts ended attempts that may have reached an executor.
 	mayHaveBeenSent int
+	// forwarding is set while another host has the request.
+	forwarding bool
 }
 
 type modelExecutor struct {
@@ -80,6 +82,8 @@
 			m.checkAnswer(t, ev, effect)
 		case serving.Refuse:
 			m.checkRefuse(t, effect)
+		case serving.Forward:
+			m.requests[effect.RequestID].forwarding = true
 		case serving.CloseConnection:
 			if i := m.find(m.live, effect.RequestID, effect.Attempt); i >= 0 {
 				m.endAttempt(i, true)
@@ -189,7 +193,7 @@
 
 func (m *dispatcherModel) checkRefuse(t *rapid.T, f serving.Refuse) {
 	r := m.requests[f.RequestID]
-	ran := r.mayHaveBeenSent > 0 || m.liveAttempts(f.RequestID) > 0
+	ran := r.mayHaveBeenSent > 0 || r.forwarding || m.liveAttempts(f.RequestID) > 0
 	if f.Refusal.Outcome == structs.OutcomeNotRun && ran {
 		t.Fatalf("refused as not run after an attempt that may have run: %+v", f)
 	}
@@ -263,7 +267,28 @@
 			m.retries--
 		}
 	}
-	m.step(t, serving.AttemptFinished{RequestID: a.request, Attempt: a.number, Result: result, ServiceTime: time.Millisecond})
+	event := serving.AttemptFinished{RequestID: a.request, Attempt: a.number, Result: result, ServiceTime: time.Millisecond}
+	if result == serving.ResultWithdrawn {
+		event.Refusal = rapid.SampledFrom(refusals).Draw(t, "refusal")
+	}
+	m.step(t, event)
+}
+
+// refusals are those of another host, or of the log of the key.
+var refusals = []*structs.Refusal{nil, structs.RefuseNotRun(structs.CodeShed, ""), structs.RefuseUnknown(structs.CodeKeyInProgress, "")}
+
+// finishForward ends a forward, also one that does not exist. Whatever the other host
+// says, its refusal does not hold for an earlier try with another result.
+func (m *dispatcherModel) finishForward(t *rapid.T) {
+	id := m.anyRequest(t)
+	result := rapid.SampledFrom(results).Draw(t, "result")
+	if r := m.requests[id]; r != nil && r.forwarding {
+		r.forwarding = false
+		if result != serving.ResultNotSent && result != serving.ResultWithdrawn {
+			r.mayHaveBeenSent++
+		}
+	}
+	m.step(t, serving.ForwardFinished{RequestID: id, Result: result, Refusal: rapid.SampledFrom(refusals).Draw(t, "refusal")})
 }
 
 // deliverLateResult delivers a late or repeated result, or one of an unknown
@@ -368,9 +393,7 @@
 				}
 				m.step(t, serving.RequestArrived{Request: structs.Request{ID: id, Remaining: time.Second}})
 			},
-			"forwarded": func(t *rapid.T) {
-				m.step(t, serving.ForwardFinished{RequestID: m.anyRequest(t), Result: rapid.SampledFrom(results).Draw(t, "result")})
-			},
+			"forwarded": m.finishForward,
 		})
 		m.drain(t)
 	})
