--- a/daemon/upstream/pool_test.go
+++ b/daemon/upstream/pool_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -211,6 +212,53 @@
 	})
 })
 
+// serveOnce answers the first request only, and closes a connection after its second. It
+// counts the requests.
+func serveOnce() (address string, requests *atomic.Int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	requests = &atomic.Int64{}
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		for range 2 {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			if requests.Add(1) == 1 {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			}
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String(), requests
+}
+
+var _ = Describe("an attempt on a keep-alive connection that breaks", func() {
+	// Guards against a repetition by the HTTP library, whose refused connection would
+	// make an attempt that may have run count as not sent.
+	It("is sent once and is not classified as not sent", func() {
+		address, requests := serveOnce()
+		p := newPool()
+		_, err := p.Do(attempt(address, 0, nil))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = p.Do(attempt(address, 0, nil))
+		Expect(kindOf(err)).To(Equal(upstream.KindBroken))
+		Consistently(requests.Load, 100*time.Millisecond).Should(Equal(int64(2)))
+	})
+})
+
 var _ = Describe("the connection limit", func() {
 	// runConcurrently runs attempts concurrently and returns their errors.
 	runConcurrently := func(p *upstream.Pool, count int, a upstream.Attempt) []error {
