control: commands that are too large for the log are divided

A leader put the ends of all runs of one step into one command. From about 9300 ends on, as after all leases of a large fleet have expired, or when a new leader finds its executors gone, the command exceeds the largest entry (640 KiB). The group refused it, the owner proposed it again before all others, and it was refused again: no start, end or purge was stored any more until the leadership changed, and the next leader got the same command together.

The owner now divides the lists of such a command. The parts are applied one after the other and have the same effect together.

The test failed before: 20000 ends were one entry, "Expected <int>: 1399657 to be <= <int>: 655360".

--- a/daemon/control/control_test.go
+++ b/daemon/control/control_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -83,6 +84,29 @@
 		o.HandleRefused([][]byte{[]byte("kept")})
 		Expect(o.Step(2*time.Second, view(2, raft.RoleLeader, true))[0]).To(Equal([]byte("kept")))
 	})
+
+	// Guards against a leader that decides nothing any more: the ends of all runs of a large
+	// fleet are more than an entry of the log may hold, and are refused again and again.
+	It("divides commands that are too large for the log", func() {
+		ends := make([]workload.End, 20_000)
+		for i := range ends {
+			ends[i] = workload.End{
+				Task: workload.TaskKey{Job: "5c0e7a21d94b36f8", Index: i}, Run: 1, Ending: workload.EndLeaseExpired,
+				Executor: workload.ExecutorKey{ID: "i-1021bfbdd6", Incarnation: math.MaxInt64},
+			}
+		}
+		o.commands = []*workload.Command{{At: time.Second, Ends: ends}, {Cancel: "5c0e7a21d94b36f8"}}
+		var stored []workload.End
+		encoded := o.encodeCommands()
+		for _, data := range encoded[:len(encoded)-1] {
+			Expect(raft.Entry{Data: data}.Size()).To(BeNumerically("<=", maxCommandBytes))
+			command, err := workload.DecodeCommand(data)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(command.At).To(Equal(time.Second))
+			stored = append(stored, command.Ends...)
+		}
+		Expect(stored).To(Equal(ends))
+	})
 })
 
 var _ = Describe("member identity of a data directory", func() {
--- a/scheduler/workload/command.go
+++ b/scheduler/workload/command.go
@@ -75,6 +75,30 @@
 // Encode returns the command in the encoding of the log.
 func (c *Command) Encode() ([]byte, error) { return msgpack.Marshal(c) }
 
+// Halves returns two commands that do the same as c if they are applied one after the
+// other. ok is false if c has no list that can be divided.
+func (c *Command) Halves() (first, second *Command, ok bool) {
+	a, b := *c, *c
+	switch {
+	case len(c.Starts) > 1:
+		a.Starts, b.Starts = halves(c.Starts)
+	case len(c.Ends) > 1:
+		a.Ends, b.Ends = halves(c.Ends)
+	case len(c.Purge) > 1:
+		a.Purge, b.Purge = halves(c.Purge)
+	case len(c.Deregister) > 1:
+		a.Deregister, b.Deregister = halves(c.Deregister)
+	default:
+		return nil, nil, false
+	}
+	return &a, &b, true
+}
+
+func halves[T any](list []T) (first, second []T) {
+	middle := len(list) / 2
+	return list[:middle], list[middle:]
+}
+
 // DecodeCommand reads a log entry.
 func DecodeCommand(data []byte) (*Command, error) {
 	c := &Command{}
