group: a command that is too large is refused alone

The replica stops at the first command of a batch that it refuses, and the group gave that refusal to all that followed. For the size of a command this is wrong: callers whose requests only shared the batch were told "too_large" and not to return, and an owner that proposes its refused commands again never got past one that is too large.

Such a command is refused alone, and the group goes on behind it. One of the owner is dropped with an error in the log, since it would be refused for ever. All other refusals concern the leader and still end the batch.

Both tests failed before: "too_large (not_run): raft: command of 1048600 bytes exceeds the limit of 65536" for the command behind it, and "Timed out after 5.001s" for the owner.

--- a/daemon/group/group.go
+++ b/daemon/group/group.go
@@ -42,7 +42,8 @@
 
 // RefusedCommandHandler is implemented by an owner that receives its refused
 // commands back, so that it can return them again from a later step. Commands
-// that were not refused are applied, unless this host loses its leadership.
+// that were not refused are applied, unless this host loses its leadership. A command
+// that is too large for the log would be refused for ever, so it is dropped.
 type RefusedCommandHandler interface {
 	HandleRefused(commands [][]byte)
 }
@@ -353,8 +354,9 @@
 	g.handleCallOutput(out, err)
 }
 
-// proposeBatch proposes the queued proposals and the commands of the owner with
-// a single sync.
+// proposeBatch proposes the queued proposals and the commands of the owner, with a single
+// sync unless one of them is too large. That one is refused alone; after any other refusal
+// the commands that follow are refused too.
 func (g *Group) proposeBatch(ownerCommands [][]byte) {
 	batch := g.queued
 	g.queued = nil
@@ -366,19 +368,34 @@
 		commands = append(commands, p.command)
 	}
 	commands = append(commands, ownerCommands...)
-	ids, out, err := g.cfg.Replica.ProposeBatch(g.cfg.Now(), commands)
-	for i, p := range batch {
-		if i < len(ids) {
-			g.addWaiter(ids[i], p)
-			continue
+	var refused [][]byte
+	for next := 0; next < len(commands); {
+		ids, out, err := g.cfg.Replica.ProposeBatch(g.cfg.Now(), commands[next:])
+		for _, id := range ids {
+			if next < len(batch) {
+				g.addWaiter(id, batch[next])
+			}
+			next++
 		}
-		p.done <- outcome{err: newRefusal(err)}
+		end := len(commands)
+		if isTooLarge(err) {
+			end = next + 1
+		}
+		for ; next < end; next++ {
+			switch {
+			case next < len(batch):
+				batch[next].done <- outcome{err: newRefusal(err)}
+			case isTooLarge(err):
+				g.cfg.Logger.Error(err, "dropped a command of the owner", "group", g.cfg.Name)
+			default:
+				refused = append(refused, commands[next])
+			}
+		}
+		g.handleCallOutput(out, err)
 	}
 	if handler, ok := g.cfg.Owner.(RefusedCommandHandler); ok {
-		accepted := max(0, len(ids)-len(batch))
-		handler.HandleRefused(ownerCommands[accepted:])
+		handler.HandleRefused(refused)
 	}
-	g.handleCallOutput(out, err)
 }
 
 // refuseQueued refuses the proposals that were still queued when the log failed.
