fleet: a deregistration without an incarnation needs a drain

Executors deregister without naming their incarnation. Such a call counted for whatever incarnation the leader knew: one that was held back on its way, or repeated by a host, until the executor had crashed and started again under its id ended all runs of the new incarnation at once, while that went on with them, and kept the executor out of use until its next start. Callers would see tasks run twice.

An executor drains before it deregisters, and the drain is stored before it is acknowledged. A deregistration that names no incarnation now counts only if the present incarnation drains; otherwise it is acknowledged, logged and ignored. If the executor ends all the same, its runs end with their lease. Executors that never name an incarnation are treated as before.

The test failed before: "Expected <*workload.ExecutorKey>: {ID: "i-1", Incarnation: 2} to be nil".

--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -202,12 +202,16 @@
 
 // Leave processes an executor's departure notice. incarnation is 0 if the notice does
 // not identify the incarnation. If departure is not nil, it must be stored before
-// the notice is acknowledged.
+// the notice is acknowledged. A notice without an incarnation may be a late one of an
+// earlier incarnation, so it counts only if the present one drains.
 func (c *Controller) Leave(now time.Duration, id string, incarnation int64) (departure *workload.ExecutorKey) {
 	isOver := func(key workload.ExecutorKey) bool { return incarnation == 0 || incarnation >= key.Incarnation }
 	e, entry := c.executors[id], c.state.Executor(id)
 	key := workload.ExecutorKey{ID: id, Incarnation: incarnation}
 	switch {
+	case incarnation == 0 && isKnownNotToDrain(e, entry):
+		c.log.Info("ignored a deregistration without an incarnation: the executor does not drain", "executor", id)
+		return nil
 	case e != nil && isOver(e.key):
 		// Its first report may still be waiting to be stored.
 		key.Incarnation = max(incarnation, e.key.Incarnation)
@@ -223,6 +227,18 @@
 	return nil
 }
 
+// isKnownNotToDrain reports whether the present incarnation of an executor, which has not
+// drained, can be told from earlier ones. Either argument may be nil.
+func isKnownNotToDrain(e *executor, entry *workload.Executor) bool {
+	switch {
+	case e != nil:
+		return e.key.Incarnation > 0 && !e.draining
+	case entry != nil:
+		return entry.Key.Incarnation > 0 && !entry.Draining
+	}
+	return false
+}
+
 // removeExecutor ends an executor incarnation. All of its runs are over.
 func (c *Controller) removeExecutor(now time.Duration, e *executor, reason string) {
 	c.log.Info("executor gone", "executor", e.key.ID, "born", e.key.Incarnation, "reason", reason, "runs", len(e.runs))
--- a/scheduler/fleet/silence_test.go
+++ b/scheduler/fleet/silence_test.go
@@ -252,6 +252,15 @@
 		Expect(h.state.Executor("i-1")).NotTo(BeNil())
 	})
 
+	// Guards against the same if the late deregistration does not name its incarnation: the
+	// present one has not drained, as every executor does before it deregisters.
+	It("leaves an incarnation alone that has not drained, if it names none", func() {
+		h.report(1, func(r *fleet.Report) { r.Executor.Incarnation = 2 })
+		Expect(h.controller.Leave(h.now, "i-1", 0)).To(BeNil())
+		h.report(1, func(r *fleet.Report) { r.Executor.Incarnation, r.Draining = 2, true })
+		Expect(h.controller.Leave(h.now, "i-1", 0)).To(HaveValue(Equal(workload.ExecutorKey{ID: "i-1", Incarnation: 2})))
+	})
+
 	// Guards against a deregistration that is refused by the log, sent again and then
 	// acknowledged although the log does not hold it: the first report, which is stored
 	// meanwhile, would bring the executor back.
