replica: the power is lost in the middle of a promotion

With an even number of voters, between a promotion and the removal that follows, a majority is one more than half. It now begins a promotion itself, cuts the leader off from half of the voters and writes until the power is lost.

--- a/coord/replica/lost_disk_test.go
+++ b/coord/replica/lost_disk_test.go
@@ -11,6 +11,7 @@
 
 	"pgregory.net/rapid"
 
+	"cranberrydrum.dev/coord/raft"
 	"cranberrydrum.dev/coord/reconfig"
 )
 
@@ -24,6 +25,7 @@
 	for _, name := range names {
 		f.crash(f.hosts[f.identities[name]])
 	}
+	f.net.Heal()
 	f.run(pause)
 	for _, name := range names {
 		if slices.Contains(erased, name) {
@@ -40,7 +42,7 @@
 // beginChange begins a change of the members that may still be under way when the power
 // is lost.
 func (f *fleet) beginChange(t *rapid.T) string {
-	kind := drawUniform(t, []string{"no change", "new spare", "planned", "gone", "disk lost", "restart"}, "change")
+	kind := drawUniform(t, []string{"no change", "new spare", "promotion", "planned", "gone", "disk lost", "restart"}, "change")
 	span := time.Duration(rapid.IntRange(0, 1500).Draw(t, "change_ms")) * time.Millisecond
 	name := f.victim(t)
 	if f.violation != "" {
@@ -50,6 +52,9 @@
 	case "new spare":
 		f.join(f.newName())
 		f.advance(span)
+	case "promotion":
+		f.promoteSpare()
+		return kind
 	case "planned":
 		f.join(f.newName())
 		f.advance(replaceWithin)
@@ -68,6 +73,25 @@
 	return fmt.Sprintf("%s %s %v", kind, name, span)
 }
 
+// promoteSpare begins the promotion of a spare, with which the number of voters is even, and
+// cuts some links, so that few voters have the writes that follow.
+func (f *fleet) promoteSpare() {
+	f.join(f.newName())
+	f.advance(replaceWithin)
+	l := f.leader()
+	if l == nil {
+		return
+	}
+	for _, spare := range l.replica.Status().Membership.Learners {
+		_ = f.changeMembership(l, raft.Promote, spare)
+	}
+	voters := l.replica.Status().Membership.Voters
+	f.run(electionTimeout / 2)
+	for _, v := range voters[:len(voters)/2] {
+		f.net.Cut(l.id, v)
+	}
+}
+
 // writeUntilLoss writes until the moment in which the power is lost: some ticks after a
 // burst of writes, or right after one of them was acknowledged.
 func (f *fleet) writeUntilLoss(t *rapid.T) {
