workload: a divided command keeps the starts of a step together

It cut the list of starts in the middle. A leader that loses its lease between the two entries would have started a part of a gang, whose members end after the gang wait. The cut is now between two steps where there are several.

--- a/daemon/control/owner.go
+++ b/daemon/control/owner.go
@@ -118,21 +118,6 @@
 	return encoded
 }
 
-// appendEncoded appends a command, in parts if it is too large for one entry of the log.
-func (o *owner) appendEncoded(encoded [][]byte, c *workload.Command) [][]byte {
-	data, err := c.Encode()
-	if err != nil {
-		o.log.Error(err, "failed to encode a command")
-		return encoded
-	}
-	if (raft.Entry{Data: data}).Size() > maxCommandBytes {
-		if first, second, ok := c.Halves(); ok {
-			return o.appendEncoded(o.appendEncoded(encoded, first), second)
-		}
-	}
-	return append(encoded, data)
-}
-
 // HandleRefused implements group.RefusedCommandHandler.
 func (o *owner) HandleRefused(commands [][]byte) { o.refused = commands }
 
--- a/scheduler/workload/command.go
+++ b/scheduler/workload/command.go
@@ -78,7 +78,8 @@
 	a, b := *c, *c
 	switch {
 	case len(c.Starts) > 1:
-		a.Starts, b.Starts = halve(c.Starts)
+		middle := middleOfSteps(c.Starts)
+		a.Starts, b.Starts = c.Starts[:middle], c.Starts[middle:]
 	case len(c.Ends) > 1:
 		a.Ends, b.Ends = halve(c.Ends)
 	case len(c.Purge) > 1:
@@ -91,38 +92,33 @@
 	return &a, &b, true
 }
 
-func halve[T any](list []T) (first, second []T) {
-	middle := len(list) / 2
-	return list[:middle], list[middle:]
+// middleOfSteps returns a place near the middle of several starts that divides no step, if
+// there is one. The members of a gang are started by one command, because a leader that
+// loses its lease between two would leave the gang incomplete.
+func middleOfSteps(starts []Start) int {
+	middle := len(starts) / 2
+	for distance := range middle {
+		for _, place := range [...]int{middle - distance, middle + distance} {
+			if !sameStep(starts[place-1].Task, starts[place].Task) {
+				return place
+			}
+		}
+	}
+	return middle
 }
 
-// Encode returns the command in the encoding of the log.
-func (c *Command) Encode() ([]byte, error) { return msgpack.Marshal(c) }
-
-// Halves returns two commands that do the same as c if they are applied one after the
-// other. ok is false if c has no list that can be divided.
-func (c *Command) Halves() (first, second *Command, ok bool) {
-	a, b := *c, *c
-	switch {
-	case len(c.Starts) > 1:
-		a.Starts, b.Starts = halves(c.Starts)
-	case len(c.Ends) > 1:
-		a.Ends, b.Ends = halves(c.Ends)
-	case len(c.Purge) > 1:
-		a.Purge, b.Purge = halves(c.Purge)
-	case len(c.Deregister) > 1:
-		a.Deregister, b.Deregister = halves(c.Deregister)
-	default:
-		return nil, nil, false
-	}
-	return &a, &b, true
+func sameStep(a, b TaskKey) bool {
+	return a.Job == b.Job && a.Occurrence == b.Occurrence && a.Step == b.Step
 }
 
-func halves[T any](list []T) (first, second []T) {
+func halve[T any](list []T) (first, second []T) {
 	middle := len(list) / 2
 	return list[:middle], list[middle:]
 }
 
+// Encode returns the command in the encoding of the log.
+func (c *Command) Encode() ([]byte, error) { return msgpack.Marshal(c) }
+
 // DecodeCommand reads a log entry.
 func DecodeCommand(data []byte) (*Command, error) {
 	c := &Command{}
