--- a/scheduler/workload/command.go
+++ b/scheduler/workload/command.go
@@ -78,7 +78,8 @@
 	a, b := *c, *c
 	switch {
 	case len(c.Starts) > 1:
-		a.Starts, b.Starts = halve(c.Starts)
+		middle := middleOfSteps(c.Starts)
+		a.Starts, b.Starts = c.Starts[:middle], c.Starts[middle:]
 	case len(c.Ends) > 1:
 		a.Ends, b.Ends = halve(c.Ends)
 	case len(c.Purge) > 1:
@@ -91,6 +92,25 @@
 	return &a, &b, true
 }
 
+// middleOfSteps returns a place near the middle of several starts that divides no step, if
+// there is one. The members of a gang are started by one command, because a leader that
+// loses its lease between two would leave the gang incomplete.
+func middleOfSteps(starts []Start) int {
+	middle := len(starts) / 2
+	for distance := range middle {
+		for _, place := range [...]int{middle - distance, middle + distance} {
+			if !sameStep(starts[place-1].Task, starts[place].Task) {
+				return place
+			}
+		}
+	}
+	return middle
+}
+
+func sameStep(a, b TaskKey) bool {
+	return a.Job == b.Job && a.Occurrence == b.Occurrence && a.Step == b.Step
+}
+
 func halve[T any](list []T) (first, second []T) {
 	middle := len(list) / 2
 	return list[:middle], list[middle:]
