fleet: a report no longer ends the runs of another incarnation

Callers could see a task run twice and an executor above its capacity: a report of another ID at the address of a running executor, or one of its ID with a higher born, ended all of its runs at once. Such a report can be late (its sender's clock was ahead) or come from another sender. A response with a lower born was processed as if the known incarnation had sent it.

Cause: removeExecutor took a report for the proof that another incarnation is over. Class: what one message says is taken for the outcome.

Now the incarnation is set aside with its leases as they are, and a hold without a deadline or a cursor asks it at once. Its runs end when another incarnation answers there, it deregisters or its leases end; if it answers itself it is used again and the claim is dropped. A 421 counts only at an address where the incarnation had answered; a run whose only start got one never began. An executor that was reported in the place of another one gets no runs until it has answered.

--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -213,17 +213,10 @@
 		c.handleAdvice(now, call, response)
 		return c.out
 	}
-	e := c.executors[call.Executor.ID]
-	if e == nil || e.key != call.Executor {
-		return c.out
-	}
 	c.dirty = true
-	if response.Verdict == VerdictOtherIncarnation || (response.Incarnation > 0 && response.Incarnation != e.key.Incarnation) {
-		c.log.Info("response from another incarnation of the executor", "executor", e.key.ID, "born", e.key.Incarnation, "answered_born", response.Incarnation)
-		if response.Verdict == VerdictOtherIncarnation || response.Incarnation > e.key.Incarnation {
-			c.removeExecutor(now, e, "other_life")
-			return c.out
-		}
+	e := c.addressee(now, unix, &call, &response)
+	if e == nil {
+		return c.out
 	}
 	switch {
 	case response.Verdict == VerdictNoResponse && call.Kind != CallHold:
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -118,6 +118,7 @@
 	}
 	c.sendOrders(now)
 	c.sendHolds(now)
+	c.sendProbes(now)
 	c.cleanUp(now, unix)
 	return c.out
 }
@@ -166,15 +167,23 @@
 	if e != nil && r.Executor.Incarnation == e.key.Incarnation && r.Sequence <= e.sequence {
 		return true, c.directoryUpdate(e)
 	}
-	if e != nil && e.key != r.Executor {
-		c.removeExecutor(now, e, "restarted")
+	restarted := e != nil && e.key != r.Executor
+	if restarted {
+		c.supersede(now, e, "restarted")
 		e = nil
 	}
 	if e == nil {
 		e = c.register(now, r)
 	}
+	if restarted {
+		e.contest()
+	}
 	if other := c.byAddress[r.Address]; other != nil && other != e {
-		c.removeExecutor(now, other, "address_reused")
+		c.supersede(now, other, "address_reused")
+		e.contest()
+	}
+	if c.byAddress[e.address] == e {
+		delete(c.byAddress, e.address)
 	}
 	if r.Draining && !e.draining {
 		c.log.Info("executor drains", "executor", e.key.ID, "remaining_ms", r.DrainRemaining.Milliseconds())
@@ -191,6 +200,7 @@
 	if e == nil {
 		e = c.newExecutor(r.Executor)
 	}
+	e.supersededAt = 0
 	c.executors[r.Executor.ID] = e
 	c.log.Info("executor registered", "executor", r.Executor.ID, "born", r.Executor.Incarnation, "address", r.Address, "zone", r.Zone, "runs", len(e.runs))
 	return e
@@ -223,26 +233,6 @@
 	return nil
 }
 
-// removeExecutor ends an executor incarnation. All of its runs are over.
-func (c *Controller) removeExecutor(now time.Duration, e *executor, reason string) {
-	c.log.Info("executor gone", "executor", e.key.ID, "born", e.key.Incarnation, "reason", reason, "runs", len(e.runs))
-	if c.executors[e.key.ID] == e {
-		delete(c.executors, e.key.ID)
-	}
-	if c.byAddress[e.address] == e {
-		delete(c.byAddress, e.address)
-	}
-	if entry := c.state.Executor(e.key.ID); entry != nil && entry.Key == e.key {
-		c.departed = append(c.departed, e.key)
-	}
-	// The runs are kept until their ends are applied.
-	e.leaseEnd = now
-	if len(e.runs) > 0 {
-		c.lost[e.key] = e
-	}
-	c.dirty = true
-}
-
 // reconcile updates the runs of all executors to match the log.
 func (c *Controller) reconcile(now time.Duration) {
 	c.appliedChanges = c.state.Changes()
@@ -334,7 +324,11 @@
 	}
 	for _, e := range c.lost {
 		if now >= e.leaseEnd {
-			ends = c.endRuns(ends, e, workload.EndExecutorGone, EvidenceExecutorGone)
+			evidence := EvidenceExecutorGone
+			if e.supersededAt > 0 {
+				evidence = EvidenceLeaseExpired
+			}
+			ends = c.endRuns(ends, e, workload.EndExecutorGone, evidence)
 		}
 	}
 	c.propose(unix, ends)
--- a/scheduler/fleet/directory.go
+++ b/scheduler/fleet/directory.go
@@ -46,9 +46,14 @@
 // in the directory, otherwise nil.
 func (c *Controller) directoryUpdate(e *executor) *workload.Executor {
 	entry := e.entry()
-	if known := c.state.Executor(e.key.ID); known != nil && known.Equal(entry) {
+	known := c.state.Executor(e.key.ID)
+	if known != nil && known.Equal(entry) {
 		return nil
 	}
+	if known != nil && known.Key.Incarnation > e.key.Incarnation {
+		// A later incarnation was reported, but this one still answers.
+		c.departed = append(c.departed, known.Key)
+	}
 	return entry
 }
 
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -92,6 +92,17 @@
 	// running.
 	leaseEnd time.Duration
 
+	// confirmedAddress is the address at which the incarnation last accepted a call.
+	confirmedAddress string
+	// isContested is set while another incarnation was known at the address or under the
+	// ID and this one has not answered since.
+	isContested bool
+	// supersededAt is when another incarnation seemed to have taken the place of this one,
+	// or 0. Probes ask whether that is so.
+	supersededAt  time.Duration
+	probeInFlight bool
+	nextProbeAt   time.Duration
+
 	runs map[workload.TaskKey]*run
 	used workload.Resources
 	// servingRuns counts user-facing runs, bestEffortRuns those that use
@@ -184,7 +195,7 @@
 func (e *executor) applyReport(now time.Duration, r *Report) {
 	e.setDescription(r.Service, r.Address, r.Labels, r.Capacity)
 	e.sequence = r.Sequence
-	e.reported = true
+	e.reported = e.reported || !e.isContested
 	e.lastHeard = now
 	e.draining = e.draining || r.Draining
 	if r.Draining {
--- a/scheduler/fleet/types.go
+++ b/scheduler/fleet/types.go
@@ -92,6 +92,8 @@
 	Cursor int64
 	// Wait is how long the executor may delay its response.
 	Wait time.Duration
+	// Probe is set on a hold that only asks which incarnation is at the address.
+	Probe bool
 }
 
 // Verdict classifies the outcome of a call.
