fleet: a report no longer moves an executor that answers at its address

A report with the name of a running executor and the address of another one sent all further calls there; the 421 of the other one ended its runs while they went on.

--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -178,6 +178,10 @@
 	if restarted {
 		e.contest()
 	}
+	if r.Address != e.address && e.answersAtAddress() {
+		c.log.Info("ignored the address of a report", "executor", e.key.ID, "born", e.key.Incarnation, "address", e.address, "reported", r.Address)
+		r.Address = e.address
+	}
 	if other := c.byAddress[r.Address]; other != nil && other != e {
 		c.supersede(now, other, "address_reused")
 		e.contest()
--- a/scheduler/fleet/succession.go
+++ b/scheduler/fleet/succession.go
@@ -53,6 +53,11 @@
 // incarnation was known at its address or under its ID.
 func (e *executor) contest() { e.isContested, e.reported = true, false }
 
+// answersAtAddress reports whether an incarnation answers at its address, so that it has not moved.
+func (e *executor) answersAtAddress() bool {
+	return e.address != "" && e.confirmedAddress == e.address && e.failedHolds == 0
+}
+
 // sendProbes asks the superseded incarnations whether they are still there.
 func (c *Controller) sendProbes(now time.Duration) {
 	for _, e := range c.lost {
--- a/scheduler/fleet/succession_test.go
+++ b/scheduler/fleet/succession_test.go
@@ -147,6 +147,32 @@
 		Entry("of one whose clock was ahead", int64(7)),
 	)
 
+	// Guards against a report with the name of an executor and the address of another
+	// one, which answers in its place.
+	It("keeps its address while it answers there", func() {
+		claim(func(r *fleet.Report) { r.Address = "10.0.0.77:80" })
+		h.answer(h.lastCall(fleet.CallHold, on), h.listAs(1, "a"))
+		h.step()
+		Expect(h.lastCall(fleet.CallHold, on).Address).To(Equal(h.state.Executor(on).Address))
+		Expect(h.state.Executor(on).Address).NotTo(Equal("10.0.0.77:80"))
+		Expect(lastRun()).To(Equal(1))
+	})
+
+	// Guards against runs that end because another executor answers at an address that
+	// a wrong report named, while the executor is only slow.
+	It("keeps its runs when another executor answers at an address where it never answered", func() {
+		h.answer(h.lastCall(fleet.CallHold, on), fleet.Response{Verdict: fleet.VerdictNoResponse})
+		claim(func(r *fleet.Report) { r.Address = "10.0.0.77:80" })
+		h.advance(300*time.Millisecond, 0)
+		hold := h.lastCall(fleet.CallHold, on)
+		Expect(hold.Address).To(Equal("10.0.0.77:80"))
+		h.answer(hold, otherAnswers)
+		h.advance(200*time.Millisecond, 4)
+		Expect(h.executorsOf("a")).To(ConsistOf(on))
+		Expect(lastRun()).To(Equal(1))
+		Expect(h.lastCall(fleet.CallHold, on).Address).NotTo(Equal("10.0.0.77:80"))
+	})
+
 	// Guards against one address in two spellings: it must end no run by itself, and a
 	// restart there must still be noticed.
 	It("is noticed as over at an address that its successor spells otherwise", func() {
