fleet: a deregistration ends only the runs of the incarnation that it names

A deregistration without born, or with a born later than the known one, ended all runs of the present incarnation at once, although it may be foreign. It still takes the executor out of use, but the runs keep their leases until another incarnation answers or the leases end.

Evidence: 'without an incarnation' and 'of a later incarnation keeps its runs for its lease' failed before: 'Expected <int>: 2 to equal <int>: 1'.

--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -225,7 +225,11 @@
 	case e != nil && isOver(e.key):
 		// Its first report may still be waiting to be stored.
 		key.Incarnation = max(incarnation, e.key.Incarnation)
-		c.removeExecutor(now, e, "left")
+		if incarnation == e.key.Incarnation {
+			c.removeExecutor(now, e, "left")
+		} else {
+			c.supersede(now, e, "other_left")
+		}
 		return &key
 	case entry != nil && isOver(entry.Key):
 		key.Incarnation = max(incarnation, entry.Key.Incarnation)
@@ -249,9 +253,13 @@
 		}
 	}
 	for _, e := range c.executors {
-		if c.state.HasLeft(e.key) {
+		switch {
+		case c.hasLeftItself(e.key):
 			c.removeExecutor(now, e, "left")
 			continue
+		case c.state.HasLeft(e.key):
+			c.supersede(now, e, "other_left")
+			continue
 		}
 		c.reconcileRuns(now, e)
 	}
--- a/scheduler/fleet/succession.go
+++ b/scheduler/fleet/succession.go
@@ -58,6 +58,11 @@
 	return e.address != "" && e.confirmedAddress == e.address && e.failedHolds == 0
 }
 
+// hasLeftItself reports whether exactly this incarnation deregistered.
+func (c *Controller) hasLeftItself(key workload.ExecutorKey) bool {
+	return c.state.HasLeft(key) && !c.state.HasLeft(workload.ExecutorKey{ID: key.ID, Incarnation: key.Incarnation + 1})
+}
+
 // sendProbes asks the superseded incarnations whether they are still there.
 func (c *Controller) sendProbes(now time.Duration) {
 	for _, e := range c.lost {
--- a/scheduler/fleet/succession_test.go
+++ b/scheduler/fleet/succession_test.go
@@ -211,6 +211,32 @@
 		Expect(h.executorsOf("b")).NotTo(ContainElement(b))
 	})
 
+	DescribeTable("after a deregistration", func(incarnation int64, lost bool) {
+		h.now += 20 * time.Millisecond
+		since = h.now
+		departure := h.controller.Leave(h.now, on, incarnation)
+		Expect(departure).NotTo(BeNil())
+		h.apply(&workload.Command{At: h.now, Deregister: []workload.ExecutorKey{*departure}, Left: true})
+		h.step()
+		h.answerSince(since, key, h.listAs(1, "a"))
+		h.advance(time.Second, 4)
+		h.step()
+		if lost {
+			Expect(lastRun()).To(Equal(2))
+			return
+		}
+		Expect(lastRun()).To(Equal(1))
+		h.advance(modelLease, 4)
+		Expect(lastRun()).To(Equal(2))
+	},
+		// Guards against tasks that wait although their executor said that it ends.
+		Entry("of its own loses its runs", int64(1), true),
+		// Guards against runs that end because of a deregistration that names no
+		// incarnation or one that never was.
+		Entry("without an incarnation keeps its runs for its lease", int64(0), false),
+		Entry("of a later incarnation keeps its runs for its lease", int64(1)<<62, false),
+	)
+
 	// Guards against a start decided for an executor that is removed as silent before the
 	// decision is in the log: the task must neither wait nor run twice.
 	It("loses a run that was decided before it was removed as silent", func() {
