fleet: an executor at a contested address or ID must answer before it is used

After a foreign report was refuted, the next one came before the report of the true executor: the foreign incarnation counted as new and got starts, which the true one of the same ID carried out. The leader took the response with the other born for a refusal and started the tasks elsewhere as well.

IDs and addresses at which two incarnations were known lately now require the answer to a hold, and only a 421 means that a start was not carried out.

--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -67,6 +67,8 @@
 	failedOn map[workload.TaskKey][]string
 	// unixOffset is the Unix time minus the process clock.
 	unixOffset time.Duration
+	// contestedAt is when two incarnations were last known under an ID or at an address.
+	contestedAt map[string]time.Duration
 	// departed holds executor incarnations that are over but still in the
 	// directory.
 	departed []workload.ExecutorKey
@@ -90,6 +92,7 @@
 		pendingStarts: map[workload.TaskKey]workload.Start{},
 		runnableSince: map[stepKey]time.Duration{},
 		failedOn:      map[workload.TaskKey][]string{},
+		contestedAt:   map[string]time.Duration{},
 	}
 	c.loadDirectory(now)
 	c.reconcile(now)
@@ -167,24 +170,24 @@
 	if e != nil && r.Executor.Incarnation == e.key.Incarnation && r.Sequence <= e.sequence {
 		return true, c.directoryUpdate(e)
 	}
-	restarted := e != nil && e.key != r.Executor
-	if restarted {
+	if e != nil && e.key != r.Executor {
 		c.supersede(now, e, "restarted")
 		e = nil
 	}
-	if e == nil {
+	isNew := e == nil
+	if isNew {
 		e = c.register(now, r)
 	}
-	if restarted {
-		e.contest()
-	}
 	if r.Address != e.address && e.answersAtAddress() {
 		c.log.Info("ignored the address of a report", "executor", e.key.ID, "born", e.key.Incarnation, "address", e.address, "reported", r.Address)
 		r.Address = e.address
 	}
-	if other := c.byAddress[r.Address]; other != nil && other != e {
+	other := c.byAddress[r.Address]
+	if other != nil && other != e {
 		c.supersede(now, other, "address_reused")
-		e.contest()
+	}
+	if isNew || other != e {
+		c.contest(e, &r)
 	}
 	if c.byAddress[e.address] == e {
 		delete(c.byAddress, e.address)
@@ -370,6 +373,7 @@
 		return
 	}
 	c.nextCleanup = now + cleanupInterval
+	c.forgetContests(now)
 	var ids []string
 	c.state.Jobs(func(j *workload.Job) {
 		if j.Phase.Ended() && unix-j.EndedAt > c.cfg.Retention+c.cfg.Retention/4 {
--- a/scheduler/fleet/succession.go
+++ b/scheduler/fleet/succession.go
@@ -15,6 +15,7 @@
 func (c *Controller) supersede(now time.Duration, e *executor, reason string) {
 	c.withdraw(e, reason)
 	e.supersededAt, e.nextProbeAt = now, now
+	c.contestedAt[e.key.ID], c.contestedAt[e.address] = now, now
 }
 
 // withdraw removes an incarnation from the known executors. Its runs may continue until
@@ -49,9 +50,25 @@
 	c.dirty = true
 }
 
-// contest requires an executor to answer a hold before it is used, because another
+// contest requires a reported executor to answer a hold before it is used if another
 // incarnation was known at its address or under its ID.
-func (e *executor) contest() { e.isContested, e.reported = true, false }
+func (c *Controller) contest(e *executor, r *Report) {
+	_, id := c.contestedAt[r.Executor.ID]
+	_, address := c.contestedAt[r.Address]
+	if id || address {
+		e.isContested, e.reported = true, false
+	}
+}
+
+// forgetContests drops contests after the time in which every executor that is still
+// there has reported.
+func (c *Controller) forgetContests(now time.Duration) {
+	for name, at := range c.contestedAt {
+		if now-at > 2*maxMissedReports*c.cfg.ReportInterval+c.cfg.Lease {
+			delete(c.contestedAt, name)
+		}
+	}
+}
 
 // answersAtAddress reports whether an incarnation answers at its address, so that it has not moved.
 func (e *executor) answersAtAddress() bool {
@@ -134,7 +151,9 @@
 	if !isOther && (response.Incarnation == 0 || response.Incarnation == e.key.Incarnation) {
 		return true
 	}
-	c.endMisdirectedStart(unix, e, call)
+	if isOther {
+		c.endMisdirectedStart(unix, e, call)
+	}
 	c.log.Info("response from another incarnation of the executor", "executor", e.key.ID, "born", e.key.Incarnation, "answered_born", response.Incarnation,
 		"address", call.Address, "confirmed_address", e.confirmedAddress, "probe", call.Probe)
 	switch {
@@ -151,7 +170,7 @@
 	return false
 }
 
-// endMisdirectedStart ends a run whose only start was answered by another incarnation.
+// endMisdirectedStart ends a run whose only start another executor refused.
 func (c *Controller) endMisdirectedStart(unix time.Duration, e *executor, call *Call) {
 	r := e.runs[call.Task]
 	if call.Kind != CallStart || r == nil || r.number != call.Run || r.end != nil || r.startCalls != 1 || r.term != c.term {
