fleet: runs that the log does not hold use capacity and are stopped

A run that an executor listed after the log had ended it was ignored: it went on, and its capacity was given out again.

A start is sent only once the log holds it, so such a run has been ended there, whatever the list's age. It now counts as used capacity as far as its job is known and gets stop orders at a bounded rate until a list lacks it. A stop names the run, so it touches no later run of the task.

--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -317,6 +317,7 @@
 		listed[t.Task] = t.Run
 		c.recordProgress(now, e, t)
 	}
+	c.recordStrays(e, response.Running)
 	ends := c.listedEnds(now, e, response.Ended)
 	for key, r := range e.runs {
 		if r.end != nil || listed[key] == r.number || r.settledAt == 0 || r.settledAt >= call.IssuedAt {
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -121,6 +121,7 @@
 	}
 	c.sendOrders(now)
 	c.sendHolds(now)
+	c.stopStrays(now)
 	c.sendProbes(now)
 	c.cleanUp(now, unix)
 	return c.out
@@ -295,7 +296,6 @@
 			delete(e.runs, key)
 		}
 	}
-	e.used, e.servingRuns, e.bestEffortRuns = workload.Resources{}, 0, 0
 	for key, entry := range logged {
 		if e.runs[key] == nil {
 			r := &run{number: entry.Number, term: entry.Term, progressedAt: now}
@@ -306,10 +306,8 @@
 			}
 			e.runs[key] = r
 		}
-		if j := c.state.Job(key.Job); j != nil {
-			e.addUsage(&j.Spec.Steps[key.Step])
-		}
 	}
+	c.updateUsage(e)
 	e.lateFailures = slices.DeleteFunc(e.lateFailures, func(o workload.End) bool { return c.state.FailureCounted(o.Task, o.Run) })
 	if e.lastSeenEnd > e.cursor && !c.endsPending(e) {
 		e.cursor = e.lastSeenEnd
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -109,6 +109,8 @@
 	// leftover capacity. They are not placed together, because best-effort runs
 	// slow user-facing ones.
 	servingRuns, bestEffortRuns int
+	// strays are the listed runs that the log does not hold on this executor.
+	strays map[workload.TaskKey]*strayRun
 
 	holdInFlight bool
 	nextHoldAt   time.Duration
