fleet: an executor that is set aside keeps its departure notice

An executor without runs that was set aside left the directory at once, and its next report, late and from before the notice, made it known again as not draining: it got runs after its notice was acknowledged.

It now stays in the directory while probes may reinstate it.

--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -267,11 +267,9 @@
 		}
 		c.reconcileRuns(now, e)
 	}
-	for key, e := range c.lost {
+	for _, e := range c.lost {
 		c.reconcileRuns(now, e)
-		if len(e.runs) == 0 {
-			delete(c.lost, key)
-		}
+		c.forgetLost(now, e)
 	}
 	c.state.EachExecutorWithRuns(func(key workload.ExecutorKey) {
 		if e := c.executors[key.ID]; e != nil && e.key == key {
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -102,6 +102,7 @@
 	supersededAt  time.Duration
 	probeInFlight bool
 	nextProbeAt   time.Duration
+	probeUntil    time.Duration
 
 	runs map[workload.TaskKey]*run
 	used workload.Resources
--- a/scheduler/fleet/succession.go
+++ b/scheduler/fleet/succession.go
@@ -12,12 +12,44 @@
 // deregisters or its leases end.
 
 // supersede sets an incarnation aside that a report or a deregistration claims to be over.
+// It stays in the directory, so that its departure notice is not forgotten.
 func (c *Controller) supersede(now time.Duration, e *executor, reason string) {
-	c.withdraw(e, reason)
-	e.supersededAt, e.nextProbeAt = now, now
+	c.log.Info("executor set aside", "executor", e.key.ID, "born", e.key.Incarnation, "address", e.address, "reason", reason, "runs", len(e.runs))
+	c.unlink(e)
+	c.lost[e.key] = e
+	e.supersededAt, e.nextProbeAt, e.probeUntil = now, now, max(e.leaseEnd, now+c.cfg.Lease)
 	c.contestedAt[e.key.ID], c.contestedAt[e.address] = now, now
 }
 
+// unlink removes an incarnation from the known executors.
+func (c *Controller) unlink(e *executor) {
+	if c.executors[e.key.ID] == e {
+		delete(c.executors, e.key.ID)
+	}
+	if c.byAddress[e.address] == e {
+		delete(c.byAddress, e.address)
+	}
+	c.dirty = true
+}
+
+// leaveDirectory removes an incarnation from the directory.
+func (c *Controller) leaveDirectory(e *executor) {
+	if entry := c.state.Executor(e.key.ID); entry != nil && entry.Key == e.key {
+		c.departed = append(c.departed, e.key)
+	}
+}
+
+// forgetLost drops a lost incarnation without runs once no probe can reinstate it.
+func (c *Controller) forgetLost(now time.Duration, e *executor) {
+	if len(e.runs) > 0 || (e.supersededAt > 0 && now < e.probeUntil) {
+		return
+	}
+	if e.supersededAt > 0 {
+		c.leaveDirectory(e)
+	}
+	delete(c.lost, e.key)
+}
+
 // withdraw removes an incarnation from the known executors. Its runs may continue until
 // their leases end.
 func (c *Controller) withdraw(e *executor, reason string) {
@@ -32,22 +64,13 @@
 	e.supersededAt, e.leaseEnd = 0, now
 }
 
-// detach removes an incarnation from the known executors and from the directory.
 func (c *Controller) detach(e *executor) {
-	if c.executors[e.key.ID] == e {
-		delete(c.executors, e.key.ID)
-	}
-	if c.byAddress[e.address] == e {
-		delete(c.byAddress, e.address)
-	}
-	if entry := c.state.Executor(e.key.ID); entry != nil && entry.Key == e.key {
-		c.departed = append(c.departed, e.key)
-	}
+	c.unlink(e)
+	c.leaveDirectory(e)
 	// The runs are kept until their ends are applied.
 	if len(e.runs) > 0 {
 		c.lost[e.key] = e
 	}
-	c.dirty = true
 }
 
 // contest requires a reported executor to answer a hold before it is used if another
@@ -83,7 +106,7 @@
 // sendProbes asks the superseded incarnations whether they are still there.
 func (c *Controller) sendProbes(now time.Duration) {
 	for _, e := range c.lost {
-		if e.supersededAt == 0 || e.probeInFlight || e.address == "" || now < e.nextProbeAt || now >= e.leaseEnd {
+		if e.supersededAt == 0 || e.probeInFlight || e.address == "" || now < e.nextProbeAt || now >= e.probeUntil {
 			continue
 		}
 		if c.cfg.MaxLongPolls > 0 && c.shortPolls >= c.cfg.MaxLongPolls/shortPollDivisor {
@@ -163,6 +186,7 @@
 		// It never answered at this address, so it may be at another one.
 	default:
 		c.supersede(now, e, "not_at_address")
+		c.leaveDirectory(e)
 		if earlier := c.lost[workload.ExecutorKey{ID: e.key.ID, Incarnation: response.Incarnation}]; earlier != nil && !isOther && earlier.supersededAt > 0 {
 			c.reinstate(earlier)
 		}
