fleet: a set-aside executor is asked again after its open hold

The response to a hold that was open when an executor was set aside was dropped together with the mark that a hold is open. Known again, the executor was never asked, and its tasks waited for ever.

Evidence: 'is asked again after it was set aside with an open hold' failed before: 'Expected <time.Duration>: to be >'.

--- a/scheduler/fleet/succession.go
+++ b/scheduler/fleet/succession.go
@@ -126,7 +126,11 @@
 	e := c.executors[call.Executor.ID]
 	if e == nil || e.key != call.Executor {
 		e = c.lost[call.Executor]
-		if e == nil || e.supersededAt == 0 {
+		if e == nil {
+			return nil
+		}
+		if e.supersededAt == 0 {
+			e.clearInFlight(call)
 			return nil
 		}
 	}
--- a/scheduler/fleet/succession_test.go
+++ b/scheduler/fleet/succession_test.go
@@ -173,6 +173,23 @@
 		Expect(h.lastCall(fleet.CallHold, on).Address).NotTo(Equal("10.0.0.77:80"))
 	})
 
+	// Guards against an executor that is never asked again because the response to its hold
+	// arrived while another report took its place.
+	It("is asked again after it was set aside with an open hold", func() {
+		h.answer(h.lastCall(fleet.CallHold, on), fleet.Response{Verdict: fleet.VerdictNoResponse})
+		h.advance(time.Second, 0)
+		open := h.lastCall(fleet.CallHold, on)
+		m := (n + 1) % 4
+		other := workload.ExecutorKey{ID: h.executorName(m), Incarnation: 1}
+		claim(func(r *fleet.Report) { r.Address = h.state.Executor(other.ID).Address })
+		h.answerSince(since, other, h.listAs(1))
+		h.answer(open, fleet.Response{Verdict: fleet.VerdictNoResponse})
+		h.advance(time.Second, 4)
+		Expect(h.lastCall(fleet.CallHold, on).IssuedAt).To(BeNumerically(">", since))
+		Expect(h.lastCall(fleet.CallHold, on).Address).To(Equal(h.state.Executor(on).Address))
+		Expect(lastRun()).To(Equal(1))
+	})
+
 	// Guards against one address in two spellings: it must end no run by itself, and a
 	// restart there must still be noticed.
 	It("is noticed as over at an address that its successor spells otherwise", func() {
