fleet: an executor gets runs only after it has answered a hold

A report with the ID of a running executor and another born could be the first that a new leader knew under this ID. The leader started tasks on that incarnation; the true one carried them out, and the leader ignored their ends.

Every incarnation that is known from a report now has to answer a hold as itself first.

The harness of the specs answers the first hold of an executor that it reports unchanged; 'is used again in a later incarnation' answers as that incarnation.

--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -67,8 +67,6 @@
 	failedOn map[workload.TaskKey][]string
 	// unixOffset is the Unix time minus the process clock.
 	unixOffset time.Duration
-	// contestedAt is when two incarnations were last known under an ID or at an address.
-	contestedAt map[string]time.Duration
 	// departed holds executor incarnations that are over but still in the
 	// directory.
 	departed []workload.ExecutorKey
@@ -92,7 +90,6 @@
 		pendingStarts: map[workload.TaskKey]workload.Start{},
 		runnableSince: map[stepKey]time.Duration{},
 		failedOn:      map[workload.TaskKey][]string{},
-		contestedAt:   map[string]time.Duration{},
 	}
 	c.loadDirectory(now)
 	c.reconcile(now)
@@ -187,8 +184,8 @@
 	if other != nil && other != e {
 		c.supersede(now, other, "address_reused")
 	}
-	if isNew || other != e {
-		c.contest(e, &r)
+	if isNew || (other != nil && other != e) {
+		e.verify()
 	}
 	if c.byAddress[e.address] == e {
 		delete(c.byAddress, e.address)
@@ -369,7 +366,6 @@
 		return
 	}
 	c.nextCleanup = now + cleanupInterval
-	c.forgetContests(now)
 	var ids []string
 	c.state.Jobs(func(j *workload.Job) {
 		if j.Phase.Ended() && unix-j.EndedAt > c.cfg.Retention+c.cfg.Retention/4 {
--- a/scheduler/fleet/decisions_test.go
+++ b/scheduler/fleet/decisions_test.go
@@ -23,6 +23,9 @@
 	sequence   int64
 	// dropOrders leaves start and stop orders without a response.
 	dropOrders bool
+	// answered holds the incarnations that have answered their first hold. Those of changed
+	// reports do not.
+	answered map[workload.ExecutorKey]bool
 }
 
 func newHarness() *harness {
@@ -56,6 +59,17 @@
 	if _, registration := h.controller.Report(h.now, r); registration != nil {
 		h.apply(&workload.Command{At: h.now, Register: registration})
 	}
+	if change == nil && !h.answered[r.Executor] {
+		if h.answered == nil {
+			h.answered = map[workload.ExecutorKey]bool{}
+		}
+		h.answered[r.Executor] = true
+		h.step()
+		h.answerHold(n, nil)
+		h.calls = slices.DeleteFunc(h.calls, func(c fleet.Call) bool { return c.Kind == fleet.CallHold && c.Executor == r.Executor })
+		// The next round comes after a pause.
+		h.now += 20 * time.Millisecond
+	}
 }
 
 // advance moves the clock in steps of 20 ms. At each step, the given
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -77,8 +77,7 @@
 	labels   []string
 	capacity workload.Resources
 	sequence int64
-	// reported is set once the executor has reported to this leader or answered
-	// a hold.
+	// reported is set once the executor has answered a hold of this leader.
 	reported  bool
 	lastHeard time.Duration
 	// draining stays set until the incarnation ends, so that a delayed report
@@ -94,9 +93,8 @@
 
 	// confirmedAddress is the address at which the incarnation last accepted a call.
 	confirmedAddress string
-	// isContested is set while another incarnation was known at the address or under the
-	// ID and this one has not answered since.
-	isContested bool
+	// isUnverified is set while the incarnation is known from reports only.
+	isUnverified bool
 	// supersededAt is when another incarnation seemed to have taken the place of this one,
 	// or 0. Probes ask whether that is so.
 	supersededAt  time.Duration
@@ -198,7 +196,7 @@
 func (e *executor) applyReport(now time.Duration, r *Report) {
 	e.setDescription(r.Service, r.Address, r.Labels, r.Capacity)
 	e.sequence = r.Sequence
-	e.reported = e.reported || !e.isContested
+	e.reported = e.reported || !e.isUnverified
 	e.lastHeard = now
 	e.draining = e.draining || r.Draining
 	if r.Draining {
--- a/scheduler/fleet/silence_test.go
+++ b/scheduler/fleet/silence_test.go
@@ -239,6 +239,8 @@
 	It("is used again in a later incarnation", func() {
 		leave(1)
 		h.report(1, func(r *fleet.Report) { r.Executor.Incarnation = 2 })
+		h.step()
+		h.answer(h.lastCall(fleet.CallHold, "i-1"), h.listAs(2))
 		h.submit("a", 1, workload.Step{Count: 2, Demand: needGPUs(8)})
 		h.advance(20*time.Millisecond, 0)
 		Expect(h.executorsOf("a")).To(ConsistOf("i-0", "i-1"))
--- a/scheduler/fleet/succession.go
+++ b/scheduler/fleet/succession.go
@@ -18,7 +18,6 @@
 	c.unlink(e)
 	c.lost[e.key] = e
 	e.supersededAt, e.nextProbeAt, e.probeUntil = now, now, max(e.leaseEnd, now+c.cfg.Lease)
-	c.contestedAt[e.key.ID], c.contestedAt[e.address] = now, now
 }
 
 // unlink removes an incarnation from the known executors.
@@ -73,25 +72,9 @@
 	}
 }
 
-// contest requires a reported executor to answer a hold before it is used if another
-// incarnation was known at its address or under its ID.
-func (c *Controller) contest(e *executor, r *Report) {
-	_, id := c.contestedAt[r.Executor.ID]
-	_, address := c.contestedAt[r.Address]
-	if id || address {
-		e.isContested, e.reported = true, false
-	}
-}
-
-// forgetContests drops contests after the time in which every executor that is still
-// there has reported.
-func (c *Controller) forgetContests(now time.Duration) {
-	for name, at := range c.contestedAt {
-		if now-at > 2*maxMissedReports*c.cfg.ReportInterval+c.cfg.Lease {
-			delete(c.contestedAt, name)
-		}
-	}
-}
+// verify requires an executor to answer a hold before it is used: a report may name the
+// address or the ID of another incarnation.
+func (e *executor) verify() { e.isUnverified, e.reported = true, false }
 
 // answersAtAddress reports whether an incarnation answers at its address, so that it has not moved.
 func (e *executor) answersAtAddress() bool {
@@ -144,7 +127,7 @@
 	if response.Verdict == VerdictAccepted {
 		e.confirmedAddress = call.Address
 		if response.Incarnation == e.key.Incarnation {
-			e.isContested = false
+			e.isUnverified = false
 		}
 	}
 	if call.Probe {
@@ -216,7 +199,7 @@
 	for _, claimant := range []*executor{c.executors[e.key.ID], c.byAddress[e.address]} {
 		switch {
 		case claimant == nil || claimant == e:
-		case !claimant.isContested && claimant.confirmedAddress == claimant.address:
+		case !claimant.isUnverified && claimant.confirmedAddress == claimant.address:
 			return
 		default:
 			c.withdraw(claimant, "refuted")
