--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -185,7 +185,8 @@
 		c.supersede(now, other, "address_reused")
 	}
 	if isNew || (other != nil && other != e) {
-		e.verify()
+		// A report may name the address or the ID of another incarnation.
+		e.reported = false
 	}
 	if c.byAddress[e.address] == e {
 		delete(c.byAddress, e.address)
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -93,8 +93,6 @@
 
 	// confirmedAddress is the address at which the incarnation last accepted a call.
 	confirmedAddress string
-	// isUnverified is set while the incarnation is known from reports only.
-	isUnverified bool
 	// supersededAt is when another incarnation seemed to have taken the place of this one,
 	// or 0. Probes ask whether that is so.
 	supersededAt  time.Duration
@@ -196,7 +194,6 @@
 func (e *executor) applyReport(now time.Duration, r *Report) {
 	e.setDescription(r.Service, r.Address, r.Labels, r.Capacity)
 	e.sequence = r.Sequence
-	e.reported = e.reported || !e.isUnverified
 	e.lastHeard = now
 	e.draining = e.draining || r.Draining
 	if r.Draining {
--- a/scheduler/fleet/succession.go
+++ b/scheduler/fleet/succession.go
@@ -72,10 +72,6 @@
 	}
 }
 
-// verify requires an executor to answer a hold before it is used: a report may name the
-// address or the ID of another incarnation.
-func (e *executor) verify() { e.isUnverified, e.reported = true, false }
-
 // answersAtAddress reports whether an incarnation answers at its address, so that it has not moved.
 func (e *executor) answersAtAddress() bool {
 	return e.address != "" && e.confirmedAddress == e.address && e.failedHolds == 0
@@ -126,9 +122,6 @@
 	}
 	if response.Verdict == VerdictAccepted {
 		e.confirmedAddress = call.Address
-		if response.Incarnation == e.key.Incarnation {
-			e.isUnverified = false
-		}
 	}
 	if call.Probe {
 		if response.Verdict == VerdictAccepted && response.Incarnation == e.key.Incarnation {
@@ -199,7 +192,7 @@
 	for _, claimant := range []*executor{c.executors[e.key.ID], c.byAddress[e.address]} {
 		switch {
 		case claimant == nil || claimant == e:
-		case !claimant.isUnverified && claimant.confirmedAddress == claimant.address:
+		case claimant.reported && claimant.confirmedAddress == claimant.address:
 			return
 		default:
 			c.withdraw(claimant, "refuted")
