--- a/scheduler/fleet/decisions_test.go
+++ b/scheduler/fleet/decisions_test.go
@@ -60,15 +60,7 @@
 		h.apply(&workload.Command{At: h.now, Register: registration})
 	}
 	if change == nil && !h.answered[r.Executor] {
-		if h.answered == nil {
-			h.answered = map[workload.ExecutorKey]bool{}
-		}
-		h.answered[r.Executor] = true
-		h.step()
-		h.answerHold(n, nil)
-		h.calls = slices.DeleteFunc(h.calls, func(c fleet.Call) bool { return c.Kind == fleet.CallHold && c.Executor == r.Executor })
-		// The next round comes after a pause.
-		h.now += 20 * time.Millisecond
+		h.answerFirstHold(n, r.Executor)
 	}
 }
 
--- a/scheduler/fleet/succession_test.go
+++ b/scheduler/fleet/succession_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -34,6 +35,19 @@
 	return n
 }
 
+// answerFirstHold answers the hold that a newly reported executor gets.
+func (h *harness) answerFirstHold(n int, key workload.ExecutorKey) {
+	if h.answered == nil {
+		h.answered = map[workload.ExecutorKey]bool{}
+	}
+	h.answered[key] = true
+	h.step()
+	h.answerHold(n, nil)
+	h.calls = slices.DeleteFunc(h.calls, func(c fleet.Call) bool { return c.Kind == fleet.CallHold && c.Executor == key })
+	// The next round comes after a pause.
+	h.now += 20 * time.Millisecond
+}
+
 var _ = Describe("an executor that seems superseded", func() {
 	var h *harness
 	var on string
