--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -81,8 +81,7 @@
 	labels   []string
 	capacity workload.Resources
 	sequence int64
-	// reported is set once the executor has reported to this leader or answered
-	// a hold.
+	// reported is set once the executor has answered a hold of this leader.
 	reported  bool
 	lastHeard time.Duration
 	// draining stays set until the incarnation ends, so that a delayed report
@@ -96,12 +95,23 @@
 	// running.
 	leaseEnd time.Duration
 
+	// confirmedAddress is the address at which the incarnation last accepted a call.
+	confirmedAddress string
+	// supersededAt is when another incarnation seemed to have taken the place of this one,
+	// or 0. Probes ask whether that is so.
+	supersededAt  time.Duration
+	probeInFlight bool
+	nextProbeAt   time.Duration
+	probeUntil    time.Duration
+
 	runs map[workload.TaskKey]*run
 	used workload.Resources
 	// servingRuns counts user-facing runs, bestEffortRuns those that use
 	// leftover capacity. They are not placed together, because best-effort runs
 	// slow user-facing ones.
 	servingRuns, bestEffortRuns int
+	// strays are the listed runs that the log does not hold on this executor.
+	strays map[workload.TaskKey]*strayRun
 
 	holdInFlight bool
 	nextHoldAt   time.Duration
@@ -204,7 +214,6 @@
 func (e *executor) applyReport(now time.Duration, r *Report) {
 	e.setDescription(r.Service, r.Address, r.Labels, r.Capacity)
 	e.sequence = r.Sequence
-	e.reported = true
 	e.lastHeard = now
 	e.draining = e.draining || r.Draining
 	if r.Draining {
--- a/scheduler/fleet/model_test.go
+++ b/scheduler/fleet/model_test.go
@@ -125,6 +125,9 @@
 	// refuse is per call that an executor receives, whether or not it has been
 	// sent before.
 	refuse float64
+	// foreign is the number per second of reports that are late or come from another
+	// sender, restart the probability that an executor keeps its ID in its next start.
+	foreign, restart float64
 }
 
 type cluster struct {
@@ -133,6 +136,8 @@
 	state     *workload.State
 	leader    *leader
 	executors []*modelExecutor
+	// over holds the incarnations that are over.
+	over      []*modelExecutor
 	log       []logEntry
 	calls     []*pendingCall
 	responses []*pendingResponse
@@ -282,6 +287,7 @@
 // injectFaults applies random faults.
 func (cl *cluster) injectFaults() {
 	second := float64(modelTick) / float64(time.Second)
+	cl.injectForeignReports(second)
 	for i, e := range cl.executors {
 		if e.leavesAt == 0 && cl.chance(cl.faults.drain*second) {
 			e.leavesAt, e.nextReportAt = cl.now+drainTime, cl.now
@@ -292,7 +298,7 @@
 		if cl.chance(cl.faults.crash*second) || (e.leavesAt > 0 && cl.now >= e.leavesAt) {
 			// The new incarnation at this address has no state.
 			cl.crash(e)
-			cl.executors[i] = cl.newExecutor(e.address)
+			cl.executors[i] = cl.successor(e)
 			continue
 		}
 		if e.partitioned {
@@ -399,7 +405,7 @@
 }
 
 func (cl *cluster) execute(p *pendingCall) {
-	e := cl.executor(p.executor)
+	e := cl.addressee(p)
 	if e != nil && p.call.Kind == fleet.CallStart && e.deregisteredAt > 0 && p.call.IssuedAt > e.deregisteredAt {
 		cl.fail("DRAIN: %v is sent to %s after its deregistration was stored", p.call.Task, e.key.ID)
 	}
@@ -410,6 +416,10 @@
 		}
 		return
 	}
+	if e.key.ID != p.executor.ID {
+		cl.reply(e, p, fleet.Response{Verdict: fleet.VerdictOtherIncarnation})
+		return
+	}
 	if cl.chance(cl.faults.refuse) {
 		cl.reply(e, p, fleet.Response{Verdict: cl.refusalOf(p.call.Kind)})
 		return
@@ -448,7 +458,11 @@
 	if p.lost {
 		return
 	}
-	a.Clock, a.Incarnation = e.clock(cl.now), e.key.Incarnation
+	a.Clock = e.clock(cl.now)
+	if p.call.Kind == fleet.CallHold {
+		// The responses to orders do not name the incarnation.
+		a.Incarnation = e.key.Incarnation
+	}
 	cl.answer(p, a, cl.now+cl.delay())
 }
 
