fleet: a restart under the same ID does not end starts that the next incarnation may run

Callers would see a task run twice: a start names the ID of its executor only, and the response to it names no incarnation. An executor that had just restarted under its ID accepted a start meant for the incarnation before; once a list showed the new incarnation, the leader ended the run and started the task elsewhere.

Open: a start that is delayed by seconds and reaches the next incarnation after that lease; nothing in the call tells it that it is old.

--- /dev/null
+++ b/scheduler/fleet/restart_test.go
@@ -0,0 +1,93 @@
+package fleet_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cranberrydrum.dev/scheduler/fleet"
+	"cranberrydrum.dev/scheduler/workload"
+)
+
+var _ = Describe("a start at an executor that restarts under its ID", func() {
+	const id = "0000000000000001"
+	var h *harness
+	var on string
+	var number int
+
+	BeforeEach(func() {
+		h = newHarness()
+		h.dropOrders = true
+		for n := range 4 {
+			h.report(n, nil)
+		}
+		on = h.startOne(id)
+		number = int(on[2] - '0')
+	})
+
+	// restarted sends a report of the next incarnation; its clock starts anew.
+	restarted := func() {
+		h.report(number, func(r *fleet.Report) { r.Executor.Incarnation, r.Clock = 2, time.Second })
+	}
+	// wait lets the leader act while the other executors report.
+	wait := func(span time.Duration) {
+		for end := h.now + span; h.now < end; {
+			h.now += 20 * time.Millisecond
+			for n := range 4 {
+				if n == number {
+					restarted()
+				} else {
+					h.report(n, nil)
+				}
+			}
+			h.step()
+			// The new incarnation answers the holds to either.
+			for _, incarnation := range []int64{1, 2} {
+				h.answerSince(h.now, workload.ExecutorKey{ID: on, Incarnation: incarnation}, fleet.Response{
+					Verdict: fleet.VerdictAccepted, Complete: true, Incarnation: 2, Clock: time.Second})
+			}
+		}
+	}
+	startsElsewhere := func() int {
+		n := 0
+		for _, call := range h.calls {
+			if call.Kind == fleet.CallStart && call.Task.Job == id && call.Run > 1 {
+				n++
+			}
+		}
+		return n
+	}
+
+	// Guards against a task that runs twice: the call names the ID only, so the new
+	// incarnation carries it out, and its response names none.
+	It("is not over if the new incarnation accepted it", func() {
+		h.answer(h.lastCall(fleet.CallStart, on), fleet.Response{Verdict: fleet.VerdictAccepted, Clock: time.Second})
+		wait(time.Second)
+		Expect(startsElsewhere()).To(BeZero())
+	})
+
+	// Guards against a task that runs twice: a start without a response may be carried
+	// out later, also by the new incarnation.
+	It("is not over while a call without a response may reach the new incarnation", func() {
+		h.now += 500 * time.Millisecond
+		h.answer(h.lastCall(fleet.CallStart, on), fleet.Response{Verdict: fleet.VerdictNoResponse})
+		wait(time.Second)
+		Expect(startsElsewhere()).To(BeZero())
+	})
+
+	// Guards against a task that waits for ever after a restart, and against one that runs
+	// elsewhere while the new incarnation may still run it.
+	It("is over with the lease that the new incarnation had from it", func() {
+		h.answer(h.lastCall(fleet.CallStart, on), fleet.Response{Verdict: fleet.VerdictNoResponse})
+		wait(modelLease)
+		Expect(startsElsewhere()).To(BeZero())
+		for _, call := range h.calls {
+			if call.Executor == (workload.ExecutorKey{ID: on, Incarnation: 2}) {
+				Expect(call.Deadline).To(BeZero())
+			}
+		}
+		wait(2 * time.Second)
+		Expect(startsElsewhere()).To(Equal(1))
+	})
+})
