raft: the leader of the configuration's log announces a commit at once

Callers saw an accepted configuration come into force on the other hosts up to 3.8 s later (bound 3 s) when the leader was lost right after it answered and its successor right after it led. The others store the entry, but learn that it is committed only with the next batch or heartbeat of a leader (150 ms by default), and otherwise after two elections.

With AnnounceCommit a leader sends the commit index as soon as it advances, in the step that starts the write of its own commit index, so before it applies and answers. That is one message for each member and commit without a later batch; logs of failure domains, which have many commands, do without it.

--- a/coord/raft/config.go
+++ b/coord/raft/config.go
@@ -62,6 +62,11 @@
 	// index is durable, so that a host never shows an older state after a restart than
 	// before. The storage must save changes of the commit index alone.
 	DurableCommit bool
+	// AnnounceCommit makes a leader tell the members at once which entries are committed,
+	// instead of with its next batch or heartbeat, so that they apply what a client was
+	// told even if the leader is lost right after it. It costs a message per member for
+	// each commit without a later batch.
+	AnnounceCommit bool
 	// LowPriority makes the node campaign later than nodes of normal priority
 	// and, as leader, transfer leadership to a caught-up voter of normal
 	// priority.
--- a/coord/raft/peer.go
+++ b/coord/raft/peer.go
@@ -27,8 +27,10 @@
 	lastProgress, lastUseful time.Duration
 	// lastSend is the time at which a message that renews the lease was last
 	// sent; it is valid if hasSent is set.
-	lastSend    time.Duration
-	hasSent     bool
+	lastSend time.Duration
+	hasSent  bool
+	// sentCommit is the highest commit index that was sent in an append message.
+	sentCommit  uint64
 	lowPriority bool
 	outgoing    outgoingSnapshot
 	round       round
--- a/coord/raft/replication.go
+++ b/coord/raft/replication.go
@@ -44,13 +44,18 @@
 		n.sendAppend(id, p, entries)
 		p.addInflight(entries)
 	}
-	if n.heartbeatDue(p) {
-		// The heartbeat carries the index of the last entry sent, so that the
+	if n.heartbeatDue(p) || n.hasUnannouncedCommit(p) {
+		// The message carries the index of the last entry sent, so that the
 		// member rejects it if a batch was lost.
 		n.sendAppend(id, p, nil)
 	}
 }
 
+// hasUnannouncedCommit reports whether a member has to be told of a commit index now.
+func (n *Node) hasUnannouncedCommit(p *peer) bool {
+	return n.cfg.AnnounceCommit && p.sentCommit < n.commit
+}
+
 // sendLimit returns the index of the last entry that may be sent to a member now.
 // Entries that wait for the next write of this node are sent together with it, so that
 // the members store them in one write, too. They wait no longer than a heartbeat, so
@@ -74,6 +79,7 @@
 		return
 	}
 	p.lastSend, p.hasSent = n.now, true
+	p.sentCommit = n.commit
 	p.round.start(n.now, n.commit)
 	n.send(Message{
 		Kind: KindAppend, To: id, Index: prev, LogTerm: term,
--- a/coord/replica/fuzz_test.go
+++ b/coord/replica/fuzz_test.go
@@ -272,8 +272,10 @@
 		seed := rapid.Uint64().Draw(t, "seed")
 		count := rapid.IntRange(3, 5).Draw(t, "hosts")
 		hasLowPriority := rapid.IntRange(0, 2).Draw(t, "low priority") == 0
+		announces := rapid.Bool().Draw(t, "announces commits")
 		c := newCluster(seed, count, func(cfg *replica.Config) {
 			cfg.Raft.LowPriority = hasLowPriority && cfg.Raft.ID == "h1"
+			cfg.Raft.AnnounceCommit = announces
 		})
 		prepare(c)
 		f := fuzzer{c}
--- a/daemon/node/config_test.go
+++ b/daemon/node/config_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr/funcr"
 	. "github.com/onsi/gomega"
 
+	"cranberrydrum.dev/coord/raft"
 	"cranberrydrum.dev/daemon/group"
 	"cranberrydrum.dev/scheduler/configstate"
 	"cranberrydrum.dev/scheduler/rules"
@@ -175,3 +176,12 @@
 	g.Expect(n.config.version()).To(Equal(uint64(2)))
 	g.Expect(n.service("t")).NotTo(BeNil())
 }
+
+// Guards against an accepted version that is in force on the other hosts only after two
+// elections, because the first two leaders were lost before their next heartbeat.
+func TestCommitOfAConfigurationIsAnnounced(t *testing.T) {
+	g := NewWithT(t)
+	n := &Node{}
+	g.Expect(n.replicaConfig(groupConfig, raft.Membership{}).Raft.AnnounceCommit).To(BeTrue())
+	g.Expect(n.replicaConfig(domainGroup("zrh-oerlikon"), raft.Membership{}).Raft.AnnounceCommit).To(BeFalse())
+}
--- a/daemon/node/groups.go
+++ b/daemon/node/groups.go
@@ -185,6 +185,9 @@
 			SnapshotChunkBytes: raftSnapshotChunk,
 			Seed:               uint64(time.Now().UnixNano()),
 			LowPriority:        n.isLowPriority(name),
+			// An accepted version must be in force everywhere within seconds, and two
+			// elections in a row take longer.
+			AnnounceCommit: name == groupConfig,
 		},
 		Bootstrap:       bootstrap,
 		SnapshotEntries: snapshotEntries,
