raft: a promoted voter has an election timeout to reply

A leader that bears no further loss steps down when the last reply of a member that it needs is older than an election timeout. A learner may be promoted although it has been silent for nearly that long; its replies were not needed before.

The quorum check now counts at least from the promotion. The lease does not: it still needs acknowledgements of the new voter. That a learner's own replies count after its promotion is tested too, and was so before.

Before, coord/raft 'gives it an election timeout from then on: if it had not replied for most of one' failed: 'Expected <raft.Role>: 0 to equal <raft.Role>: 3'.

--- a/coord/raft/leader.go
+++ b/coord/raft/leader.go
@@ -118,7 +118,8 @@
 }
 
 // checkQuorum makes the leader step down when a majority has not replied within
-// an election timeout.
+// an election timeout. A voter has that time from its promotion on, since the leader may
+// not have needed its replies before.
 func (n *Node) checkQuorum() {
 	replyTimes := make([]time.Duration, 0, len(n.membership().Voters))
 	for _, id := range n.membership().Voters {
@@ -126,7 +127,8 @@
 			replyTimes = append(replyTimes, n.now)
 			continue
 		}
-		replyTimes = append(replyTimes, n.leadership.peers[id].lastReply)
+		p := n.leadership.peers[id]
+		replyTimes = append(replyTimes, max(p.lastReply, p.voterSince))
 	}
 	if n.now-quorumValue(replyTimes) >= n.cfg.ElectionTimeout {
 		n.becomeFollower(n.term, "")
@@ -185,6 +187,9 @@
 	entry := n.nextEntry(EntryChange, c.encode())
 	n.appendAsLeader(entry)
 	n.updatePeers()
+	if c.Op == Promote {
+		n.leadership.peers[c.ID].voterSince = n.now
+	}
 	return entry.Index, entry.Term, nil
 }
 
--- a/coord/raft/peer.go
+++ b/coord/raft/peer.go
@@ -21,6 +21,8 @@
 	// is set.
 	lastReply, lastAckedSend time.Duration
 	hasAck                   bool
+	// voterSince is the time at which this leader promoted the member, or 0.
+	voterSince time.Duration
 	// lastProgress is the time of the last reply that shows that the member stores what it
 	// is sent, and lastUseful that of the last one that came soon enough after it. A
 	// member whose disk hangs replies, but adds nothing to what a majority stores.
