target: a failed quick run prints the logs of its hosts

TestQuickRunKeepsBounds deleted them, so its two failures could not be traced. A run writes them to LogDir if that is set.

--- a/daemon/experiment/target/cluster.go
+++ b/daemon/experiment/target/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -27,6 +28,7 @@
 	size   size
 	daemon string
 	dir    string
+	logDir string
 	hosts  []*host
 	// links are the links within a region by the failure domains at their ends.
 	links  map[[2]string]*standin.Link
@@ -38,13 +40,14 @@
 	edits   int
 }
 
-// newCluster starts the hosts, without rules.
-func newCluster(daemon string, s size) (*cluster, error) {
+// newCluster starts the hosts, without rules. Their logs are in logDir or, if it is empty,
+// in the temporary directory of the deployment.
+func newCluster(daemon, logDir string, s size) (*cluster, error) {
 	dir, err := os.MkdirTemp("", "cranberrydrum-target-")
 	if err != nil {
 		return nil, &SetupError{Step: "temporary directory", Cause: err}
 	}
-	c := &cluster{size: s, daemon: daemon, dir: dir, links: map[[2]string]*standin.Link{}}
+	c := &cluster{size: s, daemon: daemon, dir: dir, logDir: cmp.Or(logDir, dir), links: map[[2]string]*standin.Link{}}
 	c.region = standin.NewLink(regionLatency, regionBytesPerSecond)
 	if err := c.start(); err != nil {
 		c.close()
@@ -65,7 +68,7 @@
 		}
 	}
 	for _, h := range c.hosts {
-		if err := h.start(c.daemon, c.dir); err != nil {
+		if err := h.start(c.daemon, c.logDir); err != nil {
 			return err
 		}
 	}
@@ -177,7 +180,7 @@
 func (c *cluster) takeovers() int {
 	sum := 0
 	for _, h := range c.hosts {
-		log, err := os.ReadFile(filepath.Join(c.dir, h.id+".log"))
+		log, err := os.ReadFile(filepath.Join(c.logDir, h.id+".log"))
 		if err == nil {
 			sum += bytes.Count(log, []byte("this host owns the failure domain"))
 		}
--- a/daemon/experiment/target/failover.go
+++ b/daemon/experiment/target/failover.go
@@ -58,7 +58,7 @@
 	if err := r.startJobAfterFailover(domain); err != nil {
 		return elapsed, err
 	}
-	if err := leader.start(r.cluster.daemon, r.cluster.dir); err != nil {
+	if err := leader.start(r.cluster.daemon, r.cluster.logDir); err != nil {
 		return elapsed, err
 	}
 	time.Sleep(settleTime)
--- a/daemon/experiment/target/options.go
+++ b/daemon/experiment/target/options.go
@@ -16,6 +16,9 @@
 	Quick bool
 	// Daemon is the path of the cranberrydrumd binary.
 	Daemon string
+	// LogDir is the directory of the logs of the hosts, which the run does not delete. If
+	// it is empty, the logs are deleted with the other files of the run.
+	LogDir string
 	// Parts are the measurements to make once the failure domains are full. An
 	// empty list selects all.
 	Parts []Part
--- a/daemon/experiment/target/process.go
+++ b/daemon/experiment/target/process.go
@@ -22,9 +22,9 @@
 	client             *api.Client
 }
 
-// start starts the daemon. Its log is appended to a file in the directory.
-func (h *host) start(daemon, dir string) error {
-	log, err := os.OpenFile(filepath.Join(dir, h.id+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, logFileMode)
+// start starts the daemon. Its log is appended to a file in logDir.
+func (h *host) start(daemon, logDir string) error {
+	log, err := os.OpenFile(filepath.Join(logDir, h.id+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, logFileMode)
 	if err != nil {
 		return &SetupError{Step: "log of " + h.id, Cause: err}
 	}
--- a/daemon/experiment/target/run.go
+++ b/daemon/experiment/target/run.go
@@ -31,7 +31,7 @@
 	}
 	s := o.size()
 	o.progress("machine load averages: " + machineLoad())
-	c, err := newCluster(o.Daemon, s)
+	c, err := newCluster(o.Daemon, o.LogDir, s)
 	if err != nil {
 		return Table{}, err
 	}
--- a/daemon/experiment/target/target_test.go
+++ b/daemon/experiment/target/target_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/csv"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -25,7 +27,9 @@
 	daemon, err := gexec.Build("cranberrydrum.dev/cmd/cranberrydrumd")
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(gexec.CleanupBuildArtifacts)
-	table, err := target.Run(target.Options{Seed: 1, Quick: true, Daemon: daemon, Progress: func(line string) { t.Log(line) }})
+	logs := t.TempDir()
+	t.Cleanup(func() { printLogsOfFailed(t, logs) })
+	table, err := target.Run(target.Options{Seed: 1, Quick: true, Daemon: daemon, LogDir: logs, Progress: func(line string) { t.Log(line) }})
 	g.Expect(err).NotTo(HaveOccurred(), "%s", table.String())
 	checked := 0
 	for _, row := range table.Rows {
@@ -37,6 +41,21 @@
 	g.Expect(checked).To(BeNumerically(">", 20), "%s", table.String())
 }
 
+// printLogsOfFailed prints the logs of the hosts of a failed test.
+func printLogsOfFailed(t *testing.T, dir string) {
+	if !t.Failed() {
+		return
+	}
+	entries, err := os.ReadDir(dir)
+	if err != nil || len(entries) == 0 {
+		t.Errorf("no logs of hosts in %s: %v", dir, err)
+	}
+	for _, e := range entries {
+		content, err := os.ReadFile(filepath.Join(dir, e.Name()))
+		t.Logf("%s (%v):\n%s", e.Name(), err, content)
+	}
+}
+
 var _ = Describe("the target-size run", func() {
 	// Guards against a figure beyond its bound that is reported as ok.
 	It("compares figures with their bounds", func() {
