e2e: a failed spec reports the delays of its links

The links between the hosts run in the process of the spec, so a late wake-up of it cuts all of them. Two entries of KNOWN-RED.txt can't be told from that without the times.

--- a/cmd/e2e/cluster_test.go
+++ b/cmd/e2e/cluster_test.go
@@ -69,7 +69,8 @@
 	for _, p := range hostSpecs {
 		c.add(p)
 	}
-	DeferCleanup(c.close)
+	wakeups := watchWakeups()
+	DeferCleanup(func() { c.close(wakeups.finish()) })
 	for _, p := range c.hosts {
 		c.configure(p)
 		if !p.diskless {
@@ -170,7 +171,9 @@
 	}
 }
 
-func (c *cluster) close() {
+// close stops the hosts. If the spec failed, it reports their logs and the delays of the
+// links.
+func (c *cluster) close(delays string) {
 	var violations []string
 	for _, p := range c.all {
 		if p.cmd == nil {
@@ -180,8 +183,9 @@
 			violations = append(violations, violation)
 		}
 	}
-	for _, p := range c.all {
-		if CurrentSpecReport().Failed() || len(violations) > 0 {
+	if CurrentSpecReport().Failed() || len(violations) > 0 {
+		AddReportEntry("delays", delays, ReportEntryVisibilityFailureOrVerbose)
+		for _, p := range c.all {
 			AddReportEntry("log of "+p.id, p.log.String(), ReportEntryVisibilityFailureOrVerbose)
 		}
 	}
