node: log how long opening a replicated log took

A host answers no request before its logs are open, and each is opened after the other with several syncs. A host that was silent for 5 s after its start did not show where it waited.

--- a/daemon/node/groups.go
+++ b/daemon/node/groups.go
@@ -119,6 +119,7 @@
 }
 
 func (n *Node) openGroup(name string, bootstrap raft.Membership) error {
+	startedAt := n.now()
 	disk, err := storage.Open(n.groupDir(name), storage.Options{
 		StoreID: n.identity.Store,
 		// A restarted host must not have an earlier configuration in force than
@@ -128,6 +129,7 @@
 	if err != nil {
 		return err
 	}
+	n.log.Info("opened a replicated log", "group", name, "took_ms", (n.now() - startedAt).Milliseconds())
 	if recovery := disk.Recovery(); recovery.TornTail {
 		n.log.Info("truncated an incomplete record at the end of the log", "group", name, "file", recovery.File, "offset", recovery.Offset, "bytes", recovery.Bytes)
 	}
