fleet: ends of the next incarnation of an ID are not lost

A run that the next incarnation of an ID may have begun was awaited until the end of its lease, but the end that this incarnation listed was taken for that of a run that the log does not hold: it was acknowledged, and a task that was done ran again. The listed end now ends the awaited run.

A hold carries its cursor only until the executor has acknowledged it. Sent again, it could acknowledge ends of the next incarnation, whose numbers start anew, before the leader had seen them.

--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -187,7 +187,12 @@
 }
 
 func (c *Controller) sendHold(now time.Duration, e *executor) {
-	call := Call{Kind: CallHold, Cursor: e.cursor}
+	call := Call{Kind: CallHold}
+	if e.acknowledgedEnd < e.cursor {
+		// A cursor that is sent again could acknowledge ends of the next incarnation, whose
+		// numbers start anew.
+		call.Cursor = e.cursor
+	}
 	isBounded := c.cfg.MaxLongPolls > 0
 	mayWait := len(e.runs) > 0 && e.failedHolds == 0 && !e.hasUnansweredOrder && e.reported
 	wait := c.cfg.holdWait()
@@ -413,6 +418,10 @@
 		e.lastSeenEnd = max(e.lastSeenEnd, end.Number)
 		r := e.runs[end.Task]
 		if r == nil || r.number != end.Run {
+			if earlier, awaited := c.awaitedRun(e, end.Task, end.Run); awaited != nil {
+				ends = append(ends, c.recordEnd(earlier, end.Task, awaited, end.Ending, EvidenceReported, end.Checkpoint))
+				continue
+			}
 			ends = c.appendLateFailure(ends, e, end)
 			continue
 		}
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -326,11 +326,21 @@
 	}
 }
 
-// endsPending reports whether an end is proposed but not yet applied.
+// endsPending reports whether an end that an executor listed is proposed but not yet
+// applied. It may be that of a run meant for an earlier incarnation.
 func (c *Controller) endsPending(e *executor) bool {
-	if len(e.lateFailures) > 0 {
+	if len(e.lateFailures) > 0 || e.hasProposedEnd() {
 		return true
 	}
+	for key, earlier := range c.lost {
+		if key.ID == e.key.ID && key.Incarnation < e.key.Incarnation && earlier.hasProposedEnd() {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *executor) hasProposedEnd() bool {
 	for _, r := range e.runs {
 		if r.end != nil {
 			return true
--- a/scheduler/fleet/model_reports_test.go
+++ b/scheduler/fleet/model_reports_test.go
@@ -15,6 +15,7 @@
 		return e
 	}
 	for _, e := range cl.executors {
+		// A list is requested on a connection that ends with the crash.
 		if e.up && e.address == p.call.Address {
 			return e
 		}
--- a/scheduler/fleet/restart.go
+++ b/scheduler/fleet/restart.go
@@ -51,3 +51,17 @@
 	}
 	return lowest
 }
+
+// awaitedRun returns a run of an earlier incarnation of the ID that has not ended, and that
+// incarnation, or nil.
+func (c *Controller) awaitedRun(e *executor, task workload.TaskKey, number int) (*executor, *run) {
+	for key, earlier := range c.lost {
+		if key.ID != e.key.ID || key.Incarnation >= e.key.Incarnation {
+			continue
+		}
+		if r := earlier.runs[task]; r != nil && r.number == number && r.end == nil {
+			return earlier, r
+		}
+	}
+	return nil, nil
+}
