--- a/coord/raft/peer.go
+++ b/coord/raft/peer.go
@@ -21,14 +21,18 @@
 	// is set.
 	lastReply, lastAckedSend time.Duration
 	hasAck                   bool
+	// voterSince is the time at which this leader promoted the member, or 0.
+	voterSince time.Duration
 	// lastProgress is the time of the last reply that shows that the member stores what it
 	// is sent, and lastUseful that of the last one that came soon enough after it. A
 	// member whose disk hangs replies, but adds nothing to what a majority stores.
 	lastProgress, lastUseful time.Duration
 	// lastSend is the time at which a message that renews the lease was last
 	// sent; it is valid if hasSent is set.
-	lastSend    time.Duration
-	hasSent     bool
+	lastSend time.Duration
+	hasSent  bool
+	// sentCommit is the highest commit index that was sent in an append message.
+	sentCommit  uint64
 	lowPriority bool
 	outgoing    outgoingSnapshot
 	round       round
--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -187,7 +187,12 @@
 }
 
 func (c *Controller) sendHold(now time.Duration, e *executor) {
-	call := Call{Kind: CallHold, Cursor: e.cursor}
+	call := Call{Kind: CallHold}
+	if e.acknowledgedEnd < e.cursor {
+		// A cursor that is sent again could acknowledge ends of the next incarnation, whose
+		// numbers start anew.
+		call.Cursor = e.cursor
+	}
 	isBounded := c.cfg.MaxLongPolls > 0
 	mayWait := len(e.runs) > 0 && e.failedHolds == 0 && !e.hasUnansweredOrder && e.reported
 	wait := c.cfg.holdWait()
@@ -219,17 +224,10 @@
 		c.handleAdvice(now, call, response)
 		return c.out
 	}
-	e := c.executors[call.Executor.ID]
-	if e == nil || e.key != call.Executor {
-		return c.out
-	}
 	c.dirty = true
-	if response.Verdict == VerdictOtherIncarnation || (response.Incarnation > 0 && response.Incarnation != e.key.Incarnation) {
-		c.log.Info("response from another incarnation of the executor", "executor", e.key.ID, "born", e.key.Incarnation, "answered_born", response.Incarnation)
-		if response.Verdict == VerdictOtherIncarnation || response.Incarnation > e.key.Incarnation {
-			c.removeExecutor(now, e, "other_life")
-			return c.out
-		}
+	e := c.addressee(now, unix, &call, &response)
+	if e == nil {
+		return c.out
 	}
 	switch {
 	case response.Verdict == VerdictNoResponse && call.Kind != CallHold:
@@ -365,6 +363,7 @@
 		listed[t.Task] = t.Run
 		c.recordProgress(now, e, t)
 	}
+	c.recordStrays(e, response.Running)
 	ends := c.listedEnds(now, e, response.Ended)
 	if !response.EndsTruncated {
 		ends = append(ends, c.unlistedEnds(e, call.IssuedAt, listed)...)
@@ -419,6 +418,10 @@
 		e.lastSeenEnd = max(e.lastSeenEnd, end.Number)
 		r := e.runs[end.Task]
 		if r == nil || r.number != end.Run {
+			if earlier, awaited := c.awaitedRun(e, end.Task, end.Run); awaited != nil {
+				ends = append(ends, c.recordEnd(earlier, end.Task, awaited, end.Ending, EvidenceReported, end.Checkpoint))
+				continue
+			}
 			ends = c.appendLateFailure(ends, e, end)
 			continue
 		}
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -118,6 +118,8 @@
 	}
 	c.sendOrders(now)
 	c.sendHolds(now)
+	c.stopStrays(now)
+	c.sendProbes(now)
 	c.cleanUp(now, unix)
 	return c.out
 }
@@ -167,14 +169,27 @@
 		return true, c.directoryUpdate(e)
 	}
 	if e != nil && e.key != r.Executor {
-		c.removeExecutor(now, e, "restarted")
+		c.supersede(now, e, "restarted")
 		e = nil
 	}
-	if e == nil {
+	isNew := e == nil
+	if isNew {
 		e = c.register(now, r)
 	}
-	if other := c.byAddress[r.Address]; other != nil && other != e {
-		c.removeExecutor(now, other, "address_reused")
+	if r.Address != e.address && e.answersAtAddress() {
+		c.log.Info("ignored the address of a report", "executor", e.key.ID, "born", e.key.Incarnation, "address", e.address, "reported", r.Address)
+		r.Address = e.address
+	}
+	other := c.byAddress[r.Address]
+	if other != nil && other != e {
+		c.supersede(now, other, "address_reused")
+	}
+	if isNew || (other != nil && other != e) {
+		// A report may name the address or the ID of another incarnation.
+		e.reported = false
+	}
+	if c.byAddress[e.address] == e {
+		delete(c.byAddress, e.address)
 	}
 	if r.Draining && !e.draining {
 		c.log.Info("executor drains", "executor", e.key.ID, "remaining_ms", r.DrainRemaining.Milliseconds())
@@ -191,6 +206,7 @@
 	if e == nil {
 		e = c.newExecutor(r.Executor)
 	}
+	e.supersededAt = 0
 	c.executors[r.Executor.ID] = e
 	c.log.Info("executor registered", "executor", r.Executor.ID, "born", r.Executor.Incarnation, "address", r.Address, "zone", r.Zone, "runs", len(e.runs))
 	return e
@@ -215,7 +231,11 @@
 	case e != nil && isOver(e.key):
 		// Its first report may still be waiting to be stored.
 		key.Incarnation = max(incarnation, e.key.Incarnation)
-		c.removeExecutor(now, e, "left")
+		if incarnation == e.key.Incarnation {
+			c.removeExecutor(now, e, "left")
+		} else {
+			c.supersede(now, e, "other_left")
+		}
 		return &key
 	case entry != nil && isOver(entry.Key):
 		key.Incarnation = max(incarnation, entry.Key.Incarnation)
@@ -239,26 +259,6 @@
 	return false
 }
 
-// removeExecutor ends an executor incarnation. All of its runs are over.
-func (c *Controller) removeExecutor(now time.Duration, e *executor, reason string) {
-	c.log.Info("executor gone", "executor", e.key.ID, "born", e.key.Incarnation, "reason", reason, "runs", len(e.runs))
-	if c.executors[e.key.ID] == e {
-		delete(c.executors, e.key.ID)
-	}
-	if c.byAddress[e.address] == e {
-		delete(c.byAddress, e.address)
-	}
-	if entry := c.state.Executor(e.key.ID); entry != nil && entry.Key == e.key {
-		c.departed = append(c.departed, e.key)
-	}
-	// The runs are kept until their ends are applied.
-	e.leaseEnd = now
-	if len(e.runs) > 0 {
-		c.lost[e.key] = e
-	}
-	c.dirty = true
-}
-
 // reconcile updates the runs of all executors to match the log.
 func (c *Controller) reconcile(now time.Duration) {
 	c.appliedChanges = c.state.Changes()
@@ -271,17 +271,19 @@
 		}
 	}
 	for _, e := range c.executors {
-		if c.state.HasLeft(e.key) {
+		switch {
+		case c.hasLeftItself(e.key):
 			c.removeExecutor(now, e, "left")
 			continue
+		case c.state.HasLeft(e.key):
+			c.supersede(now, e, "other_left")
+			continue
 		}
 		c.reconcileRuns(now, e)
 	}
-	for key, e := range c.lost {
+	for _, e := range c.lost {
 		c.reconcileRuns(now, e)
-		if len(e.runs) == 0 {
-			delete(c.lost, key)
-		}
+		c.forgetLost(now, e)
 	}
 	c.state.EachExecutorWithRuns(func(key workload.ExecutorKey) {
 		if e := c.executors[key.ID]; e != nil && e.key == key {
@@ -306,7 +308,6 @@
 			delete(e.runs, key)
 		}
 	}
-	e.used, e.servingRuns, e.bestEffortRuns = workload.Resources{}, 0, 0
 	for key, entry := range logged {
 		if e.runs[key] == nil {
 			r := &run{number: entry.Number, term: entry.Term, progressedAt: now}
@@ -317,21 +318,29 @@
 			}
 			e.runs[key] = r
 		}
-		if j := c.state.Job(key.Job); j != nil {
-			e.addUsage(&j.Spec.Steps[key.Step])
-		}
 	}
+	c.updateUsage(e)
 	e.lateFailures = slices.DeleteFunc(e.lateFailures, func(o workload.End) bool { return c.state.FailureCounted(o.Task, o.Run) })
 	if e.lastSeenEnd > e.cursor && !c.endsPending(e) {
 		e.cursor = e.lastSeenEnd
 	}
 }
 
-// endsPending reports whether an end is proposed but not yet applied.
+// endsPending reports whether an end that an executor listed is proposed but not yet
+// applied. It may be that of a run meant for an earlier incarnation.
 func (c *Controller) endsPending(e *executor) bool {
-	if len(e.lateFailures) > 0 {
+	if len(e.lateFailures) > 0 || e.hasProposedEnd() {
 		return true
 	}
+	for key, earlier := range c.lost {
+		if key.ID == e.key.ID && key.Incarnation < e.key.Incarnation && earlier.hasProposedEnd() {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *executor) hasProposedEnd() bool {
 	for _, r := range e.runs {
 		if r.end != nil {
 			return true
@@ -350,7 +359,11 @@
 	}
 	for _, e := range c.lost {
 		if now >= e.leaseEnd {
-			ends = c.endRuns(ends, e, workload.EndExecutorGone, EvidenceExecutorGone)
+			evidence := EvidenceExecutorGone
+			if e.supersededAt > 0 {
+				evidence = EvidenceLeaseExpired
+			}
+			ends = c.endRuns(ends, e, workload.EndExecutorGone, evidence)
 		}
 	}
 	c.propose(unix, ends)
--- a/scheduler/fleet/round_state.go
+++ b/scheduler/fleet/round_state.go
@@ -43,8 +43,10 @@
 		idlePools: map[string]bool{}, reservedFor: map[*executor]*reservation{},
 		gangNeeds: map[string][]workload.Resources{},
 	}
+	predecessors := c.predecessorsWithRuns()
 	for _, e := range c.executors {
-		if !e.isSchedulable(now, &c.cfg) {
+		earliest, hasPredecessor := predecessors[e.key.ID]
+		if !e.isSchedulable(now, &c.cfg) || (hasPredecessor && earliest < e.key.Incarnation) {
 			continue
 		}
 		rs.executors = append(rs.executors, e)
