fleet: an open probe of an incarnation that was taken for gone ends with its response

An incarnation that was taken for gone while a probe was open kept the probe as in flight for ever. If it reported and seemed superseded again, it was not asked, so that its runs were given up with its lease even if it still answered. The response to the probe now always ends it.

Before: 'is asked again after it was taken for gone with an open probe' failed (no later hold: to be >=). The specs of the package pass with it.

--- a/scheduler/fleet/succession.go
+++ b/scheduler/fleet/succession.go
@@ -137,7 +137,9 @@
 func (e *executor) clearInFlight(call *Call) {
 	r := e.runs[call.Task]
 	switch {
-	case call.Kind == CallHold && !call.Probe:
+	case call.Probe:
+		e.probeInFlight = false
+	case call.Kind == CallHold:
 		e.holdInFlight = false
 	case r == nil || r.number != call.Run:
 	case call.Kind == CallStart:
--- a/scheduler/fleet/succession_test.go
+++ b/scheduler/fleet/succession_test.go
@@ -204,6 +204,22 @@
 		Expect(lastRun()).To(Equal(1))
 	})
 
+	// Guards against an executor that is not asked any more because a probe was answered
+	// while it was taken for gone.
+	It("is asked again after it was taken for gone with an open probe", func() {
+		open := h.lastCall(fleet.CallHold, on)
+		claim(foreignID)
+		probe := h.lastCall(fleet.CallHold, on)
+		Expect(probe.Probe).To(BeTrue())
+		h.answer(h.lastCall(fleet.CallHold, "i-9"), otherAnswers)
+		h.answer(open, otherAnswers)
+		h.answer(probe, otherAnswers)
+		h.report(n, nil)
+		claim(foreignID)
+		Expect(h.lastCall(fleet.CallHold, on).IssuedAt).To(BeNumerically(">=", since))
+		Expect(h.lastCall(fleet.CallHold, on).Probe).To(BeTrue())
+	})
+
 	// Guards against one address in two spellings: it must end no run by itself, and a
 	// restart there must still be noticed.
 	It("is noticed as over at an address that its successor spells otherwise", func() {
