fleet: a deregistration does not end starts that the next incarnation may run

Callers could see a task run twice: a start names only the ID of its executor. An executor that deregistered while a start had no response ended that run at once, and the task was started elsewhere; if the executor restarted under its ID, it could carry that start out. The run now holds its task as after a restart under the same ID. Runs that were listed and whose start was sent once end at once, as before.

Before: 'is not over when the executor deregisters while a call may reach the new incarnation' failed (1 start elsewhere instead of 0). Open: a start that is carried out later than the timeout of a call after the deregistration, and runs of earlier leaders, which end at once as before.

--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -232,7 +232,7 @@
 		// Its first report may still be waiting to be stored.
 		key.Incarnation = max(incarnation, e.key.Incarnation)
 		if incarnation == e.key.Incarnation {
-			c.removeExecutor(now, e, "left")
+			c.removeLeft(now, e)
 		} else {
 			c.supersede(now, e, "other_left")
 		}
@@ -273,7 +273,7 @@
 	for _, e := range c.executors {
 		switch {
 		case c.hasLeftItself(e.key):
-			c.removeExecutor(now, e, "left")
+			c.removeLeft(now, e)
 			continue
 		case c.state.HasLeft(e.key):
 			c.supersede(now, e, "other_left")
@@ -354,7 +354,7 @@
 	var ends []workload.End
 	for _, e := range c.executors {
 		if len(e.runs) > 0 && now >= e.leaseEnd {
-			ends = c.endRuns(ends, e, workload.EndLeaseExpired, EvidenceLeaseExpired)
+			ends = c.endRuns(now, ends, e, workload.EndLeaseExpired, EvidenceLeaseExpired)
 		}
 	}
 	for _, e := range c.lost {
@@ -363,18 +363,21 @@
 			if e.supersededAt > 0 {
 				evidence = EvidenceLeaseExpired
 			}
-			ends = c.endRuns(ends, e, workload.EndExecutorGone, evidence)
+			ends = c.endRuns(now, ends, e, workload.EndExecutorGone, evidence)
 		}
 	}
 	c.propose(unix, ends)
 }
 
-func (c *Controller) endRuns(ends []workload.End, e *executor, ending workload.Ending, evidence Evidence) []workload.End {
+func (c *Controller) endRuns(now time.Duration, ends []workload.End, e *executor, ending workload.Ending, evidence Evidence) []workload.End {
 	for key, r := range e.runs {
 		// A start that this leader has not sent has no lease that can expire.
 		if r.end != nil || (r.firstSent == 0 && r.term == c.term && ending == workload.EndLeaseExpired) {
 			continue
 		}
+		if now < e.successorUntil && r.mayReachSuccessor(r.term) {
+			continue
+		}
 		ends = append(ends, c.recordEnd(e, key, r, ending, evidence, r.checkpoint))
 	}
 	return ends
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -94,6 +94,9 @@
 	// leaseEnd is the time from which no run that was started can still be
 	// running.
 	leaseEnd time.Duration
+	// successorUntil is the time until which the next incarnation may run what was started
+	// for this one, or 0 if that is not known to be possible.
+	successorUntil time.Duration
 
 	// confirmedAddress is the address at which the incarnation last accepted a call.
 	confirmedAddress string
--- a/scheduler/fleet/restart_test.go
+++ b/scheduler/fleet/restart_test.go
@@ -76,6 +76,18 @@
 		Expect(startsElsewhere()).To(BeZero())
 	})
 
+	// Guards against a task that runs twice: an executor that has deregistered may restart
+	// under its ID before a start without a response is carried out.
+	It("is not over when the executor deregisters while a call may reach the new incarnation", func() {
+		h.answer(h.lastCall(fleet.CallStart, on), fleet.Response{Verdict: fleet.VerdictNoResponse})
+		departure := h.controller.Leave(h.now, on, 1)
+		h.apply(&workload.Command{At: h.now, Deregister: []workload.ExecutorKey{*departure}, Left: true})
+		wait(time.Second)
+		Expect(startsElsewhere()).To(BeZero())
+		wait(modelLease + time.Second)
+		Expect(startsElsewhere()).To(Equal(1))
+	})
+
 	// Guards against a task that waits for ever after a restart, and against one that runs
 	// elsewhere while the new incarnation may still run it.
 	It("is over with the lease that the new incarnation had from it", func() {
