--- a/scheduler/fleet/decisions_test.go
+++ b/scheduler/fleet/decisions_test.go
@@ -151,10 +151,7 @@
 	var h *harness
 
 	BeforeEach(func() {
-		h = newHarness()
-		for n := range 4 {
-			h.report(n, nil)
-		}
+		h = newHarnessWithExecutors()
 	})
 
 	// Guards against a gang that is started in part, whose members occupy executors
--- a/scheduler/fleet/silence_test.go
+++ b/scheduler/fleet/silence_test.go
@@ -15,6 +15,15 @@
 // outlast.
 const pauseWithinLease = 4 * time.Second
 
+// newHarnessWithExecutors returns a harness with the four executors that startOne needs.
+func newHarnessWithExecutors() *harness {
+	h := newHarness()
+	for n := range 4 {
+		h.report(n, nil)
+	}
+	return h
+}
+
 // lastCall returns the last call of a kind to an executor.
 func (h *harness) lastCall(kind fleet.CallKind, executor string) fleet.Call {
 	GinkgoHelper()
@@ -43,10 +52,7 @@
 	var h *harness
 
 	BeforeEach(func() {
-		h = newHarness()
-		for n := range 4 {
-			h.report(n, nil)
-		}
+		h = newHarnessWithExecutors()
 	})
 
 	// Guards against runs that are given up, or started again elsewhere, while the
--- a/scheduler/fleet/start_calls_test.go
+++ b/scheduler/fleet/start_calls_test.go
@@ -17,11 +17,8 @@
 	var number int
 
 	BeforeEach(func() {
-		h = newHarness()
+		h = newHarnessWithExecutors()
 		h.dropOrders = true
-		for n := range 4 {
-			h.report(n, nil)
-		}
 		on = h.startOne(id)
 		number = int(on[2] - '0')
 		h.now += 500 * time.Millisecond
--- a/scheduler/fleet/stop_bounds_test.go
+++ b/scheduler/fleet/stop_bounds_test.go
@@ -16,11 +16,8 @@
 	var on string
 
 	BeforeEach(func() {
-		h = newHarness()
+		h = newHarnessWithExecutors()
 		h.dropOrders = true
-		for n := range 4 {
-			h.report(n, nil)
-		}
 		on = h.startOne(id)
 	})
 
--- a/scheduler/fleet/stray_runs_test.go
+++ b/scheduler/fleet/stray_runs_test.go
@@ -26,10 +26,7 @@
 	}
 
 	BeforeEach(func() {
-		h = newHarness()
-		for n := range 4 {
-			h.report(n, nil)
-		}
+		h = newHarnessWithExecutors()
 		on = h.startOne("a")
 		n = int(on[2] - '0')
 		h.answerHold(n, nil, fleet.EndedRun{Number: 1, Task: workload.TaskKey{Job: "a"}, Run: 1, Ending: workload.EndDone})
--- a/scheduler/fleet/succession_test.go
+++ b/scheduler/fleet/succession_test.go
@@ -70,10 +70,7 @@
 	laterStart := func(r *fleet.Report) { r.Executor.Incarnation = 5 }
 
 	BeforeEach(func() {
-		h = newHarness()
-		for n := range 4 {
-			h.report(n, nil)
-		}
+		h = newHarnessWithExecutors()
 		on = h.startOne("a")
 		n = int(on[2] - '0')
 		key = workload.ExecutorKey{ID: on, Incarnation: 1}
