fleet: one word for incarnations that are superseded

Log lines, comments and a spec said 'set aside' for two things: an incarnation that is superseded, and one whose report was refuted.

--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -24,9 +24,9 @@
 	lastStep time.Duration
 
 	executors map[string]*executor
-	// lost holds the incarnations that have runs in the log but are not in
-	// executors: they are over, or they are not in the directory and have not
-	// reported to this leader.
+	// lost holds the incarnations that are not in executors but have runs in the log or
+	// may be reinstated: they are over or superseded, or they are not in the directory
+	// and have not reported to this leader.
 	lost map[workload.ExecutorKey]*executor
 	// byAddress maps each address to the executor that reports from it.
 	byAddress map[string]*executor
--- a/scheduler/fleet/succession.go
+++ b/scheduler/fleet/succession.go
@@ -11,10 +11,10 @@
 // by a probe. Its runs are over once another incarnation answers at its address, it
 // deregisters or its leases end.
 
-// supersede sets an incarnation aside that a report or a deregistration claims to be over.
-// It stays in the directory, so that its departure notice is not forgotten.
+// supersede takes an incarnation out of use that a report or a deregistration claims to be
+// over. It stays in the directory, so that its departure notice is not forgotten.
 func (c *Controller) supersede(now time.Duration, e *executor, reason string) {
-	c.log.Info("executor set aside", "executor", e.key.ID, "born", e.key.Incarnation, "address", e.address, "reason", reason, "runs", len(e.runs))
+	c.log.Info("executor superseded", "executor", e.key.ID, "born", e.key.Incarnation, "address", e.address, "reason", reason, "runs", len(e.runs))
 	c.unlink(e)
 	c.lost[e.key] = e
 	e.supersededAt, e.nextProbeAt, e.probeUntil = now, now, max(e.leaseEnd, now+c.cfg.Lease)
@@ -38,7 +38,7 @@
 	}
 }
 
-// forgetLost drops a lost incarnation without runs once no probe can reinstate it.
+// forgetLost removes an incarnation without runs from lost once no probe can reinstate it.
 func (c *Controller) forgetLost(now time.Duration, e *executor) {
 	if len(e.runs) > 0 || (e.supersededAt > 0 && now < e.probeUntil) {
 		return
@@ -52,7 +52,7 @@
 // withdraw removes an incarnation from the known executors. Its runs may continue until
 // their leases end.
 func (c *Controller) withdraw(e *executor, reason string) {
-	c.log.Info("executor set aside", "executor", e.key.ID, "born", e.key.Incarnation, "address", e.address, "reason", reason, "runs", len(e.runs))
+	c.log.Info("executor withdrawn", "executor", e.key.ID, "born", e.key.Incarnation, "address", e.address, "reason", reason, "runs", len(e.runs))
 	c.detach(e)
 }
 
--- a/scheduler/fleet/succession_test.go
+++ b/scheduler/fleet/succession_test.go
@@ -186,7 +186,7 @@
 
 	// Guards against an executor that is never asked again because the response to its hold
 	// arrived while another report took its place.
-	It("is asked again after it was set aside with an open hold", func() {
+	It("is asked again after it was superseded with an open hold", func() {
 		h.answer(h.lastCall(fleet.CallHold, on), fleet.Response{Verdict: fleet.VerdictNoResponse})
 		h.advance(time.Second, 0)
 		open := h.lastCall(fleet.CallHold, on)
--- a/scheduler/workload/executor_check.go
+++ b/scheduler/workload/executor_check.go
@@ -17,13 +17,13 @@
 	maxIncarnation = int64(math.MaxInt64 / time.Millisecond)
 )
 
-// Validate returns an *ExecutorError if the key can not name an executor. An incarnation
+// Validate returns an *ExecutorError if the key cannot name an executor. An incarnation
 // of 0 is one that is not known.
 func (k ExecutorKey) Validate() error {
 	// Orders carry the identifier in a header.
-	isOdd := func(r rune) bool { return r <= ' ' || r > '~' }
+	isExcluded := func(r rune) bool { return r <= ' ' || r > '~' }
 	switch {
-	case k.ID == "" || strings.ContainsFunc(k.ID, isOdd):
+	case k.ID == "" || strings.ContainsFunc(k.ID, isExcluded):
 		return &ExecutorError{Field: "id", Reason: "empty or not printable ASCII"}
 	case k.Incarnation < 0 || k.Incarnation > maxIncarnation:
 		return &ExecutorError{Field: "incarnation", Reason: "out of range"}
