fleet: listed ends are compared with the predecessors of their executor only

For each ended run that was listed and was not its executor's own, the leader went over all incarnations that are over.

--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -413,12 +413,16 @@
 // listedEnds returns the ends to propose for the ended runs that an executor
 // lists: ends of runs that the log still holds as running, and late failures.
 func (c *Controller) listedEnds(now time.Duration, e *executor, listed []EndedRun) []workload.End {
+	if len(listed) == 0 {
+		return nil
+	}
 	var ends []workload.End
+	predecessors := c.predecessors(e)
 	for _, end := range listed {
 		e.lastSeenEnd = max(e.lastSeenEnd, end.Number)
 		r := e.runs[end.Task]
 		if r == nil || r.number != end.Run {
-			if earlier, awaited := c.awaitedRun(e, end.Task, end.Run); awaited != nil {
+			if earlier, awaited := awaitedRun(predecessors, end.Task, end.Run); awaited != nil {
 				ends = append(ends, c.recordEnd(earlier, end.Task, awaited, end.Ending, EvidenceReported, end.Checkpoint))
 				continue
 			}
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -332,12 +332,7 @@
 	if len(e.lateFailures) > 0 || e.hasProposedEnd() {
 		return true
 	}
-	for key, earlier := range c.lost {
-		if key.ID == e.key.ID && key.Incarnation < e.key.Incarnation && earlier.hasProposedEnd() {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(c.predecessors(e), (*executor).hasProposedEnd)
 }
 
 func (e *executor) hasProposedEnd() bool {
--- a/scheduler/fleet/restart.go
+++ b/scheduler/fleet/restart.go
@@ -59,15 +59,23 @@
 	return lowest
 }
 
-// awaitedRun returns a run of an earlier incarnation of the ID that has not ended, and that
-// incarnation, or nil.
-func (c *Controller) awaitedRun(e *executor, task workload.TaskKey, number int) (*executor, *run) {
-	for key, earlier := range c.lost {
-		if key.ID != e.key.ID || key.Incarnation >= e.key.Incarnation {
-			continue
+// predecessors returns the earlier incarnations of the ID that may still have runs.
+func (c *Controller) predecessors(e *executor) []*executor {
+	var earlier []*executor
+	for key, p := range c.lost {
+		if key.ID == e.key.ID && key.Incarnation < e.key.Incarnation {
+			earlier = append(earlier, p)
 		}
-		if r := earlier.runs[task]; r != nil && r.number == number && r.end == nil {
-			return earlier, r
+	}
+	return earlier
+}
+
+// awaitedRun returns a run that has not ended and the predecessor that it was meant for, or
+// nil.
+func awaitedRun(predecessors []*executor, task workload.TaskKey, number int) (*executor, *run) {
+	for _, p := range predecessors {
+		if r := p.runs[task]; r != nil && r.number == number && r.end == nil {
+			return p, r
 		}
 	}
 	return nil, nil
