--- a/scheduler/fleet/succession_test.go
+++ b/scheduler/fleet/succession_test.go
@@ -70,10 +70,7 @@
 	laterStart := func(r *fleet.Report) { r.Executor.Incarnation = 5 }
 
 	BeforeEach(func() {
-		h = newHarness()
-		for n := range 4 {
-			h.report(n, nil)
-		}
+		h = newHarnessWithExecutors()
 		on = h.startOne("a")
 		n = int(on[2] - '0')
 		key = workload.ExecutorKey{ID: on, Incarnation: 1}
@@ -189,7 +186,7 @@
 
 	// Guards against an executor that is never asked again because the response to its hold
 	// arrived while another report took its place.
-	It("is asked again after it was set aside with an open hold", func() {
+	It("is asked again after it was superseded with an open hold", func() {
 		h.answer(h.lastCall(fleet.CallHold, on), fleet.Response{Verdict: fleet.VerdictNoResponse})
 		h.advance(time.Second, 0)
 		open := h.lastCall(fleet.CallHold, on)
@@ -204,6 +201,22 @@
 		Expect(lastRun()).To(Equal(1))
 	})
 
+	// Guards against an executor that is not asked any more because a probe was answered
+	// while it was taken for gone.
+	It("is asked again after it was taken for gone with an open probe", func() {
+		open := h.lastCall(fleet.CallHold, on)
+		claim(foreignID)
+		probe := h.lastCall(fleet.CallHold, on)
+		Expect(probe.Probe).To(BeTrue())
+		h.answer(h.lastCall(fleet.CallHold, "i-9"), otherAnswers)
+		h.answer(open, otherAnswers)
+		h.answer(probe, otherAnswers)
+		h.report(n, nil)
+		claim(foreignID)
+		Expect(h.lastCall(fleet.CallHold, on).IssuedAt).To(BeNumerically(">=", since))
+		Expect(h.lastCall(fleet.CallHold, on).Probe).To(BeTrue())
+	})
+
 	// Guards against one address in two spellings: it must end no run by itself, and a
 	// restart there must still be noticed.
 	It("is noticed as over at an address that its successor spells otherwise", func() {
