fleet: executors of the model say that a run is over

The executors of the model answered a start of a run that is over like any other refusal, so no case of the model reached the handling of 409 old.

--- a/scheduler/fleet/model_test.go
+++ b/scheduler/fleet/model_test.go
@@ -456,7 +456,7 @@
 		return fleet.Response{Verdict: fleet.VerdictAccepted}
 	}
 	if call.Run <= e.closedRuns[call.Task] {
-		return fleet.Response{Verdict: fleet.VerdictRefused, Reason: "old"}
+		return fleet.Response{Verdict: fleet.VerdictRunOver, Reason: "old"}
 	}
 	if call.Deadline <= e.clock(cl.now) {
 		return fleet.Response{Verdict: fleet.VerdictRefused, Reason: "late"}
