fleet: executors of the model restart under their IDs

A crashed executor of the model came back with another ID, and a call reached only the incarnation that it was meant for. Executors may keep their ID, a call names only that, and the responses to starts and stops do not name the incarnation.

--- a/scheduler/fleet/fleet_test.go
+++ b/scheduler/fleet/fleet_test.go
@@ -42,7 +42,7 @@
 			loseResponse: share(0.2, "loseResponse"), delayCall: share(0.15, "delayCall"), fail: share(0.1, "fail"),
 			crash: share(0.05, "crash"), partition: share(0.1, "partition"), newLeader: share(0.3, "newLeader"),
 			drain: share(0.05, "drain"), pause: share(0.05, "pause"), leave: share(0.05, "leave"), notSend: share(0.1, "notSend"),
-			refuse: share(0.5, "refuse"),
+			refuse: share(0.5, "refuse"), keepID: share(1, "keepID"),
 		}
 		cl := newCluster(rapid.Uint64().Draw(t, "seed"), 4, f)
 		cl.run(3 * time.Second)
--- a/scheduler/fleet/model_test.go
+++ b/scheduler/fleet/model_test.go
@@ -123,6 +123,8 @@
 	// refuse is per call that an executor receives, whether or not it has been
 	// sent before.
 	refuse float64
+	// keepID is per crash: the next incarnation has the same ID.
+	keepID float64
 }
 
 type cluster struct {
@@ -291,6 +293,9 @@
 			// The new incarnation at this address has no state.
 			cl.crash(e)
 			cl.executors[i] = cl.newExecutor(e.address)
+			if cl.chance(cl.faults.keepID) {
+				cl.executors[i].key.ID = e.key.ID
+			}
 			continue
 		}
 		if e.partitioned {
@@ -364,9 +369,9 @@
 	}
 }
 
-func (cl *cluster) executor(key workload.ExecutorKey) *modelExecutor {
+func (cl *cluster) executorByID(id string) *modelExecutor {
 	for _, e := range cl.executors {
-		if e.key == key {
+		if e.key.ID == id {
 			return e
 		}
 	}
@@ -397,7 +402,8 @@
 }
 
 func (cl *cluster) execute(p *pendingCall) {
-	e := cl.executor(p.executor)
+	// A call names the ID of an executor, not its incarnation.
+	e := cl.executorByID(p.executor.ID)
 	if e != nil && p.call.Kind == fleet.CallStart && e.deregisteredAt > 0 && p.call.IssuedAt > e.deregisteredAt {
 		cl.fail("DRAIN: %v is sent to %s after its deregistration was stored", p.call.Task, e.key.ID)
 	}
@@ -446,7 +452,11 @@
 	if p.lost {
 		return
 	}
-	a.Clock, a.Incarnation = e.clock(cl.now), e.key.Incarnation
+	a.Clock = e.clock(cl.now)
+	if p.call.Kind == fleet.CallHold {
+		// Only lists name the incarnation.
+		a.Incarnation = e.key.Incarnation
+	}
 	cl.answer(p, a, cl.now+cl.delay())
 }
 
