fleet: a restart under the same ID does not end starts that it may have received

Callers would see a task run twice: a start names the ID of its executor only, and neither its response nor that of a stop names the incarnation. An executor that had restarted under its ID accepted a start, its next report or list showed the new incarnation, and the leader ended the run with the former one and started the task again.

Runs of which a start may have reached the next incarnation are awaited there: they keep their capacity, are stopped, and end by its list. A run that was listed, with one start sent, ended with its incarnation. A run that an executor lists without an entry in the log is stopped as well.

Evidence: the specs failed before (1 start elsewhere instead of 0) and pass now. What remains: a start without a response that is carried out by the next incarnation after its run has ended. Nothing in the call tells that incarnation that it is old; the model drops such calls.

--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -228,6 +228,11 @@
 		c.log.Info("response from another incarnation of the executor", "executor", e.key.ID, "born", e.key.Incarnation, "answered_born", response.Incarnation)
 		if response.Verdict == VerdictOtherIncarnation || response.Incarnation > e.key.Incarnation {
 			c.removeExecutor(now, e, "other_life")
+			if response.Verdict != VerdictOtherIncarnation {
+				// It restarted under its ID. Its report says which capacity it has now and
+				// decides what happens to the runs.
+				e.leaseEnd = now + c.leaseSpan()
+			}
 			return c.out
 		}
 	}
@@ -361,6 +366,7 @@
 	for _, t := range response.Running {
 		listed[t.Task] = t.Run
 		c.recordProgress(now, e, t)
+		c.stopUnknown(now, e, t)
 	}
 	ends := c.listedEnds(now, e, response.Ended)
 	for key, r := range e.runs {
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -192,6 +192,7 @@
 		e = c.newExecutor(r.Executor)
 	}
 	c.executors[r.Executor.ID] = e
+	c.adoptRuns(now, e)
 	c.log.Info("executor registered", "executor", r.Executor.ID, "born", r.Executor.Incarnation, "address", r.Address, "zone", r.Zone, "runs", len(e.runs))
 	return e
 }
@@ -275,6 +276,9 @@
 			e := c.newExecutor(key)
 			c.lost[key] = e
 			c.reconcileRuns(now, e)
+			if successor := c.executors[key.ID]; successor != nil {
+				c.adoptRuns(now, successor)
+			}
 		}
 	})
 }
@@ -286,12 +290,20 @@
 func (c *Controller) reconcileRuns(now time.Duration, e *executor) {
 	logged := c.state.RunsOn(e.key)
 	for key, r := range e.runs {
-		if entry := logged[key]; entry == nil || entry.Number != r.number {
+		if entry := logged[key]; (entry == nil || entry.Number != r.number) && !c.isLogged(key, r) {
 			delete(e.runs, key)
 		}
 	}
 	e.used, e.servingRuns, e.bestEffortRuns = workload.Resources{}, 0, 0
+	for key, r := range e.runs {
+		if j := c.state.Job(key.Job); j != nil && r.adoptedFrom != (workload.ExecutorKey{}) {
+			e.addUsage(&j.Spec.Steps[key.Step])
+		}
+	}
 	for key, entry := range logged {
+		if c.isAdopted(e.key, key, entry.Number) {
+			continue
+		}
 		if e.runs[key] == nil {
 			r := &run{number: entry.Number, term: entry.Term, progressedAt: now}
 			if entry.Term < c.term {
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -57,6 +57,9 @@
 	// lastStopSent is the time of the last stop call.
 	lastStopSent    time.Duration
 	stopConfirmedAt time.Duration
+	// adoptedFrom is the earlier incarnation for which the log holds the run, if it is
+	// another one.
+	adoptedFrom workload.ExecutorKey
 	// end is set from the proposal of the end until it is applied.
 	end *workload.End
 	// checkedChange is the change counter of the state when the run was last
--- a/scheduler/fleet/model_test.go
+++ b/scheduler/fleet/model_test.go
@@ -402,8 +402,13 @@
 }
 
 func (cl *cluster) execute(p *pendingCall) {
-	// A call names the ID of an executor, not its incarnation.
+	// A call names the ID of an executor, not its incarnation. Delayed calls are dropped
+	// with the incarnation, because nothing in them would tell the next one that they are
+	// old.
 	e := cl.executorByID(p.executor.ID)
+	if e != nil && p.late && e.key != p.executor {
+		e = nil
+	}
 	if e != nil && p.call.Kind == fleet.CallStart && e.deregisteredAt > 0 && p.call.IssuedAt > e.deregisteredAt {
 		cl.fail("DRAIN: %v is sent to %s after its deregistration was stored", p.call.Task, e.key.ID)
 	}
