fleet: a deadline grants no more than a lease from now on a slow clock

A new leader takes the leases of an earlier one to be over one lease, by a clock 2% slow, after it began. A deadline was computed from the last reading of the clock and the time since, as if the clock were exact, so a start sent 7 s after the reading could hold its run 0.14 s longer. A leader that follows at once, as by a transfer of leadership, gave the task and its capacity out while the run lasted. Found by reading, not seen in a play.

The deadline now starts from the lower bound of the clock. The spec failed before (given up at 13.210 s, lapses at 13.286 s) and passes now.

--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -156,7 +156,10 @@
 	if e.clockAt == 0 {
 		return 0
 	}
-	until := (e.clock + now - e.clockAt + cfg.Lease).Truncate(time.Millisecond)
+	// The lower bound of the executor's clock: a later leader counts on a lease that is no
+	// longer than cfg.Lease from now on.
+	elapsed := time.Duration(float64(now-e.clockAt) * (1 - clockDrift))
+	until := (e.clock + elapsed + cfg.Lease).Truncate(time.Millisecond)
 	span := time.Duration(float64(until-e.clock) * (1 + clockDrift))
 	e.leaseEnd = max(e.leaseEnd, e.clockAt+span+leaseMargin)
 	return until
