fleet: a refused start ends no run whose end is proposed

A start that was in flight when its run was stopped is refused as old after the list that showed the end. The end was proposed and counted a second time, and the executor was kept from new runs for 500 ms. The spec failed before (1 command instead of none) and passes now.

--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -326,6 +326,9 @@
 
 // endUnstarted ends a run of which every start call was refused.
 func (c *Controller) endUnstarted(now, unix time.Duration, e *executor, key workload.TaskKey, r *run) {
+	if r.end != nil {
+		return
+	}
 	e.health.pause(now)
 	c.propose(unix, []workload.End{c.recordEnd(e, key, r, workload.EndNotStarted, EvidenceStartsRefused, "")})
 }
