fleet: a pause of the leader does not make a stop overdue

The time since the decision to stop a run included pauses of the leader, in which it sends no stops. After three pauses of 4 s the lease of the executor was no longer renewed and all of its runs would have ended.

--- a/scheduler/fleet/pause.go
+++ b/scheduler/fleet/pause.go
@@ -28,6 +28,9 @@
 
 func (r *run) excludePause(now, pause time.Duration) {
 	r.progressedAt = min(now, r.progressedAt+pause)
+	if r.stopCause != "" {
+		r.stopRequestedAt = min(now, r.stopRequestedAt+pause)
+	}
 	if r.firstSent > 0 {
 		r.firstSent = min(now, r.firstSent+pause)
 	}
--- a/scheduler/fleet/stop_bounds_test.go
+++ b/scheduler/fleet/stop_bounds_test.go
@@ -38,4 +38,23 @@
 		out := h.controller.HandleResponse(h.now, h.now, start, fleet.Response{Verdict: fleet.VerdictRunOver, Clock: h.now})
 		Expect(out.Commands).To(BeEmpty())
 	})
+
+	// Guards against leases that are not renewed because pauses of the leader counted as
+	// time in which an executor ignored a stop.
+	It("is not overdue because of pauses of the leader", func() {
+		h.answer(h.lastCall(fleet.CallStart, on), fleet.Response{Verdict: fleet.VerdictAccepted, Clock: h.now})
+		h.listRun(on, id, 10)
+		h.apply(&workload.Command{At: h.now, Cancel: id})
+		for range 3 {
+			h.advance(200*time.Millisecond, 4)
+			h.answer(h.lastCall(fleet.CallStop, on), fleet.Response{Verdict: fleet.VerdictRefused, Clock: h.now})
+			h.listRun(on, id, 10)
+			h.now += pauseWithinLease
+			h.advance(40*time.Millisecond, 4)
+			h.listRun(on, id, 10)
+		}
+		h.advance(100*time.Millisecond, 4)
+		Expect(h.executorsOf(id)).To(ConsistOf(on))
+		Expect(h.lastCall(fleet.CallHold, on).Deadline).To(BeNumerically(">", h.now))
+	})
 })
