--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -42,12 +42,11 @@
 
 // runTimes is when a run began and ended on its executor.
 type runTimes struct {
-	executor   string
-	began      time.Time
-	ended      time.Time
-	ending     string
-	hasEnded   bool
-	startCalls int
+	executor string
+	began    time.Time
+	ended    time.Time
+	ending   string
+	hasEnded bool
 }
 
 // ledger holds the runs of all executors.
