fleet: a deregistration does not prove that an executor is over

An executor that sends its deregistration ends once it gets the confirmation, or some seconds later without one. The leader took a notice that names the present incarnation for its end: removeLeft, called by Leave and by reconcile, set leaseEnd to now, and expireLeases ended all runs there that no successor can have. If the confirmation is lost (or the notice names no incarnation and nothing answers any more) the executor runs on, and its task starts elsewhere.

Now Leave marks the incarnation as deregistered. It stays known until its departure is in the log, it has no runs and its ends are acknowledged, or its lease is over: it gets no starts and no longer lease, is ordered to stop its runs, and its lists are read, so that a run that ends done after the notice counts. A list, an answer of another incarnation or the end of the lease proves the end of a run. A notice without an incarnation takes the same way; before, the lists of that executor were not read. A start that was decided and never sent ends at once, also if the executor has not answered this leader.

--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -83,6 +83,9 @@
 	if j.Phase.Ended() {
 		return "job_" + j.Phase.String()
 	}
+	if e.deregistered {
+		return "executor_leaves"
+	}
 	step := &j.Spec.Steps[key.Step]
 	if r.settledAt == 0 && r.firstSent > 0 {
 		limit := startResponseTimeout
@@ -142,14 +145,14 @@
 }
 
 func (c *Controller) sendStop(now time.Duration, e *executor, key workload.TaskKey, r *run) {
-	if r.stopInFlight || r.stopConfirmedAt > 0 || !e.reported || (r.lastStopSent > 0 && now < r.lastStopSent+orderRetryInterval) {
-		return
-	}
 	if r.firstSent == 0 && r.term == c.term {
 		r.settledAt = now
 		c.propose(0, []workload.End{c.recordEnd(e, key, r, workload.EndNotStarted, EvidenceNeverSent, "")})
 		return
 	}
+	if r.stopInFlight || r.stopConfirmedAt > 0 || !e.reported || (r.lastStopSent > 0 && now < r.lastStopSent+orderRetryInterval) {
+		return
+	}
 	r.stopInFlight, r.lastStopSent = true, now
 	c.call(now, e, Call{Kind: CallStop, Task: key, Run: r.number, Timeout: orderTimeout})
 }
@@ -209,13 +212,18 @@
 		}
 	}
 	e.holdInFlight = true
-	if len(e.runs) > 0 && e.failedHolds < maxFailedHoldsForLease && !e.ignoresStops(now, &c.cfg) {
+	if c.mayExtendLease(now, e) {
 		call.Deadline = e.extendLease(now, &c.cfg)
 	}
 	call.Timeout = call.Wait + holdTimeoutMargin
 	c.call(now, e, call)
 }
 
+// mayExtendLease reports whether a hold extends the lease of an executor.
+func (c *Controller) mayExtendLease(now time.Duration, e *executor) bool {
+	return len(e.runs) > 0 && !e.deregistered && e.failedHolds < maxFailedHoldsForLease && !e.ignoresStops(now, &c.cfg)
+}
+
 // HandleResponse processes the response to a call.
 func (c *Controller) HandleResponse(now, unix time.Duration, call Call, response Response) Output {
 	c.out = Output{}
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -111,8 +111,9 @@
 		c.reconcile(now)
 	}
 	c.logEnded()
-	c.deregisterDeparted(unix)
 	c.expireLeases(now, unix)
+	c.removeDeparted(now)
+	c.deregisterDeparted(unix)
 	if now >= c.nextRound && (c.dirty || now >= c.nextRound+idleRoundInterval) {
 		c.round(now, unix)
 	}
@@ -228,13 +229,15 @@
 	case incarnation == 0 && isKnownNotToDrain(e, entry):
 		c.log.Info("ignored a deregistration without an incarnation: the executor does not drain", "executor", id)
 		return nil
+	case e != nil && e.deregistered && c.state.HasLeft(e.key):
+		return nil
 	case e != nil && isOver(e.key):
 		// Its first report may still be waiting to be stored.
 		key.Incarnation = max(incarnation, e.key.Incarnation)
-		if incarnation == e.key.Incarnation {
-			c.removeLeft(now, e)
-		} else {
+		if incarnation > e.key.Incarnation {
 			c.supersede(now, e, "other_left")
+		} else {
+			c.depart(now, e)
 		}
 		return &key
 	case entry != nil && isOver(entry.Key):
@@ -273,8 +276,7 @@
 	for _, e := range c.executors {
 		switch {
 		case c.hasLeftItself(e.key):
-			c.removeLeft(now, e)
-			continue
+			c.depart(now, e)
 		case c.state.HasLeft(e.key):
 			c.supersede(now, e, "other_left")
 			continue
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -88,6 +88,8 @@
 	// cannot make the executor schedulable again.
 	draining bool
 	leavesAt time.Duration
+	// deregistered is set once the executor has announced its end. It may still run.
+	deregistered bool
 
 	// clock is a reading of the executor's clock, taken at clockAt.
 	clock, clockAt time.Duration
--- a/scheduler/fleet/restart.go
+++ b/scheduler/fleet/restart.go
@@ -33,13 +33,6 @@
 	}
 }
 
-// removeLeft ends an incarnation that deregistered. Starts of this leader that the next one
-// may begin hold their task and capacity as after a restart.
-func (c *Controller) removeLeft(now time.Duration, e *executor) {
-	c.removeExecutor(now, e, "left")
-	e.successorUntil = now + orderTimeout + c.leaseSpan()
-}
-
 // mayReachSuccessor reports whether a start of the run may be carried out by the next
 // incarnation. If the run was listed and its start sent once, that start was used up.
 func (r *run) mayReachSuccessor(term uint64) bool {
