control: a deregistration is acknowledged once the runs there are over

An executor ends when its deregistration is acknowledged. Since a notice proves no end, the tasks of runs that are cut off by that wait for the end of the lease, and their work since the last checkpoint is lost.

Now the leader withholds the acknowledgement until the runs there are over, for 0.7 s at most (an executor asks another host after a second, and the call may be forwarded, for 0.8 s). Runs that end within this time go on, the others are stopped at once. "executor deregistered" says in its field "source" whether the notice named the incarnation.

Tried before that: stopping every run at the notice.

--- a/daemon/control/calls.go
+++ b/daemon/control/calls.go
@@ -289,24 +289,6 @@
 	return &ReportReply{Address: n.reportAddressOf(r.Executor.ID, executors)}, nil
 }
 
-func (n *Node) leave(e workload.ExecutorKey) error {
-	if err := e.Validate(); err != nil {
-		return structs.RefuseNotRun(structs.CodeInvalid, err.Error())
-	}
-	var departure *workload.ExecutorKey
-	err := n.runAsLeader(func(now time.Duration) { departure = n.owner.controller.Leave(now, e.ID, e.Incarnation) })
-	if err != nil || departure == nil {
-		return err
-	}
-	// Without the entry in the log, the next leader would take the executor out of
-	// the directory and use it again.
-	_, err = n.propose(&workload.Command{At: clock.Unix(), Deregister: []workload.ExecutorKey{*departure}, Left: true}, forwardTimeout)
-	if err != nil {
-		n.log.Info("deregistration not stored", "executor", e.ID, "error", err.Error())
-	}
-	return err
-}
-
 func (n *Node) configure(c *workload.Config) error {
 	if err := c.Validate(); err != nil {
 		n.log.Info("configuration refused", "version", c.Version, "reason", err.Error())
--- a/daemon/control/entries_test.go
+++ b/daemon/control/entries_test.go
@@ -25,17 +25,23 @@
 // startLeader starts a control host that leads a group of its own and has a configuration
 // with the service "s".
 func startLeader(host string) *Node {
+	GinkgoHelper()
+	return startLeaderOf(host, silentExecutors{})
+}
+
+// startLeaderOf is startLeader with a connection to executors.
+func startLeaderOf(host string, executors Executors) *Node {
 	GinkgoHelper()
 	node, err := New(Config{
 		Host: host, PeerPort: freePort(host), DataDir: GinkgoT().TempDir(), Bootstrap: true, ReplaceWithin: 4 * time.Second,
 		Seeds: func() []string { return []string{host} }, AcceptLimit: func() int { return 1 },
 		Fleet:  fleet.Settings{Lease: time.Second, ReportInterval: time.Second, Retention: time.Minute},
-		Logger: logr.Discard(), Observer: silentExecutors{}, Executors: silentExecutors{},
+		Logger: logr.Discard(), Observer: silentExecutors{}, Executors: executors,
 	})
 	Expect(err).NotTo(HaveOccurred())
 	Expect(node.Start()).To(Succeed())
 	DeferCleanup(node.Stop)
-	c := &workload.Config{Version: 1, Services: []workload.Service{{Name: "s"}}, Document: []byte("{}")}
+	c := &workload.Config{Version: 1, Services: []workload.Service{{Name: "s"}}, Queues: []workload.Queue{{Name: "q", Service: "s", Timeout: time.Second}}, Document: []byte("{}")}
 	Eventually(func() error { return node.Configure(c) }, 10*time.Second, 50*time.Millisecond).Should(Succeed())
 	return node
 }
--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -83,9 +83,6 @@
 	if j.Phase.Ended() {
 		return "job_" + j.Phase.String()
 	}
-	if e.deregistered {
-		return "executor_leaves"
-	}
 	step := &j.Spec.Steps[key.Step]
 	if r.settledAt == 0 && r.firstSent > 0 {
 		limit := startResponseTimeout
@@ -114,7 +111,11 @@
 	if step.LongRunning || r.firstSent == 0 && r.term == c.term {
 		return true
 	}
-	if c.remainingTime(now, j, key.Step, r) < drainLeft+drainMargin {
+	margin := drainMargin
+	if e.deregistered {
+		margin = 0
+	}
+	if c.remainingTime(now, j, key.Step, r) < drainLeft+margin {
 		return false
 	}
 	return !step.Checkpoints || drainLeft < c.cfg.StopTime+stopOverhead
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -237,7 +237,7 @@
 		if incarnation > e.key.Incarnation {
 			c.supersede(now, e, "other_left")
 		} else {
-			c.depart(now, e)
+			c.depart(now, e, noticeSource(incarnation))
 		}
 		return &key
 	case entry != nil && isOver(entry.Key):
@@ -250,6 +250,14 @@
 	return nil
 }
 
+// noticeSource describes for logs the source of a departure.
+func noticeSource(incarnation int64) string {
+	if incarnation == 0 {
+		return "notice_without_incarnation"
+	}
+	return "notice"
+}
+
 // isKnownNotToDrain reports whether the present incarnation of an executor, which has not
 // drained, can be told from earlier ones. Either argument may be nil.
 func isKnownNotToDrain(e *executor, entry *workload.Executor) bool {
@@ -276,7 +284,7 @@
 	for _, e := range c.executors {
 		switch {
 		case c.hasLeftItself(e.key):
-			c.depart(now, e)
+			c.depart(now, e, "log")
 		case c.state.HasLeft(e.key):
 			c.supersede(now, e, "other_left")
 			continue
--- a/scheduler/fleet/departure.go
+++ b/scheduler/fleet/departure.go
@@ -1,23 +1,26 @@
 package fleet
 
-import (
-	"time"
-
-	"cranberrydrum.dev/scheduler/workload"
-)
+import "time"
 
 // A deregistration announces the end of an executor and does not prove it: the executor may
 // run on for some seconds, also after the acknowledgement was sent. Until its runs are proved
-// to be over it is ordered to stop them, and its ends are read and acknowledged, but no call
-// extends its lease.
+// to be over it is ordered to stop those that do not end soon, and its ends are read and
+// acknowledged, but no call extends its lease.
+
+// DepartureDelay is the longest time for which the acknowledgement of a deregistration is
+// withheld, so that runs can end before their executor does. An executor asks another host
+// after a second, and the call may have to be forwarded.
+const DepartureDelay = 700 * time.Millisecond
 
-// depart takes an executor that deregistered out of use.
-func (c *Controller) depart(now time.Duration, e *executor) {
+// depart takes an executor that deregistered out of use. source says for logs how the leader
+// knows of it.
+func (c *Controller) depart(now time.Duration, e *executor, source string) {
 	if e.deregistered {
 		return
 	}
-	c.log.Info("executor deregistered", "executor", e.key.ID, "born", e.key.Incarnation, "runs", len(e.runs), "lease_left_ms", (e.leaseEnd - now).Milliseconds())
-	e.deregistered, e.draining, e.leavesAt = true, true, now
+	c.log.Info("executor deregistered", "executor", e.key.ID, "born", e.key.Incarnation, "source", source, "runs", len(e.runs),
+		"lease_left_ms", (e.leaseEnd - now).Milliseconds())
+	e.deregistered, e.draining, e.leavesAt = true, true, now+DepartureDelay
 	// Starts that got no response may reach the next incarnation, which grants them a lease
 	// of its own.
 	e.successorUntil = now + orderTimeout + c.leaseSpan()
@@ -56,11 +59,8 @@
 	return false
 }
 
-// HasRuns reports whether an incarnation may still have runs of this leader's log.
-func (c *Controller) HasRuns(key workload.ExecutorKey) bool {
-	e := c.executors[key.ID]
-	if e == nil || e.key != key {
-		e = c.lost[key]
-	}
-	return e != nil && len(e.runs) > 0
+// HasDepartingRuns reports whether an executor that deregistered still has runs.
+func (c *Controller) HasDepartingRuns(id string) bool {
+	e := c.executors[id]
+	return e != nil && e.deregistered && len(e.runs) > 0
 }
--- a/scheduler/fleet/departure_test.go
+++ b/scheduler/fleet/departure_test.go
@@ -59,7 +59,7 @@
 		h = newHarnessWithExecutors()
 		on = h.startOne(job)
 		number = int(on[2] - '0')
-		h.listRun(on, job, 10)
+		h.listRun(on, job, 1)
 		h.report(number, func(r *fleet.Report) { r.Draining, r.DrainRemaining = true, time.Minute })
 		h.step()
 	})
@@ -121,6 +121,17 @@
 		Expect(h.executorsOf(job)).NotTo(ContainElement(on))
 	})
 
+	// Guards against the loss of work that is done before the executor is told to end.
+	It("is not stopped if it ends while the acknowledgement is withheld, only after that", func() {
+		h.answerHold(number, []fleet.RunningTask{{Task: workload.TaskKey{Job: job}, Run: 1, Percent: 97}})
+		deregister(1)
+		stops := h.stopCount()
+		othersReport(fleet.DepartureDelay / 4)
+		Expect(h.stopCount()).To(Equal(stops))
+		othersReport(fleet.DepartureDelay)
+		Expect(h.stopCount()).To(BeNumerically(">", stops))
+	})
+
 	// Guards against a task that runs again although it was done before its executor ended.
 	It("may still end as done, which is acknowledged", func() {
 		deregister(1)
