fleet: no start is repeated at an executor that deregistered

A run whose start may have to be repeated is stopped now.

Test: "is stopped, not started again, if its start got no response" fails without the change.

--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -111,6 +111,10 @@
 	if step.LongRunning || r.firstSent == 0 && r.term == c.term {
 		return true
 	}
+	if e.deregistered && r.settledAt == 0 {
+		// Its start may still have to be repeated.
+		return true
+	}
 	margin := drainMargin
 	if e.deregistered {
 		margin = 0
--- a/scheduler/fleet/departure_test.go
+++ b/scheduler/fleet/departure_test.go
@@ -174,6 +174,22 @@
 		Expect(h.controller.ExecutorCount()).To(Equal(3))
 	})
 
+	// Guards against a start that is sent again to an executor that leaves.
+	It("is stopped, not started again, if its start got no response", func() {
+		h.dropOrders = true
+		h.apply(&workload.Command{At: h.now, Submit: &workload.Job{
+			ID: "b", Queue: "q", Service: "s", Customer: "a", MaxAttempts: 3, Stretch: 1.5, Target: time.Second,
+			Spec: workload.Spec{Steps: []workload.Step{{Count: 3, Demand: needGPUs(8), Estimate: 100 * time.Millisecond}}},
+		}})
+		h.advance(40*time.Millisecond, 4)
+		on = h.executorsOf("b")[0]
+		deregister(1)
+		h.answer(h.lastCall(fleet.CallStart, on), fleet.Response{Verdict: fleet.VerdictNoResponse})
+		othersReport(fleet.DepartureDelay)
+		Expect(h.lastCall(fleet.CallStart, on).IssuedAt).To(BeNumerically("<", leftAt))
+		Expect(h.lastCall(fleet.CallStop, on).IssuedAt).To(BeNumerically(">=", leftAt))
+	})
+
 	// Guards against a task that waits for a lease that was never granted: its start was
 	// decided and not sent.
 	It("is over at once if its start was not sent", func() {
