fleet: a start without a response is ruled out at the next incarnation

Cause: a start names the ID of an executor only. One without a response may have reached its next incarnation, which the leader held to be over 0.5 s and a lease (6.7 s) after that incarnation had answered. But an order may be carried out up to 12 s late, and its deadline rules nothing out there: it is on the clock of the earlier incarnation, and the clock of the next one starts anew.

Evidence: restart_test.go. On the code before, "is not over before the new incarnation confirms that it will not begin it" fails (started elsewhere within four leases) and so do three other specs. That it caused a report of the users is not shown.

Now the next incarnation is ordered to stop such runs. They are over once it has confirmed that and a list requested later lacks them (a confirmed stop refuses every later start of the run), when it lists their end, or when it is silent. Starts of an earlier term are fenced off by the token, so a list is enough for them. With an incarnation that answers, the task starts again after two round trips, before after 6.7 s.

Tests: the spec "is over with the lease that the new incarnation had from it" stated the bound that is wrong; three specs replace it: not before the confirmation (four leases), within 2 s of it, and after a silence, with its bound. The model plays restarts under the same ID together with late calls now, which it left out: an executor has received a late call when it arrives, and it is lost when the executor ends.

Ruled out: a start that was listed and sent once cannot reach the next incarnation; another executor at the address answers 421 to a call that names the ID.

--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -170,19 +170,25 @@
 // sendHolds sends a hold to each executor that needs one: to extend leases,
 // acknowledge ends, or check whether it is reachable.
 func (c *Controller) sendHolds(now time.Duration) {
+	predecessors := c.predecessorsWithRuns()
 	for _, e := range c.executors {
 		if e.holdInFlight || e.address == "" || now < e.nextHoldAt {
 			continue
 		}
+		earliest, hasPredecessor := predecessors[e.key.ID]
+		isAsked := hasPredecessor && earliest < e.key.Incarnation
 		hasUnstoredEnds := e.lastSeenEnd > e.cursor
 		// Executors that have not answered the last call, and those known only
 		// from the directory, receive no runs until they answer. They need a
 		// hold even if they have no runs.
-		idle := len(e.runs) == 0 && e.acknowledgedEnd >= e.cursor && e.failedHolds == 0 && e.reported && !e.hasUnansweredOrder
+		idle := len(e.runs) == 0 && !isAsked && e.acknowledgedEnd >= e.cursor && e.failedHolds == 0 && e.reported && !e.hasUnansweredOrder
 		if hasUnstoredEnds || idle {
 			continue
 		}
 		c.sendHold(now, e)
+		if isAsked {
+			e.nextHoldAt = max(e.nextHoldAt, now+holdRetryDelay)
+		}
 	}
 }
 
@@ -342,6 +348,9 @@
 func (c *Controller) handleStopResponse(now time.Duration, e *executor, call Call, response Response) {
 	r := e.runs[call.Task]
 	if r == nil || r.number != call.Run {
+		if response.Verdict == VerdictAccepted {
+			c.confirmSuccessorStop(now, e, call)
+		}
 		return
 	}
 	r.stopInFlight = false
@@ -380,6 +389,7 @@
 	ends := c.listedEnds(now, e, response.Ended)
 	if !response.EndsTruncated {
 		ends = append(ends, c.unlistedEnds(e, call.IssuedAt, listed)...)
+		ends = append(ends, c.ruledOutEnds(e, call.IssuedAt, listed)...)
 	}
 	if e.lastSeenEnd > e.cursor && len(ends) == 0 && !c.endsPending(e) {
 		e.cursor = e.lastSeenEnd
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -120,6 +120,7 @@
 	c.sendOrders(now)
 	c.sendHolds(now)
 	c.stopStrays(now)
+	c.stopAwaitedRuns(now)
 	c.sendProbes(now)
 	c.cleanUp(now, unix)
 	return c.out
@@ -380,7 +381,7 @@
 		if r.end != nil || (r.firstSent == 0 && r.term == c.term && ending == workload.EndLeaseExpired) {
 			continue
 		}
-		if now < e.successorUntil && r.mayReachSuccessor(r.term) {
+		if (now < e.successorUntil && r.mayReachSuccessor(r.term)) || (c.successorOf(e) != nil && c.isAwaited(r)) {
 			continue
 		}
 		ends = append(ends, c.recordEnd(e, key, r, ending, evidence, r.checkpoint))
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -57,6 +57,7 @@
 	// lastStopSent is the time of the last stop call.
 	lastStopSent    time.Duration
 	stopConfirmedAt time.Duration
+	successorStop   successorStop
 	// end is set from the proposal of the end until it is applied.
 	end *workload.End
 	// checkedChange is the change counter of the state when the run was last
--- a/scheduler/fleet/fleet_test.go
+++ b/scheduler/fleet/fleet_test.go
@@ -45,10 +45,6 @@
 			drain: share(0.05, "drain"), pause: share(0.05, "pause"), leave: share(0.05, "leave"), notSend: share(0.1, "notSend"),
 			refuse: share(0.5, "refuse"), foreign: share(0.4, "foreign"), restart: share(1, "restart"),
 		}
-		if f.delayCall > 0 {
-			// A late start can reach the next start under the same ID.
-			f.restart = 0
-		}
 		cl := newCluster(rapid.Uint64().Draw(t, "seed"), 4, f)
 		cl.run(3 * time.Second)
 		var ids []string
--- a/scheduler/fleet/model_test.go
+++ b/scheduler/fleet/model_test.go
@@ -94,8 +94,11 @@
 	at time.Duration
 	// lost is set if the leader gets no response from the executor.
 	lost bool
-	// late is set if the call is delayed by several seconds.
-	late bool
+	// late is set if the executor carries out the call after several seconds. It receives
+	// it at receivedAt, and what it has received is lost when it ends.
+	late       bool
+	receivedAt time.Duration
+	receiver   *modelExecutor
 	// until is the end of the wait of a hold.
 	until time.Duration
 }
@@ -254,7 +257,7 @@
 		}
 		p.lost = cl.chance(cl.faults.loseResponse)
 		if cl.chance(cl.faults.delayCall) {
-			p.lost, p.late = true, true
+			p.lost, p.late, p.receivedAt = true, true, p.at
 			p.at = cl.now + 2*time.Second + time.Duration(cl.rng.Int64N(int64(10*time.Second)))
 		}
 		cl.calls = append(cl.calls, p)
@@ -392,6 +395,9 @@
 func (cl *cluster) deliver() {
 	var later []*pendingCall
 	for _, p := range cl.calls {
+		if p.late && p.receiver == nil && cl.now >= p.receivedAt && cl.now < p.call.IssuedAt+p.call.Timeout {
+			p.receiver = cl.addressee(p)
+		}
 		if p.at > cl.now {
 			later = append(later, p)
 			continue
@@ -414,6 +420,9 @@
 
 func (cl *cluster) execute(p *pendingCall) {
 	e := cl.addressee(p)
+	if p.late && (e == nil || e != p.receiver) {
+		return
+	}
 	// A call for an earlier executor at the address is refused.
 	if e != nil && e.key.ID == p.executor.ID && p.call.Kind == fleet.CallStart && e.deregisteredAt > 0 && p.call.IssuedAt > e.deregisteredAt {
 		cl.fail("DRAIN: %v is sent to %s after its deregistration was stored", p.call.Task, e.key.ID)
--- a/scheduler/fleet/restart.go
+++ b/scheduler/fleet/restart.go
@@ -8,10 +8,19 @@
 
 // A start names the ID of an executor, not its incarnation, and so does the response. After a
 // restart under the same ID, the next incarnation may have begun what was meant for the one
-// before.
+// before, or may begin it later. No time rules that out: the deadline of a start is on the clock
+// of the earlier incarnation, and the clock of the next one starts anew. So the next one is
+// ordered not to begin it, and a list that it sends after that proves that the run is over.
+
+// successorStop is the order to the next incarnation of an executor not to begin a run.
+type successorStop struct {
+	successor           workload.ExecutorKey
+	sentAt, confirmedAt time.Duration
+}
 
 // removeRestarted ends an incarnation whose ID answers as a later one. Runs that the later
-// one may have begun are over only with the lease that it had from their starts.
+// one may begin are over when it rules that out, or, if it is not known any more, with the lease
+// that it had from their starts.
 func (c *Controller) removeRestarted(now, unix time.Duration, e *executor) {
 	c.removeExecutor(now, e, "restarted")
 	var ends []workload.End
@@ -39,6 +48,70 @@
 	return r.term < term || r.startCalls > 1 || (r.startCalls == 1 && !r.wasListed)
 }
 
+// isAwaited reports whether a run of an earlier incarnation may be carried out by the next one.
+func (c *Controller) isAwaited(r *run) bool { return r.end == nil && r.mayReachSuccessor(c.term) }
+
+// successorOf returns the known later incarnation under the ID of an executor, or nil.
+func (c *Controller) successorOf(e *executor) *executor {
+	s := c.executors[e.key.ID]
+	if s == nil || s.key.Incarnation <= e.key.Incarnation {
+		return nil
+	}
+	return s
+}
+
+// stopAwaitedRuns orders the next incarnations not to begin the runs of earlier ones. Starts of
+// an earlier term need no order, because the token of this term fences them off.
+func (c *Controller) stopAwaitedRuns(now time.Duration) {
+	for _, e := range c.lost {
+		s := c.successorOf(e)
+		if s == nil || !s.reported {
+			continue
+		}
+		for key, r := range e.runs {
+			if !c.isAwaited(r) || r.term < c.term || !r.successorStop.isDue(now, s.key) {
+				continue
+			}
+			r.successorStop = successorStop{successor: s.key, sentAt: now}
+			c.call(now, s, Call{Kind: CallStop, Task: key, Run: r.number, Timeout: orderTimeout})
+		}
+	}
+}
+
+// isDue reports whether the order has to be sent to a successor.
+func (o *successorStop) isDue(now time.Duration, successor workload.ExecutorKey) bool {
+	return o.successor != successor || (o.confirmedAt == 0 && now >= o.sentAt+orderTimeout+orderRetryInterval)
+}
+
+// confirmSuccessorStop records that a successor confirmed the stop of a run that was meant for
+// an earlier incarnation.
+func (c *Controller) confirmSuccessorStop(now time.Duration, successor *executor, call Call) {
+	if _, r := awaitedRun(c.predecessors(successor), call.Task, call.Run); r != nil {
+		r.successorStop.successor, r.successorStop.confirmedAt = successor.key, now
+	}
+}
+
+// ruledOutEnds returns the ends of awaited runs that a list of the successor, requested at a
+// given time, proves to be over.
+func (c *Controller) ruledOutEnds(successor *executor, requestedAt time.Duration, listed map[workload.TaskKey]int) []workload.End {
+	var ends []workload.End
+	for _, e := range c.predecessors(successor) {
+		for key, r := range e.runs {
+			if !c.isAwaited(r) || listed[key] == r.number {
+				continue
+			}
+			stop := &r.successorStop
+			switch {
+			case r.term < c.term:
+				ends = append(ends, c.recordEnd(e, key, r, workload.EndExecutorGone, EvidenceUnlistedInNewTerm, r.checkpoint))
+			case stop.successor == successor.key && stop.confirmedAt > 0 && stop.confirmedAt < requestedAt:
+				ends = append(ends, c.recordEnd(e, key, r, workload.EndExecutorGone, EvidenceUnlistedAfterStop, r.checkpoint))
+			}
+		}
+	}
+	return ends
+}
+
 // predecessorsWithRuns returns the lowest incarnation of each ID that is over but may
 // still have runs. A later one gets none until then: they would prolong its lease, which
 // the runs of the earlier one may use.
--- a/scheduler/fleet/restart_test.go
+++ b/scheduler/fleet/restart_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -15,8 +16,12 @@
 	var h *harness
 	var on string
 	var number int
+	// confirms is set while the new incarnation confirms stops, isSilent if it neither
+	// answers nor reports any more.
+	var confirms, isSilent bool
 
 	BeforeEach(func() {
+		confirms, isSilent = false, false
 		h = newHarnessWithExecutors()
 		h.dropOrders = true
 		on = h.startOne(id)
@@ -32,18 +37,27 @@
 		for end := h.now + span; h.now < end; {
 			h.now += 20 * time.Millisecond
 			for n := range 4 {
-				if n == number {
-					restarted()
-				} else {
+				switch {
+				case n != number:
 					h.report(n, nil)
+				case !isSilent:
+					restarted()
 				}
 			}
 			h.step()
+			if isSilent {
+				continue
+			}
 			// The new incarnation answers the holds to either.
 			for _, incarnation := range []int64{1, 2} {
 				h.answerSince(h.now, workload.ExecutorKey{ID: on, Incarnation: incarnation}, fleet.Response{
 					Verdict: fleet.VerdictAccepted, Complete: true, Incarnation: 2, Clock: time.Second})
 			}
+			for _, c := range slices.Clone(h.calls) {
+				if confirms && c.Kind == fleet.CallStop && c.Executor.Incarnation == 2 && c.Executor.ID == on && c.IssuedAt == h.now {
+					h.answer(c, fleet.Response{Verdict: fleet.VerdictAccepted, Clock: time.Second})
+				}
+			}
 		}
 	}
 	startsElsewhere := func() int {
@@ -81,22 +95,41 @@
 		h.apply(&workload.Command{At: h.now, Deregister: []workload.ExecutorKey{*departure}, Left: true})
 		wait(time.Second)
 		Expect(startsElsewhere()).To(BeZero())
-		wait(modelLease + time.Second)
+		confirms = true
+		wait(2 * time.Second)
 		Expect(startsElsewhere()).To(Equal(1))
 	})
 
-	// Guards against a task that waits for ever after a restart, and against one that runs
-	// elsewhere while the new incarnation may still run it.
-	It("is over with the lease that the new incarnation had from it", func() {
+	// Guards against a task that runs twice: an order without a response may be carried out
+	// seconds later, and its deadline is on the clock of the earlier incarnation.
+	It("is not over before the new incarnation confirms that it will not begin it", func() {
 		h.answer(h.lastCall(fleet.CallStart, on), fleet.Response{Verdict: fleet.VerdictNoResponse})
-		wait(modelLease)
+		wait(4 * modelLease)
 		Expect(startsElsewhere()).To(BeZero())
 		for _, call := range h.calls {
 			if call.Executor == (workload.ExecutorKey{ID: on, Incarnation: 2}) {
 				Expect(call.Deadline).To(BeZero())
 			}
 		}
+	})
+
+	// Guards against a task that waits after a restart although the new incarnation answers.
+	It("is over once the new incarnation confirms that and a list lacks the run", func() {
+		h.answer(h.lastCall(fleet.CallStart, on), fleet.Response{Verdict: fleet.VerdictNoResponse})
+		confirms = true
 		wait(2 * time.Second)
 		Expect(startsElsewhere()).To(Equal(1))
 	})
+
+	// Guards against a task that waits for ever after a restart, and against one that runs
+	// elsewhere while the new incarnation may still run it.
+	It("is over after the silence of the new incarnation", func() {
+		h.answer(h.lastCall(fleet.CallStart, on), fleet.Response{Verdict: fleet.VerdictNoResponse})
+		wait(modelLease)
+		isSilent = true
+		wait(modelLease)
+		Expect(startsElsewhere()).To(BeZero())
+		wait(6*modelReportInterval + 6*time.Second)
+		Expect(startsElsewhere()).To(Equal(1))
+	})
 })
