fleet: a task does not wait for executors that others hold for good

Cause: a task avoids the executors on which it has failed, unless it could not run elsewhere. executorsToAvoid judged that by the whole capacity of the others, also where siblings or other jobs that last hold it for good.

For other tasks, capacity that lasting tasks use is not counted as an alternative.

--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -112,6 +112,8 @@
 
 	runs map[workload.TaskKey]*run
 	used workload.Resources
+	// lastingUsed is the part of used that belongs to tasks which last.
+	lastingUsed workload.Resources
 	// servingRuns counts user-facing runs, bestEffortRuns those that use
 	// leftover capacity. They are not placed together, because best-effort runs
 	// slow user-facing ones.
@@ -140,6 +142,9 @@
 // addUsage adds a run of a step to the usage of the executor.
 func (e *executor) addUsage(step *workload.Step) {
 	e.used = e.used.Add(step.Allocation())
+	if step.LongRunning {
+		e.lastingUsed = e.lastingUsed.Add(step.Allocation())
+	}
 	if step.TailLatencyTarget > 0 {
 		e.servingRuns++
 	}
--- /dev/null
+++ b/scheduler/fleet/lasting_test.go
@@ -0,0 +1,63 @@
+package fleet_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cranberrydrum.dev/scheduler/fleet"
+	"cranberrydrum.dev/scheduler/workload"
+)
+
+var _ = Describe("a task that has failed on the executors that are left to it", func() {
+	var h *harness
+
+	BeforeEach(func() { h = newHarnessWithExecutors() })
+
+	// number returns the number of an executor.
+	number := func(id string) int { return int(id[2] - '0') }
+	// fail ends a run of a task on its executor as failed.
+	fail := func(key workload.TaskKey) string {
+		GinkgoHelper()
+		run := h.state.Job(key.Job).Occurrences[0].Steps[0].Tasks[key.Index].Run
+		Expect(run).NotTo(BeNil())
+		h.answerHold(number(run.Executor.ID), nil, fleet.EndedRun{Number: int64(run.Number), Task: key, Run: run.Number, Ending: workload.EndFailed})
+		h.advance(100*time.Millisecond, 4)
+		return run.Executor.ID
+	}
+
+	// Guards against a lasting task that waits for executors which its siblings hold, beside
+	// empty ones.
+	It("starts there again if it lasts and its siblings hold the others", func() {
+		h.submit("lasts", 1, workload.Step{Count: 3, Demand: needGPUs(1), LongRunning: true, PerExecutor: 1})
+		h.advance(100*time.Millisecond, 4)
+		key := workload.TaskKey{Job: "lasts"}
+		first := fail(key)
+		second := fail(key)
+		Expect(second).NotTo(Equal(first))
+		h.advance(time.Second, 4)
+		Expect(h.executorsOf("lasts")).To(HaveLen(3))
+	})
+
+	// Guards against the same if the task does not last and a job that lasts fills the others.
+	It("starts there again if tasks that last fill the others", func() {
+		h.submit("fills", 1, workload.Step{Count: 3, Demand: needGPUs(8), LongRunning: true})
+		h.advance(100*time.Millisecond, 4)
+		h.submit("a", 1, workload.Step{Count: 1, Demand: needGPUs(8)})
+		h.advance(100*time.Millisecond, 4)
+		on := fail(workload.TaskKey{Job: "a"})
+		h.advance(time.Second, 4)
+		Expect(h.executorsOf("a")).To(ConsistOf(on))
+	})
+
+	// Guards against a task that starts at once where it has failed, while another executor
+	// has room.
+	It("starts elsewhere while there is room", func() {
+		h.submit("lasts", 1, workload.Step{Count: 1, Demand: needGPUs(8), LongRunning: true})
+		h.advance(100*time.Millisecond, 4)
+		on := fail(workload.TaskKey{Job: "lasts"})
+		Expect(h.executorsOf("lasts")).To(HaveLen(1))
+		Expect(h.executorsOf("lasts")).NotTo(ContainElement(on))
+	})
+})
--- a/scheduler/fleet/placement.go
+++ b/scheduler/fleet/placement.go
@@ -135,19 +135,14 @@
 const maxTasksPerExecutor = 64
 
 // findPlacesOn allocates capacity for each task by best fit: on the executor
-// with the least free capacity. It skips the executors that a task must avoid.
+// with the least free capacity. It skips the executors that a task must avoid. A task that
+// lasts is missed while it waits, so it avoids them only if it fits elsewhere now.
 func (rs *roundState) findPlacesOn(ts *taskSet, executors []*executor, avoided map[int][]string) ([]place, bool) {
 	places := make([]place, 0, len(ts.tasks))
-	need := ts.step.Allocation()
 	for _, n := range ts.tasks {
-		var best *executor
-		for _, e := range executors {
-			if !need.Fits(rs.free[e]) || !rs.allows(ts, e) || slices.Contains(avoided[n], e.key.ID) {
-				continue
-			}
-			if best == nil || isBetterFit(ts, rs, e, best) {
-				best = e
-			}
+		best := rs.bestFit(ts, executors, avoided[n])
+		if best == nil && ts.step.LongRunning && len(avoided[n]) > 0 {
+			best = rs.bestFit(ts, executors, nil)
 		}
 		if best == nil {
 			if ts.step.Gang {
@@ -161,6 +156,21 @@
 	return places, len(places) == len(ts.tasks)
 }
 
+// bestFit returns the executor that suits a task best now, or nil if none has room.
+func (rs *roundState) bestFit(ts *taskSet, executors []*executor, avoided []string) *executor {
+	need := ts.step.Allocation()
+	var best *executor
+	for _, e := range executors {
+		if !need.Fits(rs.free[e]) || !rs.allows(ts, e) || slices.Contains(avoided, e.key.ID) {
+			continue
+		}
+		if best == nil || isBetterFit(ts, rs, e, best) {
+			best = e
+		}
+	}
+	return best
+}
+
 // isReservedForOther reports whether an executor is reserved for another task
 // set.
 func (rs *roundState) isReservedForOther(ts *taskSet, e *executor) bool {
@@ -184,7 +194,7 @@
 
 // executorsToAvoid lists, for each task, the executors on which it has failed.
 // It returns nil if the task set cannot run without them, so that the job does
-// not wait forever.
+// not wait forever. Capacity that tasks use which last may never become free.
 func (c *Controller) executorsToAvoid(rs *roundState, ts *taskSet) map[int][]string {
 	avoided := map[int][]string{}
 	avoidedIDs := map[string]bool{}
@@ -205,7 +215,7 @@
 	}
 	for _, e := range rs.executors {
 		if !avoidedIDs[e.key.ID] && ts.matches(e) {
-			wanted -= fitCount(e.capacity, ts.step.Allocation())
+			wanted -= fitCount(e.capacity.Sub(e.lastingUsed), ts.step.Allocation())
 		}
 	}
 	if wanted > 0 {
--- a/scheduler/fleet/stray_runs.go
+++ b/scheduler/fleet/stray_runs.go
@@ -39,7 +39,7 @@
 
 // updateUsage sets the resources that the runs on an executor use.
 func (c *Controller) updateUsage(e *executor) {
-	e.used, e.servingRuns, e.bestEffortRuns = workload.Resources{}, 0, 0
+	e.used, e.lastingUsed, e.servingRuns, e.bestEffortRuns = workload.Resources{}, workload.Resources{}, 0, 0
 	logged := c.state.RunsOn(e.key)
 	for key := range logged {
 		c.addUsage(e, key)
