fleet: a task that lasts does not wait for the rack of its data

Cause: findPlaces keeps a task on that rack for half of the slack of its objective, which follows from its estimate: hours for a job of hours. The exception for jobs without a run (mustStartNow) does not hold for a job of which another task runs. A task that lasts is missed until it runs, and being slower elsewhere delays no end.

Now a task that lasts may leave its rack at once; the rack is still preferred.

--- a/scheduler/fleet/lasting_test.go
+++ b/scheduler/fleet/lasting_test.go
@@ -61,3 +61,20 @@
 		Expect(h.executorsOf("lasts")).NotTo(ContainElement(on))
 	})
 })
+
+var _ = Describe("a task that lasts and has its data on a rack", func() {
+	// Guards against a lasting task that waits for its rack beside empty executors, for half
+	// of the slack of an estimate of hours.
+	It("starts on another rack at once when its executor drains", func() {
+		h := newHarnessWithExecutors()
+		h.submit("lasts", 1, workload.Step{Count: 2, Demand: needGPUs(1), LongRunning: true, PerExecutor: 1, DataRack: "r1-0", Estimate: time.Hour})
+		h.advance(100*time.Millisecond, 4)
+		Expect(h.executorsOf("lasts")).To(ConsistOf("i-0", "i-1"))
+		h.report(0, func(r *fleet.Report) { r.Draining, r.DrainRemaining = true, 3*time.Second })
+		h.advance(100*time.Millisecond, 4)
+		h.answerHold(0, nil, fleet.EndedRun{Number: 1, Task: workload.TaskKey{Job: "lasts"}, Run: 1, Ending: workload.EndStopped})
+		h.answerHold(0, nil, fleet.EndedRun{Number: 1, Task: workload.TaskKey{Job: "lasts", Index: 1}, Run: 1, Ending: workload.EndStopped})
+		h.advance(time.Second, 4)
+		Expect(h.executorsOf("lasts")).To(ConsistOf("i-1", Or(Equal("i-2"), Equal("i-3"))))
+	})
+})
--- a/scheduler/fleet/placement.go
+++ b/scheduler/fleet/placement.go
@@ -48,8 +48,12 @@
 // mayLeaveRack reports whether tasks stop waiting for the rack on which they
 // are faster. After rackWaitLimit they do, while a slower run still meets the
 // objective. Later they wait until the job is about to lose its value, because
-// a slower run occupies as much capacity as several fast ones.
+// a slower run occupies as much capacity as several fast ones. A task that lasts
+// does not wait: it is missed until it runs, and its run time does not end.
 func (c *Controller) mayLeaveRack(now time.Duration, ts *taskSet) bool {
+	if ts.step.LongRunning {
+		return true
+	}
 	waited := now - ts.waitingSince
 	if waited <= rackWaitLimit(ts.job, ts.expectedRunTime) {
 		return false
