fleet: no end is acknowledged while a start is not listed

What callers can see: a task that was done runs again (TWICE: a start after an acknowledged end).

Cause: a hold names the ID of an executor only, and its cursor acknowledges ends by number. After a restart under the same ID, a hold for the earlier incarnation reaches the next one, whose numbers start anew. If that one has carried out a start that was meant for the earlier one, and ended it, the end is acknowledged without having been read.

"is not followed by an acknowledgement before its run is listed" fails on the code before.

--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -202,9 +202,15 @@
 
 func (c *Controller) sendHold(now time.Duration, e *executor) {
 	call := Call{Kind: CallHold}
-	if e.acknowledgedEnd < e.cursor {
+	switch {
+	case e.acknowledgedEnd >= e.cursor:
 		// A cursor that is sent again could acknowledge ends of the next incarnation, whose
 		// numbers start anew.
+	case c.hasUnlistedStart(e) && !e.endsTruncated:
+		// The next incarnation may have begun and ended what was meant for this one. The
+		// unacknowledged ends make the executor answer at once.
+		e.nextHoldAt = now + holdRetryDelay
+	default:
 		call.Cursor = e.cursor
 	}
 	isBounded := c.cfg.MaxLongPolls > 0
@@ -230,6 +236,17 @@
 	c.call(now, e, call)
 }
 
+// hasUnlistedStart reports whether a start of this term was sent to an executor that has not
+// listed its run yet.
+func (c *Controller) hasUnlistedStart(e *executor) bool {
+	for _, r := range e.runs {
+		if r.end == nil && r.term == c.term && r.startCalls > 0 && !r.wasListed {
+			return true
+		}
+	}
+	return false
+}
+
 // mayExtendLease reports whether a hold extends the lease of an executor.
 func (c *Controller) mayExtendLease(now time.Duration, e *executor) bool {
 	return len(e.runs) > 0 && !e.deregistered && e.failedHolds < maxFailedHoldsForLease && !e.ignoresStops(now, &c.cfg)
@@ -380,6 +397,7 @@
 	}
 	e.failedHolds, e.reported = 0, true
 	e.acknowledgedEnd = max(e.acknowledgedEnd, call.Cursor)
+	e.endsTruncated = response.EndsTruncated
 	listed := map[workload.TaskKey]int{}
 	for _, t := range response.Running {
 		listed[t.Task] = t.Run
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -132,6 +132,8 @@
 	// of the last end stored in the log, and acknowledgedEnd that of the last
 	// end whose acknowledgement the executor has received.
 	lastSeenEnd, cursor, acknowledgedEnd int64
+	// endsTruncated is set if the last list may lack ends.
+	endsTruncated bool
 	// lateFailures are failed ends of runs that the log had already ended. They
 	// count as attempts and are acknowledged only once the log has them.
 	lateFailures []workload.End
--- a/scheduler/fleet/restart_test.go
+++ b/scheduler/fleet/restart_test.go
@@ -113,6 +113,24 @@
 		}
 	})
 
+	// Guards against a task that runs again after it was done: a hold for the earlier
+	// incarnation that acknowledges its ends reaches the next one, which has carried out the
+	// start and whose ends have the same numbers.
+	It("is not followed by an acknowledgement before its run is listed", func() {
+		h.answer(h.lastCall(fleet.CallStart, on), fleet.Response{Verdict: fleet.VerdictNoResponse})
+		h.answerHold(number, nil, fleet.EndedRun{Number: 1, Task: workload.TaskKey{Job: "earlier"}, Run: 1, Ending: workload.EndFailed})
+		wait := func() {
+			for range 10 {
+				h.advance(100*time.Millisecond, 4)
+			}
+		}
+		wait()
+		Expect(h.lastCall(fleet.CallHold, on).Cursor).To(BeZero())
+		h.answerHold(number, []fleet.RunningTask{{Task: workload.TaskKey{Job: id}, Run: 1}})
+		wait()
+		Expect(h.lastCall(fleet.CallHold, on).Cursor).To(Equal(int64(1)))
+	})
+
 	// Guards against a task that waits after a restart although the new incarnation answers.
 	It("is over once the new incarnation confirms that and a list lacks the run", func() {
 		h.answer(h.lastCall(fleet.CallStart, on), fleet.Response{Verdict: fleet.VerdictNoResponse})
