--- a/scheduler/fleet/restart.go
+++ b/scheduler/fleet/restart.go
@@ -112,11 +112,21 @@
 	return ends
 }
 
-// predecessorsWithRuns returns the lowest incarnation of each ID that is over but may
-// still have runs. A later one gets none until then: they would prolong its lease, which
-// the runs of the earlier one may use.
-func (c *Controller) predecessorsWithRuns() map[string]int64 {
-	lowest := map[string]int64{}
+// lowestIncarnations holds the lowest incarnation of each ID that is over but may still have
+// runs.
+type lowestIncarnations map[string]int64
+
+// precede reports whether an incarnation earlier than the given one may still have runs.
+func (l lowestIncarnations) precede(key workload.ExecutorKey) bool {
+	lowest, known := l[key.ID]
+	return known && lowest < key.Incarnation
+}
+
+// predecessorsWithRuns returns the incarnations that are over but may still have runs. A later
+// one gets none until then: they would prolong its lease, which the runs of the earlier one
+// may use.
+func (c *Controller) predecessorsWithRuns() lowestIncarnations {
+	lowest := lowestIncarnations{}
 	for key, e := range c.lost {
 		if known, ok := lowest[key.ID]; len(e.runs) > 0 && (!ok || key.Incarnation < known) {
 			lowest[key.ID] = key.Incarnation
--- a/scheduler/fleet/round_state.go
+++ b/scheduler/fleet/round_state.go
@@ -45,8 +45,7 @@
 	}
 	predecessors := c.predecessorsWithRuns()
 	for _, e := range c.executors {
-		earliest, hasPredecessor := predecessors[e.key.ID]
-		if !e.isSchedulable(now, &c.cfg) || (hasPredecessor && earliest < e.key.Incarnation) {
+		if !e.isSchedulable(now, &c.cfg) || predecessors.precede(e.key) {
 			continue
 		}
 		rs.executors = append(rs.executors, e)
