--- a/scheduler/fleet/calls.go
+++ b/scheduler/fleet/calls.go
@@ -267,4 +267,3 @@
 		r.settle(now, EvidenceUnlistedAfterStop)
 	}
 }
-
