--- /dev/null
+++ b/review/standin-2/cases.go
@@ -0,0 +1,410 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// scenarios holds the cases by the name that their scripts use.
+var scenarios = map[string]scenario{
+	"moved-route":     movedRoute,
+	"replaced-route":  replacedRoute,
+	"late-submission": lateSubmission,
+	"many-schedules":  manySchedules,
+	"guarantee":       guarantee,
+	"sharing":         sharing,
+}
+
+const (
+	prefix   = "/pule252/"
+	serviceA = "huvo11a"
+	serviceB = "zida28b"
+)
+
+// serve starts the hosts, a number of executors of each service and the first configuration,
+// and waits until jobs are accepted.
+func (r *run) serve(c configuration, executors map[string]int) ([]*executor, error) {
+	if err := r.startAll(); err != nil {
+		return nil, err
+	}
+	var list []*executor
+	for _, s := range c.Services {
+		for range executors[s.Name] {
+			e, err := newExecutor(r.deployment, len(list), s.Name, "a", fmt.Sprintf("r1-%d", 1+len(list)/8))
+			if err != nil {
+				return nil, err
+			}
+			list = append(list, e)
+		}
+	}
+	if err := r.configure(c); err != nil {
+		return nil, err
+	}
+	if err := r.awaitReady(); err != nil {
+		return nil, err
+	}
+	// The executors' next status reports come after the configuration, and the core counts
+	// as stable from the contact time on.
+	time.Sleep(contactTime + heartbeatInterval)
+	return list, nil
+}
+
+// submit hands in a job and returns an error if it is not accepted.
+func (r *run) submit(id string, j job) error {
+	for attempt := range 4 {
+		reply := r.client(attempt, "POST", prefix+id, j)
+		if reply.status/100 == 2 {
+			return nil
+		}
+		if reply.status != 0 && reply.status != http.StatusServiceUnavailable && reply.status != http.StatusGatewayTimeout {
+			return fmt.Errorf("job %s refused: %s", id, reply)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	return fmt.Errorf("job %s not accepted", id)
+}
+
+// stateOf asks for the state of a job until there is a clear answer.
+func (r *run) stateOf(id string) (state string, status int) {
+	for attempt := range 4 {
+		reply := r.client(attempt, "GET", prefix+id, nil)
+		if reply.status == http.StatusOK || reply.status/100 == 4 {
+			var body struct {
+				State string `json:"state"`
+			}
+			_ = json.Unmarshal([]byte(reply.body), &body)
+			return body.State, reply.status
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	return "", 0
+}
+
+// startsOf returns what the executors have begun for a job.
+func startsOf(executors []*executor, id string) []startedRun {
+	var list []startedRun
+	for _, e := range executors {
+		for _, s := range e.startedRuns() {
+			if strings.HasPrefix(s.task, id+".") {
+				list = append(list, s)
+			}
+		}
+	}
+	return list
+}
+
+// movedRoute sends the queue of an accepted job to another service and drops the old one from
+// the configuration. The job is due after that.
+func movedRoute(r *run) (bool, error) {
+	const (
+		due      = 12 * time.Second
+		interval = 4 * time.Second
+		times    = 3
+		work     = time.Second
+	)
+	routeTo := func(name string) []route { return []route{newRoute("r-3ajwyy7", prefix, name)} }
+	executors, err := r.serve(newConfiguration(7, routeTo(serviceA), newService(serviceA), newService(serviceB)), map[string]int{serviceA: 4, serviceB: 4})
+	if err != nil {
+		return false, err
+	}
+	id, j := newJobID(), newJob(work, 1)
+	firstDue := time.Now().Add(due)
+	j.RepeatCount, j.FirstRunMS, j.IntervalMS = times, firstDue.UnixMilli(), interval.Milliseconds()
+	if err := r.submit(id, j); err != nil {
+		return false, err
+	}
+	if err := r.submit(newJobID(), newJob(work, 1)); err != nil {
+		return false, err
+	}
+	time.Sleep(2 * time.Second)
+	second := newConfiguration(12, routeTo(serviceA), newService(serviceA), newService(serviceB))
+	second.Routes[0].TimeoutMS = 2500
+	if r.disturbed {
+		second = newConfiguration(12, routeTo(serviceB), newService(serviceB))
+	}
+	if err := r.configure(second); err != nil {
+		return false, err
+	}
+	time.Sleep(configApplyTime)
+	// Jobs that are handed in from now on run on the new service.
+	if err := r.submit(newJobID(), newJob(work, 1)); err != nil {
+		return false, err
+	}
+	lastDue := firstDue.Add((times - 1) * interval)
+	time.Sleep(time.Until(lastDue))
+	r.add("the last time of the job is due; the traffic has ended")
+	time.Sleep(finishTime)
+	var idleSince time.Time
+	const watch = 20 * time.Second
+	for end := time.Now().Add(watch); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		switch {
+		case anyBusy(executors):
+			idleSince = time.Time{}
+		case idleSince.IsZero():
+			idleSince = time.Now()
+		}
+	}
+	state, status := r.stateOf(id)
+	if state == "completed" {
+		return false, nil
+	}
+	r.add("LOST: %.0f s after the last time was due the job is %q (%d); %d of its %d subtasks have begun, and all %d executors have been idle for %.0f s",
+		time.Since(lastDue).Seconds(), state, status, len(startsOf(executors, id)), times, len(executors), time.Since(idleSince).Seconds())
+	const lostTime = 3 * time.Second
+	return !idleSince.IsZero() && time.Since(idleSince) > lostTime, nil
+}
+
+func anyBusy(executors []*executor) bool {
+	return slices.ContainsFunc(executors, (*executor).busy)
+}
+
+// replacedRoute replaces the route of an accepted job by another one at the same place.
+func replacedRoute(r *run) (bool, error) {
+	first := newConfiguration(7, []route{newRoute("r-3ajwyy7", prefix, serviceA)}, newService(serviceA))
+	executors, err := r.serve(first, map[string]int{serviceA: 4})
+	if err != nil {
+		return false, err
+	}
+	kept, cancelled := newJobID(), newJobID()
+	for _, id := range []string{kept, cancelled} {
+		if err := r.submit(id, newJob(12*time.Second, 2)); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(visibleTime + time.Second)
+	name := "r-3ajwyy7"
+	if r.disturbed {
+		name = "r-9k2mfx1"
+	}
+	second := newConfiguration(12, []route{newRoute(name, prefix, serviceA)}, newService(serviceA))
+	if err := r.configure(second); err != nil {
+		return false, err
+	}
+	time.Sleep(configApplyTime)
+	broken := false
+	if state, status := r.stateOf(kept); status == http.StatusGone {
+		r.add("LOST: the accepted job %s, which nobody has cancelled, is answered 410 (%q)", kept, state)
+		broken = true
+	}
+	reply := r.client(0, "DELETE", prefix+cancelled, nil)
+	if reply.status/100 != 2 && reply.status != http.StatusGone {
+		return broken, nil
+	}
+	acked := time.Now()
+	time.Sleep(cancelTime + stopTime + 14*time.Second)
+	for _, s := range startsOf(executors, cancelled) {
+		if s.at.After(acked.Add(cancelTime)) {
+			r.add("UNASKED: %s begins %s run %d %.1f s after the cancel was confirmed", s.executor, s.task, s.run, s.at.Sub(acked).Seconds())
+			broken = true
+		}
+		if s.endedAt.IsZero() || s.endedAt.After(acked.Add(cancelTime+stopTime)) {
+			r.add("UNASKED: %s still runs %s run %d %.1f s after the cancel was confirmed", s.executor, s.task, s.run, (cancelTime + stopTime).Seconds())
+			broken = true
+		}
+	}
+	return broken, nil
+}
+
+// lateSubmission freezes an entry host while it has a submission, whose client gives up and
+// cancels the job.
+func lateSubmission(r *run) (bool, error) {
+	const (
+		freeze = 3500 * time.Millisecond
+		giveUp = 300 * time.Millisecond
+	)
+	c := newConfiguration(7, []route{newRoute("r-3ajwyy7", prefix, serviceA)}, newService(serviceA))
+	executors, err := r.serve(c, map[string]int{serviceA: 4})
+	if err != nil {
+		return false, err
+	}
+	id := newJobID()
+	frozenAt, patience := time.Now(), clientTimeout
+	if r.disturbed {
+		r.signal(r.entries()[0], syscall.SIGSTOP)
+		patience = giveUp
+	}
+	submitted := r.clientWithin(0, "POST", prefix+id, newJob(5*time.Second, 2), patience)
+	reply := r.client(1, "DELETE", prefix+id, nil)
+	if reply.status/100 != 2 && reply.status != http.StatusGone {
+		return false, fmt.Errorf("cancel not confirmed: %s", reply)
+	}
+	acked := time.Now()
+	if r.disturbed {
+		time.Sleep(time.Until(frozenAt.Add(freeze)))
+		r.signal(r.entries()[0], syscall.SIGCONT)
+	}
+	r.add("the submission got: %s", submitted)
+	time.Sleep(15 * time.Second)
+	broken := false
+	for _, s := range startsOf(executors, id) {
+		if s.at.After(acked.Add(cancelTime)) {
+			r.add("UNASKED: %s begins %s run %d %.1f s after the cancel was confirmed with %d", s.executor, s.task, s.run, s.at.Sub(acked).Seconds(), reply.status)
+			broken = true
+		}
+	}
+	state, status := r.stateOf(id)
+	r.add("the job is %q (%d)", state, status)
+	return broken, nil
+}
+
+// manySchedules hands in many scheduled jobs within the time of a burst, under the memory
+// limit of the control hosts.
+func manySchedules(r *run) (bool, error) {
+	const (
+		usual    = 4
+		burst    = 38
+		burstFor = 6 * time.Second
+		times    = 365 * 24
+		subtasks = 11
+		asked    = 8
+	)
+	c := newConfiguration(7, []route{newRoute("r-3ajwyy7", prefix, serviceA)}, newService(serviceA))
+	if _, err := r.serve(c, map[string]int{serviceA: 4}); err != nil {
+		return false, err
+	}
+	r.enforceMemoryLimit()
+	count := usual
+	if r.disturbed {
+		count = burst
+	}
+	first := newJobID()
+	if err := r.submit(first, newJob(time.Second, 1)); err != nil {
+		return false, err
+	}
+	accepted := []string{first}
+	var mu sync.Mutex
+	var clients sync.WaitGroup
+	for i := range count {
+		clients.Go(func() {
+			time.Sleep(burstFor * time.Duration(i) / time.Duration(count))
+			id, j := newJobID(), newJob(time.Second, 1)
+			j.Steps[0].Count = subtasks
+			j.RepeatCount, j.FirstRunMS, j.IntervalMS = times, time.Now().Add(time.Hour).UnixMilli(), time.Hour.Milliseconds()
+			if reply := r.client(i, "POST", prefix+id, j); reply.status/100 == 2 {
+				mu.Lock()
+				defer mu.Unlock()
+				accepted = append(accepted, id)
+			}
+		})
+	}
+	clients.Wait()
+	r.add("%d jobs were accepted; the traffic has ended", len(accepted))
+	time.Sleep(finishTime)
+	// Each job is asked for until it has an answer, at most four times.
+	unanswered := 0
+	for _, id := range accepted[:min(asked, len(accepted))] {
+		clients.Go(func() {
+			if state, status := r.stateOf(id); status != http.StatusOK {
+				mu.Lock()
+				defer mu.Unlock()
+				unanswered++
+				r.add("LOST: the accepted job %s has no answer (%q, %d)", id, state, status)
+			}
+		})
+	}
+	clients.Wait()
+	r.deployment.mu.Lock()
+	defer r.deployment.mu.Unlock()
+	r.add("processes killed for their memory: %v", r.memoryKills)
+	return unanswered > 0, nil
+}
+
+// guarantee fills the executors with lasting subtasks of one tenant and then hands in a job
+// that another tenant is guaranteed the accelerators for.
+func guarantee(r *run) (bool, error) {
+	const (
+		executors   = 4
+		guaranteed  = 16
+		needed      = 8
+		usual       = 8
+		reclaimTime = 3400 * time.Millisecond
+		watch       = 30 * time.Second
+	)
+	urgent := newRoute("r-zzyyjsg", "/pufi791/", serviceA)
+	urgent.Priority = 0
+	c := newConfiguration(7, []route{newRoute("r-3ajwyy7", prefix, serviceA), urgent}, newService(serviceA))
+	c.Tenants[0].Guaranteed.GPU = guaranteed
+	c.Tenants = append(c.Tenants, tenant{Name: "lume31", APIKeys: []string{otherKey}})
+	list, err := r.serve(c, map[string]int{serviceA: executors})
+	if err != nil {
+		return false, err
+	}
+	lasting := job{Spec: `{"lasts":true}`, Steps: []step{{Count: usual, CPU: 1000, MemMB: 1000, GPU: 1, EstimateMS: 1000, LongRunning: true, Image: "front-1", MayMiss: 2}}}
+	if r.disturbed {
+		lasting.Steps[0].Count = executors * gpusPerExecutor
+	}
+	id := newJobID()
+	r.add("the tenant without a guarantee hands in %s with %d lasting subtasks of 1 GPU", id, lasting.Steps[0].Count)
+	if reply := callWithKey("POST", r.entryAddresses()[0], routeHost, prefix+id, otherKey, lasting, clientTimeout); reply.status/100 != 2 {
+		return false, fmt.Errorf("lasting job not accepted: %s", reply)
+	}
+	if err := await(10*time.Second, func() bool { return len(startsOf(list, id)) == lasting.Steps[0].Count }); err != nil {
+		return false, fmt.Errorf("lasting job does not run: %w", err)
+	}
+	time.Sleep(contactTime)
+	id, j := newJobID(), newJob(2*time.Second, 1)
+	j.Steps[0].Count, j.Steps[0].CPU, j.Steps[0].MemMB = needed, 1000, 1000
+	reply := r.client(1, "POST", urgent.PathPrefix+id, j)
+	if reply.status/100 != 2 {
+		return false, fmt.Errorf("urgent job not accepted: %s", reply)
+	}
+	confirmed := time.Now()
+	time.Sleep(reclaimTime)
+	begun := len(startsOf(list, id))
+	if begun == needed {
+		return false, nil
+	}
+	r.add("RECLAIM: %d of %d subtasks of the guaranteed job %s have begun %.1f s after its confirmation", begun, needed, id, time.Since(confirmed).Seconds())
+	time.Sleep(watch)
+	r.add("RECLAIM: %d of %d subtasks have begun %.1f s after the confirmation", len(startsOf(list, id)), needed, time.Since(confirmed).Seconds())
+	return true, nil
+}
+
+// sharing hands in a job whose subtasks fill every executor, and then a job that serves users.
+func sharing(r *run) (bool, error) {
+	const (
+		executors = 4
+		usual     = 1
+		lostTime  = 3 * time.Second
+	)
+	urgent := newRoute("r-zzyyjsg", "/pufi791/", serviceA)
+	urgent.Priority = 0
+	filling := newRoute("r-3ajwyy7", prefix, serviceA)
+	filling.Priority = 2
+	list, err := r.serve(newConfiguration(7, []route{filling, urgent}, newService(serviceA)), map[string]int{serviceA: executors})
+	if err != nil {
+		return false, err
+	}
+	count := usual
+	if r.disturbed {
+		count = executors
+	}
+	fillingID, servingID := newJobID(), newJobID()
+	fills := job{Spec: `{"lasts":true}`, Steps: []step{{Count: count, CPU: 2000, MemMB: 1000, EstimateMS: 1000, LongRunning: true, Image: "batch-1", Fills: true, AntiAffinity: 1}}}
+	if err := r.submit(fillingID, fills); err != nil {
+		return false, err
+	}
+	if err := await(10*time.Second, func() bool { return len(startsOf(list, fillingID)) == count }); err != nil {
+		return false, fmt.Errorf("the filling job does not run: %w", err)
+	}
+	time.Sleep(contactTime)
+	serves := job{Spec: `{"lasts":true}`, Steps: []step{{Count: 2, CPU: 2000, MemMB: 1000, EstimateMS: 1000, LongRunning: true, Image: "front-1", TargetMS: 100, MayMiss: 1}}}
+	if reply := r.client(0, "POST", urgent.PathPrefix+servingID, serves); reply.status/100 != 2 {
+		return false, fmt.Errorf("serving job not accepted: %s", reply)
+	}
+	r.add("the traffic has ended")
+	time.Sleep(finishTime + lostTime)
+	begun := len(startsOf(list, servingID))
+	if begun > 0 {
+		return false, nil
+	}
+	r.add("LOST: the serving job %s has nothing running %.0f s after it was accepted; each executor runs one filling subtask of 2 cores and 1 GB", servingID, (finishTime + lostTime).Seconds())
+	_ = r.client(0, "GET", urgent.PathPrefix+servingID, nil)
+	return true, nil
+}
