--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -18,6 +18,7 @@
 	"late-submission": lateSubmission,
 	"many-schedules":  manySchedules,
 	"guarantee":       guarantee,
+	"kept-capacity":   keptCapacity,
 	"sharing":         sharing,
 }
 
@@ -366,12 +367,16 @@
 	return true, nil
 }
 
-// sharing hands in a job whose subtasks fill every executor, and then a job that serves users.
+// sharing empties the executor of a subtask that serves users while each of the others runs a
+// subtask that fills.
 func sharing(r *run) (bool, error) {
 	const (
-		executors = 4
-		usual     = 1
-		lostTime  = 3 * time.Second
+		executors = 6
+		// A lasting subtask counts as lost from lastingGrace after its last run, once the
+		// contact time and lostTime have been calm.
+		lastingGrace = 6 * time.Second
+		lostTime     = 3 * time.Second
+		watch        = 30 * time.Second
 	)
 	urgent := newRoute("r-zzyyjsg", "/pufi791/", serviceA)
 	urgent.Priority = 0
@@ -381,30 +386,126 @@
 	if err != nil {
 		return false, err
 	}
-	count := usual
-	if r.disturbed {
-		count = executors
+	servingID, fillingID := newJobID(), newJobID()
+	serves := job{Spec: `{"lasts":true}`, Steps: []step{{Count: 1, CPU: 2000, MemMB: 1000, EstimateMS: 1000, LongRunning: true, Image: "front-1", TargetMS: 100}}}
+	if reply := r.client(0, "POST", urgent.PathPrefix+servingID, serves); reply.status/100 != 2 {
+		return false, fmt.Errorf("serving job not accepted: %s", reply)
+	}
+	if err := await(5*time.Second, func() bool { return len(startsOf(list, servingID)) == 1 }); err != nil {
+		return false, fmt.Errorf("the serving job does not run: %w", err)
 	}
-	fillingID, servingID := newJobID(), newJobID()
-	fills := job{Spec: `{"lasts":true}`, Steps: []step{{Count: count, CPU: 2000, MemMB: 1000, EstimateMS: 1000, LongRunning: true, Image: "batch-1", Fills: true, AntiAffinity: 1}}}
+	fills := job{Spec: `{"lasts":true}`, Steps: []step{{Count: executors - 1, CPU: 2000, MemMB: 1000, EstimateMS: 1000, LongRunning: true, Image: "batch-1", Fills: true, AntiAffinity: 1}}}
 	if err := r.submit(fillingID, fills); err != nil {
 		return false, err
 	}
-	if err := await(10*time.Second, func() bool { return len(startsOf(list, fillingID)) == count }); err != nil {
+	if err := await(10*time.Second, func() bool { return len(startsOf(list, fillingID)) == executors-1 }); err != nil {
 		return false, fmt.Errorf("the filling job does not run: %w", err)
 	}
 	time.Sleep(contactTime)
-	serves := job{Spec: `{"lasts":true}`, Steps: []step{{Count: 2, CPU: 2000, MemMB: 1000, EstimateMS: 1000, LongRunning: true, Image: "front-1", TargetMS: 100, MayMiss: 1}}}
-	if reply := r.client(0, "POST", urgent.PathPrefix+servingID, serves); reply.status/100 != 2 {
-		return false, fmt.Errorf("serving job not accepted: %s", reply)
+	if r.disturbed {
+		home := startsOf(list, servingID)[0].executor
+		for _, e := range list {
+			if e.id == home {
+				e.leave()
+			}
+		}
 	}
-	r.add("the traffic has ended")
-	time.Sleep(finishTime + lostTime)
-	begun := len(startsOf(list, servingID))
-	if begun > 0 {
-		return false, nil
+	leftAt := time.Now()
+	time.Sleep(lastingGrace + contactTime + lostTime)
+	broken := !isAtWork(list, servingID)
+	if broken {
+		r.add("LOST: the lasting subtask of %s is not at work %.0f s after its executor left; each of the other %d executors runs one filling subtask of 2 cores and 1 GB",
+			servingID, time.Since(leftAt).Seconds(), executors-1)
 	}
-	r.add("LOST: the serving job %s has nothing running %.0f s after it was accepted; each executor runs one filling subtask of 2 cores and 1 GB", servingID, (finishTime + lostTime).Seconds())
+	time.Sleep(watch)
+	r.add("%.0f s later the lasting subtask is at work: %t", watch.Seconds(), isAtWork(list, servingID))
 	_ = r.client(0, "GET", urgent.PathPrefix+servingID, nil)
-	return true, nil
+	return broken, nil
+}
+
+// keptCapacity empties the executor of a lasting job while all free capacity is kept for urgent
+// jobs, which come regularly.
+func keptCapacity(r *run) (bool, error) {
+	const (
+		executors    = 6
+		urgentEvery  = 5 * time.Second
+		urgentTasks  = 2 * gpusPerExecutor
+		bulkTasks    = 40
+		lastingGrace = 6 * time.Second
+		lostTime     = 3 * time.Second
+		watch        = 15 * time.Second
+	)
+	urgent, bulkRoute := newRoute("r-zzyyjsg", "/pufi791/", serviceA), newRoute("r-ce7ejsm", "/lohu930/", serviceA)
+	urgent.Priority, urgent.Stretch, bulkRoute.Priority = 0, 1.5, 2
+	routes := []route{newRoute("r-3ajwyy7", prefix, serviceA), bulkRoute, urgent}
+	list, err := r.serve(newConfiguration(7, routes, newService(serviceA)), map[string]int{serviceA: executors})
+	if err != nil {
+		return false, err
+	}
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		j := newJob(time.Second, 1)
+		j.Steps[0].Count = urgentTasks
+		for i := 0; ; i++ {
+			_ = r.client(i, "POST", urgent.PathPrefix+newJobID(), j)
+			select {
+			case <-ended:
+				return
+			case <-time.After(urgentEvery):
+			}
+		}
+	}()
+	time.Sleep(2 * time.Second)
+	lastingID := newJobID()
+	lasting := job{Spec: `{"lasts":true}`, Steps: []step{{Count: 2, CPU: 2000, MemMB: 1000, GPU: 1, EstimateMS: 1000, LongRunning: true, Image: "front-1"}}}
+	if err := r.submit(lastingID, lasting); err != nil {
+		return false, err
+	}
+	if err := await(5*time.Second, func() bool { return len(startsOf(list, lastingID)) == 2 }); err != nil {
+		return false, fmt.Errorf("the lasting job does not run: %w", err)
+	}
+	bulk := newJob(70*time.Second, 1)
+	bulk.Steps[0].Count, bulk.Steps[0].CPU = bulkTasks, 7000
+	if reply := r.client(0, "POST", bulkRoute.PathPrefix+newJobID(), bulk); reply.status/100 != 2 {
+		return false, fmt.Errorf("bulk job not accepted: %s", reply)
+	}
+	time.Sleep(contactTime + 2*time.Second)
+	if r.disturbed {
+		home := startsOf(list, lastingID)[0].executor
+		for _, e := range list {
+			if e.id == home {
+				e.leave()
+			}
+		}
+	}
+	time.Sleep(lastingGrace + contactTime)
+	// The lasting job has to be at work at some moment of lostTime.
+	atWork := false
+	for end := time.Now().Add(lostTime); time.Now().Before(end) && !atWork; time.Sleep(50 * time.Millisecond) {
+		atWork = isAtWork(list, lastingID)
+	}
+	for end := time.Now().Add(watch); time.Now().Before(end); time.Sleep(time.Second) {
+		var loads []string
+		for _, e := range list {
+			loads = append(loads, fmt.Sprintf("%s %d", e.id, e.runCount()))
+		}
+		r.add("the lasting job is at work: %t; subtasks of 1 GPU on each executor of %d GPUs: %s", isAtWork(list, lastingID), gpusPerExecutor, strings.Join(loads, ", "))
+	}
+	return !atWork, nil
+}
+
+// isAtWork returns whether a subtask of a job runs on an executor that is up.
+func isAtWork(executors []*executor, id string) bool {
+	for _, e := range executors {
+		e.mu.Lock()
+		for task := range e.running {
+			if strings.HasPrefix(task, id+".") {
+				e.mu.Unlock()
+				return true
+			}
+		}
+		e.mu.Unlock()
+	}
+	return false
 }
--- a/review/standin-2/executor.go
+++ b/review/standin-2/executor.go
@@ -357,8 +357,11 @@
 }
 
 // busy returns whether anything runs on the executor.
-func (e *executor) busy() bool {
+func (e *executor) busy() bool { return e.runCount() > 0 }
+
+// runCount returns the number of subtasks that run on the executor.
+func (e *executor) runCount() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.running) > 0
+	return len(e.running)
 }
