--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -7,4 +7,4 @@
   echo "target/cranberrydrumd or target/standin-2 is not built"
   exit 2
 fi
-exec target/standin-2 sharing target/cranberrydrumd review/10/record.txt
+exec target/standin-2 replaced-route target/cranberrydrumd review/10/record.txt
