admission: decide the requests of customers in a pure package

The decision was part of daemon/control, so no test could drive it without a replication group, and neither the model nor the stateful tests did. It now takes the state and the time as arguments, like the other decisions. No change of behaviour; the specs of the packages that call it pass.

--- a/cmd/cranberrydrumd/platform.go
+++ b/cmd/cranberrydrumd/platform.go
@@ -21,6 +21,7 @@
 	"cranberrydrum.dev/daemon/metrics"
 	"cranberrydrum.dev/daemon/settings"
 	"cranberrydrum.dev/platform"
+	"cranberrydrum.dev/scheduler/admission"
 )
 
 const (
@@ -98,7 +99,7 @@
 	cfg := control.Config{
 		Host: s.Host, PeerPort: s.PeerPort, ReportAddress: s.ControlListen, AcceptLimit: budget.AcceptLimit, DataDir: s.DataDir, Bootstrap: s.Bootstrap,
 		Seeds: seedReader(s, log), MaxFaults: s.MaxFaults, ReplaceWithin: s.ReplaceWithin, LowPriority: s.HasLargerRemoteRegion(), Fleet: s.Fleet,
-		Executors: platform.NewExecutorClient(s.AdviceAddress, budget, log), HasAdviceService: s.AdviceAddress != "", Logger: log, Observer: observer,
+		Executors: platform.NewExecutorClient(s.AdviceAddress, budget, log), Admission: admission.Policy{HasAdviceService: s.AdviceAddress != ""}, Logger: log, Observer: observer,
 	}
 	for {
 		err := serveControl(&cfg, s, budget, stop)
--- a/daemon/control/calls.go
+++ b/daemon/control/calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"strings"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -13,6 +12,7 @@
 	"cranberrydrum.dev/daemon/clock"
 	"cranberrydrum.dev/daemon/panics"
 	"cranberrydrum.dev/daemon/transport"
+	"cranberrydrum.dev/scheduler/admission"
 	"cranberrydrum.dev/scheduler/fleet"
 	"cranberrydrum.dev/scheduler/structs"
 	"cranberrydrum.dev/scheduler/workload"
@@ -68,7 +68,7 @@
 	case MethodHello:
 		return n.hello(), nil
 	case MethodCustomer:
-		return decodeAndHandle(body, func(r *CustomerRequest) (any, error) { return n.customer(r, remaining) })
+		return decodeAndHandle(body, func(r *admission.Request) (any, error) { return n.customer(r, remaining) })
 	case MethodReport:
 		return decodeAndHandle(body, func(r *reportMessage) (any, error) { return n.report(r.Report) })
 	case MethodLeave:
@@ -143,11 +143,16 @@
 func (n *Node) leads() bool { return n.owner.controller != nil && n.group.HoldsLeaseOnLoop() }
 
 // customer serves a customer request. A command is committed before the reply.
-func (n *Node) customer(r *CustomerRequest, remaining time.Duration) (*CustomerReply, error) {
-	var reply *CustomerReply
+func (n *Node) customer(r *admission.Request, remaining time.Duration) (*admission.Reply, error) {
+	var reply *admission.Reply
 	var command *workload.Command
 	var refused error
-	err := n.readAsLeader(func() { reply, command, refused = n.decide(r) })
+	err := n.readAsLeader(func() {
+		reply, command, refused = n.cfg.Admission.Decide(n.state, r, clock.Unix())
+		if command != nil && command.Submit != nil {
+			n.logSubmission(command.Submit)
+		}
+	})
 	if err == nil {
 		err = refused
 	}
@@ -163,78 +168,15 @@
 		return nil, structs.RefuseNotRun(structs.CodeInvalid, "the log refused the command")
 	}
 	n.log.Info("request stored", "operation", r.Operation.String(), "path", r.Path, "known", result == workload.ResultUnchanged)
-	return &CustomerReply{Unknown: result == workload.ResultUnknownJob}, nil
-}
-
-// decide answers a request from the state, or returns the command that must be
-// committed before the request can be answered. It runs on the goroutine of the
-// replication group.
-func (n *Node) decide(r *CustomerRequest) (*CustomerReply, *workload.Command, error) {
-	if !n.state.Configured() {
-		return nil, nil, structs.RefuseNotRun(structs.CodeNoConfig, "no configuration yet")
-	}
-	queue := n.state.Match(r.Host, r.Path)
-	if queue == nil {
-		return nil, nil, structs.RefuseNotRun(structs.CodeNotFound, "no queue at this place")
-	}
-	customer, known := n.state.CustomerOf(r.Key)
-	if !known && !queue.Public {
-		return nil, nil, structs.RefuseNotRun(structs.CodeUnauthorized, "unknown key")
-	}
-	id := strings.TrimPrefix(r.Path, queue.Prefix)
-	if id == "" && r.Operation == OpRead {
-		return &CustomerReply{IsQueue: true, Pending: n.state.Pending(queue.Name)}, nil, nil
-	}
-	if !validJobID(id) {
-		return nil, nil, structs.RefuseNotRun(structs.CodeInvalid, "not the identifier of a job")
-	}
-	if r.Operation == OpSubmit {
-		return n.prepareSubmit(r, queue, customer, id)
-	}
-	j := n.state.Job(id)
-	if j == nil || j.Queue != queue.Name {
-		return &CustomerReply{Unknown: true}, nil, nil
-	}
-	if r.Operation == OpCancel && !j.Phase.Ended() {
-		return nil, &workload.Command{At: clock.Unix(), Cancel: id}, nil
-	}
-	return &CustomerReply{Phase: j.Phase}, nil, nil
+	return &admission.Reply{Unknown: result == workload.ResultUnknownJob}, nil
 }
 
-// prepareSubmit validates a submission and returns the command that stores the
-// job. The submission of an existing job is answered with its phase.
-func (n *Node) prepareSubmit(r *CustomerRequest, queue *workload.Queue, customer, id string) (*CustomerReply, *workload.Command, error) {
-	if j := n.state.Job(id); j != nil {
-		return &CustomerReply{Phase: j.Phase}, nil, nil
-	}
-	if r.Spec == nil {
-		return nil, nil, structs.RefuseNotRun(structs.CodeInvalid, "no job")
-	}
-	if err := r.Spec.Validate(); err != nil {
-		return nil, nil, structs.RefuseNotRun(structs.CodeInvalid, err.Error())
-	}
-	if queue.Advice != nil && !n.cfg.HasAdviceService {
-		return nil, nil, structs.RefuseNotRun(structs.CodeNeverRunnable, "the queue needs advice, and no advice service is set")
-	}
-	j := &workload.Job{
-		ID: id, Queue: queue.Name, Service: queue.Service, Customer: customer, Priority: queue.Priority,
-		MaxAttempts: queue.MaxAttempts, Stretch: queue.Stretch, Target: queue.Target, Spec: *r.Spec,
-	}
+// logSubmission logs a job that is about to be proposed.
+func (n *Node) logSubmission(j *workload.Job) {
 	first := &j.Spec.Steps[0]
-	n.log.Info("job proposed", "job", id, "customer", customer, "priority", queue.Priority, "steps", len(j.Spec.Steps), "tasks", first.Count,
+	n.log.Info("job proposed", "job", j.ID, "customer", j.Customer, "priority", j.Priority, "steps", len(j.Spec.Steps), "tasks", first.Count,
 		"cpu", first.Demand.CPU, "gpu", first.Demand.GPU, "traits", first.Traits(), "repeats", j.Spec.Repeats,
 		"estimate_ms", first.Estimate.Milliseconds(), "config_version", n.state.Config().Version)
-	return nil, &workload.Command{At: clock.Unix(), Submit: j}, nil
-}
-
-// jobIDLength is the length of a job identifier in hexadecimal digits.
-const jobIDLength = 16
-
-func validJobID(id string) bool {
-	if len(id) != jobIDLength {
-		return false
-	}
-	return strings.Trim(id, "0123456789abcdefABCDEF") == ""
 }
 
 // propose appends a command to the replicated log and waits for its result.
--- a/daemon/control/fuzz_test.go
+++ b/daemon/control/fuzz_test.go
@@ -7,6 +7,7 @@
 
 	"cranberrydrum.dev/coord/codec"
 	"cranberrydrum.dev/coord/reconfig"
+	"cranberrydrum.dev/scheduler/admission"
 	"cranberrydrum.dev/scheduler/workload"
 )
 
@@ -14,8 +15,8 @@
 // against a malformed one that ends the process of the receiver.
 func FuzzCallBodies(f *testing.F) {
 	for _, value := range []any{
-		&CustomerRequest{Operation: OpSubmit, Host: "h", Path: "/a", Spec: &workload.Spec{Steps: []workload.Step{{Count: 1}}}},
-		&CustomerRequest{Operation: 9}, &CustomerReply{Phase: 9}, &Hello{Leader: "10.0.0.1", Hosts: []string{"10.0.0.2"}},
+		&admission.Request{Operation: admission.OpSubmit, Host: "h", Path: "/a", Spec: &workload.Spec{Steps: []workload.Step{{Count: 1}}}},
+		&admission.Request{Operation: 9}, &admission.Reply{Phase: 9}, &Hello{Leader: "10.0.0.1", Hosts: []string{"10.0.0.2"}},
 		&JoinRequest{Member: "10.0.0.1#0"}, &JoinRequest{Member: "#"}, &reportMessage{},
 	} {
 		data, err := msgpack.Marshal(value)
@@ -25,14 +26,14 @@
 		f.Add(data)
 	}
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		var request CustomerRequest
+		var request admission.Request
 		if codec.Unmarshal(data, &request) == nil {
 			_ = request.Operation.String()
 			if request.Spec != nil {
 				_ = request.Spec.Validate()
 			}
 		}
-		var reply CustomerReply
+		var reply admission.Reply
 		if codec.Unmarshal(data, &reply) == nil {
 			_ = reply.Phase.String()
 		}
--- a/daemon/control/node.go
+++ b/daemon/control/node.go
@@ -21,6 +21,7 @@
 	"cranberrydrum.dev/daemon/group"
 	"cranberrydrum.dev/daemon/panics"
 	"cranberrydrum.dev/daemon/transport"
+	"cranberrydrum.dev/scheduler/admission"
 	"cranberrydrum.dev/scheduler/fleet"
 	"cranberrydrum.dev/scheduler/workload"
 )
@@ -86,10 +87,10 @@
 	LowPriority bool
 	Fleet       fleet.Settings
 	Executors   Executors
-	// HasAdviceService is set if an advice service is configured.
-	HasAdviceService bool
-	Logger           logr.Logger
-	Observer         Observer
+	// Admission decides the requests of customers.
+	Admission admission.Policy
+	Logger    logr.Logger
+	Observer  Observer
 }
 
 // Observer counts calls to executors, refused calls of peers, and members, for metrics.
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -19,6 +19,7 @@
 	"cranberrydrum.dev/daemon/clock"
 	"cranberrydrum.dev/daemon/control"
 	"cranberrydrum.dev/daemon/transport"
+	"cranberrydrum.dev/scheduler/admission"
 	"cranberrydrum.dev/scheduler/structs"
 	"cranberrydrum.dev/scheduler/workload"
 )
@@ -241,7 +242,7 @@
 // Do forwards a request to the leader and retries until it gets a final reply or the
 // timeout has passed. A refusal with the outcome "not run" holds for all attempts
 // together.
-func (n *Node) Do(r *control.CustomerRequest, timeout time.Duration) (*control.CustomerReply, error) {
+func (n *Node) Do(r *admission.Request, timeout time.Duration) (*admission.Reply, error) {
 	body, err := msgpack.Marshal(r)
 	if err != nil {
 		return nil, structs.RefuseNotRun(structs.CodeInvalid, err.Error())
@@ -327,10 +328,10 @@
 }
 
 // finalRefusal returns the refusal of a request after its last attempt, and logs it.
-func (n *Node) finalRefusal(r *control.CustomerRequest, last *structs.Refusal, mayHaveRun bool, attempts int, startedAt time.Duration) *structs.Refusal {
+func (n *Node) finalRefusal(r *admission.Request, last *structs.Refusal, mayHaveRun bool, attempts int, startedAt time.Duration) *structs.Refusal {
 	result := *last
 	switch {
-	case r.Operation == control.OpRead:
+	case r.Operation == admission.OpRead:
 		// A read changes no state, so it makes no difference whether an attempt
 		// without a reply has run.
 		result.Outcome = structs.OutcomeNotRun
@@ -357,8 +358,8 @@
 	return "failed"
 }
 
-func decodeReply(data []byte) (*control.CustomerReply, error) {
-	var reply control.CustomerReply
+func decodeReply(data []byte) (*admission.Reply, error) {
+	var reply admission.Reply
 	if err := codec.Unmarshal(data, &reply); err != nil {
 		return nil, structs.RefuseUnknown(structs.CodeInvalid, err.Error())
 	}
--- a/daemon/entry/entry_test.go
+++ b/daemon/entry/entry_test.go
@@ -19,6 +19,7 @@
 	"cranberrydrum.dev/daemon/entry"
 	"cranberrydrum.dev/daemon/loopback"
 	"cranberrydrum.dev/daemon/transport"
+	"cranberrydrum.dev/scheduler/admission"
 	"cranberrydrum.dev/scheduler/structs"
 )
 
@@ -51,7 +52,7 @@
 			return nil, err
 		}
 	}
-	return msgpack.Marshal(&control.CustomerReply{})
+	return msgpack.Marshal(&admission.Reply{})
 }
 
 type discardObserver struct{}
@@ -95,13 +96,13 @@
 		const drainTime = 500 * time.Millisecond
 		startedAt := clock.Boot()
 		time.AfterFunc(drainTime/5, func() { node.Drain(startedAt + drainTime) })
-		_, err := node.Do(&control.CustomerRequest{Operation: control.OpSubmit}, time.Minute)
+		_, err := node.Do(&admission.Request{Operation: admission.OpSubmit}, time.Minute)
 		Expect(clock.Boot() - startedAt).To(BeNumerically("<", 2*drainTime))
 		var refused *structs.Refusal
 		Expect(errors.As(err, &refused)).To(BeTrue())
 		Expect(refused.Code).To(Equal(structs.CodeQuorumUnavailable))
 		Expect(refused.Outcome).To(Equal(structs.OutcomeNotRun))
-		_, err = node.Do(&control.CustomerRequest{Operation: control.OpSubmit}, time.Minute)
+		_, err = node.Do(&admission.Request{Operation: admission.OpSubmit}, time.Minute)
 		Expect(errors.As(err, &refused)).To(BeTrue())
 		Expect(refused.Code).To(Equal(structs.CodeStopping))
 		Expect(refused.Outcome).To(Equal(structs.OutcomeNotRun))
@@ -111,7 +112,7 @@
 	// refusals without a time after which the request may succeed.
 	DescribeTable("tells when to return", func(code structs.Code, expected time.Duration) {
 		fake.answer = func(int64) error { return structs.RefuseNotRun(code, "") }
-		_, err := node.Do(&control.CustomerRequest{Operation: control.OpSubmit}, 3*time.Second)
+		_, err := node.Do(&admission.Request{Operation: admission.OpSubmit}, 3*time.Second)
 		var refused *structs.Refusal
 		Expect(errors.As(err, &refused)).To(BeTrue())
 		Expect(refused.RetryAfter).To(Equal(expected))
@@ -129,7 +130,7 @@
 			}
 			return nil
 		}
-		_, err := node.Do(&control.CustomerRequest{Operation: control.OpSubmit}, 3*time.Second)
+		_, err := node.Do(&admission.Request{Operation: admission.OpSubmit}, 3*time.Second)
 		Expect(err).NotTo(HaveOccurred())
 	})
 
@@ -142,7 +143,7 @@
 			}
 			return structs.RefuseNotRun(structs.CodeNotFound, "no queue at this place")
 		}
-		_, err := node.Do(&control.CustomerRequest{Operation: control.OpSubmit}, 3*time.Second)
+		_, err := node.Do(&admission.Request{Operation: admission.OpSubmit}, 3*time.Second)
 		var refused *structs.Refusal
 		Expect(err).To(BeAssignableToTypeOf(refused))
 		Expect(err.(*structs.Refusal).Outcome).NotTo(Equal(structs.OutcomeNotRun))
@@ -157,7 +158,7 @@
 			}
 			return structs.RefuseNotRun(structs.CodeNotFound, "no queue at this place")
 		}
-		_, err := node.Do(&control.CustomerRequest{Operation: control.OpRead}, 3*time.Second)
+		_, err := node.Do(&admission.Request{Operation: admission.OpRead}, 3*time.Second)
 		Expect(err.(*structs.Refusal).Code).To(Equal(structs.CodeNotFound))
 		Expect(err.(*structs.Refusal).Outcome).To(Equal(structs.OutcomeNotRun))
 	})
@@ -166,7 +167,7 @@
 	It("returns a final refusal without a retry", func() {
 		fake.answer = func(int64) error { return structs.RefuseNotRun(structs.CodeUnauthorized, "unknown key") }
 		startedAt := time.Now()
-		_, err := node.Do(&control.CustomerRequest{Operation: control.OpRead}, 3*time.Second)
+		_, err := node.Do(&admission.Request{Operation: admission.OpRead}, 3*time.Second)
 		Expect(err.(*structs.Refusal).Code).To(Equal(structs.CodeUnauthorized))
 		Expect(time.Since(startedAt)).To(BeNumerically("<", time.Second))
 	})
