--- a/daemon/control/calls.go
+++ b/daemon/control/calls.go
@@ -142,33 +142,48 @@
 // state. It runs on the goroutine of the replication group.
 func (n *Node) leads() bool { return n.owner.controller != nil && n.group.HoldsLeaseOnLoop() }
 
-// customer serves a customer request. A command is committed before the reply.
+// maxDecisions bounds the decisions on one customer request. A job is stored or removed at
+// most a few times within the time of a request.
+const maxDecisions = 4
+
+// customer serves a customer request. A command is committed before the reply. If another
+// command was stored between the decision and its command, so that the latter changed
+// nothing, the request is decided again.
 func (n *Node) customer(r *admission.Request, remaining time.Duration) (*admission.Reply, error) {
-	var reply *admission.Reply
-	var command *workload.Command
-	var refused error
-	err := n.readAsLeader(func() {
-		reply, command, refused = n.cfg.Admission.Decide(n.state, r, clock.Unix())
+	deadline := clock.Boot() + min(remaining, proposalTimeout)
+	for range maxDecisions {
+		reply, command, err := n.decide(r)
+		if err != nil || command == nil {
+			return reply, err
+		}
+		result, err := n.propose(command, deadline-clock.Boot())
+		if err != nil {
+			n.log.Info("request not stored", "operation", r.Operation.String(), "path", r.Path, "error", err.Error())
+			return nil, err
+		}
+		n.log.Info("request stored", "operation", r.Operation.String(), "path", r.Path, "result", result.String())
+		switch result {
+		case workload.ResultApplied:
+			return &admission.Reply{}, nil
+		case workload.ResultInvalid:
+			return nil, structs.RefuseNotRun(structs.CodeInvalid, "the log refused the command")
+		}
+	}
+	return nil, structs.RefuseUnknown(structs.CodeOutcomeUnknown, "other requests for the job were stored meanwhile")
+}
+
+// decide answers a customer request, or returns the command that must be committed first.
+func (n *Node) decide(r *admission.Request) (reply *admission.Reply, command *workload.Command, err error) {
+	leaderErr := n.readAsLeader(func() {
+		reply, command, err = n.cfg.Admission.Decide(n.state, r, clock.Unix())
 		if command != nil && command.Submit != nil {
 			n.logSubmission(command.Submit)
 		}
 	})
-	if err == nil {
-		err = refused
-	}
-	if err != nil || command == nil {
-		return reply, err
-	}
-	result, err := n.propose(command, min(remaining, proposalTimeout))
-	if err != nil {
-		n.log.Info("request not stored", "operation", r.Operation.String(), "path", r.Path, "error", err.Error())
-		return nil, err
-	}
-	if result == workload.ResultInvalid {
-		return nil, structs.RefuseNotRun(structs.CodeInvalid, "the log refused the command")
+	if leaderErr != nil {
+		return nil, nil, leaderErr
 	}
-	n.log.Info("request stored", "operation", r.Operation.String(), "path", r.Path, "known", result == workload.ResultUnchanged)
-	return &admission.Reply{Unknown: result == workload.ResultUnknownJob}, nil
+	return reply, command, err
 }
 
 // logSubmission logs a job that is about to be proposed.
--- a/daemon/control/departures_test.go
+++ b/daemon/control/departures_test.go
@@ -81,7 +81,7 @@
 		_, err := node.Report(report)
 		Expect(err).NotTo(HaveOccurred())
 		_, err = node.propose(&workload.Command{At: clock.Unix(), Submit: &workload.Job{
-			ID: id, Queue: "q", Service: "s", Customer: "a", MaxAttempts: 3, Stretch: 2, Target: time.Second,
+			ID: id, QueueName: "q", Service: "s", Customer: "a", MaxAttempts: 3, Stretch: 2, Target: time.Second,
 			Spec: workload.Spec{Steps: []workload.Step{{Count: 1, Estimate: time.Minute, Demand: workload.Resources{CPU: 1000}}}},
 		}}, time.Second)
 		Expect(err).NotTo(HaveOccurred())
--- a/scheduler/admission/admission.go
+++ b/scheduler/admission/admission.go
@@ -29,31 +29,38 @@
 	if !known && !queue.Public {
 		return nil, nil, structs.RefuseNotRun(structs.CodeUnauthorized, "unknown key")
 	}
-	id := strings.TrimPrefix(r.Path, queue.Prefix)
-	if id == "" && r.Operation == OpRead {
-		return &Reply{IsQueue: true, Pending: s.Pending(queue.Name)}, nil, nil
+	if r.Path == queue.Prefix && r.Operation == OpRead {
+		return &Reply{IsQueue: true, Pending: s.Pending(queue)}, nil, nil
+	}
+	if j := s.JobAt(r.Host, r.Path); j != nil {
+		return decideKnown(r, j, unix)
 	}
+	id := strings.TrimPrefix(r.Path, queue.Prefix)
 	if !validJobID(id) {
 		return nil, nil, structs.RefuseNotRun(structs.CodeInvalid, "not the identifier of a job")
 	}
 	if r.Operation == OpSubmit {
 		return p.decideSubmit(s, r, queue, customer, id, unix)
 	}
-	j := s.Job(id)
-	if j == nil || j.Queue != queue.Name {
-		return &Reply{Unknown: true}, nil, nil
-	}
+	return &Reply{Unknown: true}, nil, nil
+}
+
+// decideKnown decides a request for a stored job. A repeated submission is answered like a
+// read.
+func decideKnown(r *Request, j *workload.Job, unix time.Duration) (*Reply, *workload.Command, error) {
 	if r.Operation == OpCancel && !j.Phase.Ended() {
-		return nil, &workload.Command{At: unix, Cancel: id}, nil
+		return nil, &workload.Command{At: unix, Cancel: j.ID}, nil
 	}
 	return &Reply{Phase: j.Phase}, nil, nil
 }
 
-// decideSubmit validates a submission and returns the command that stores the
-// job. The submission of an existing job is answered with its phase.
+// decideSubmit validates the submission of a job that is not stored and returns the command
+// that stores it.
 func (p *Policy) decideSubmit(s *workload.State, r *Request, queue *workload.Queue, customer, id string, unix time.Duration) (*Reply, *workload.Command, error) {
-	if j := s.Job(id); j != nil {
-		return &Reply{Phase: j.Phase}, nil, nil
+	if s.Job(id) != nil {
+		// The names of tasks contain the identifier only, so executors could not tell the
+		// tasks of both jobs apart.
+		return nil, nil, structs.RefuseNotRun(structs.CodeJobConflict, "a job at another place has this identifier")
 	}
 	if r.Spec == nil {
 		return nil, nil, structs.RefuseNotRun(structs.CodeInvalid, "no job")
@@ -64,17 +71,15 @@
 	if queue.Advice != nil && !p.HasAdviceService {
 		return nil, nil, structs.RefuseNotRun(structs.CodeNeverRunnable, "the queue needs advice, and no advice service is set")
 	}
+	place := queue.Place()
 	return nil, &workload.Command{At: unix, Submit: &workload.Job{
-		ID: id, Queue: queue.Name, Service: queue.Service, Customer: customer, Priority: queue.Priority,
+		ID: id, Host: place.Host, Prefix: place.Prefix, QueueName: queue.Name, Service: queue.Service, Customer: customer, Priority: queue.Priority,
 		MaxAttempts: queue.MaxAttempts, Stretch: queue.Stretch, Target: queue.Target, Spec: *r.Spec,
 	}}, nil
 }
 
-// jobIDLength is the length of a job identifier in hexadecimal digits.
-const jobIDLength = 16
-
 func validJobID(id string) bool {
-	if len(id) != jobIDLength {
+	if len(id) != workload.JobIDLength {
 		return false
 	}
 	return strings.Trim(id, "0123456789abcdefABCDEF") == ""
--- a/scheduler/fleet/advice.go
+++ b/scheduler/fleet/advice.go
@@ -42,7 +42,7 @@
 // adviceFor returns the advice held for a task set, creating an empty record if
 // necessary. It returns nil if the queue does not require advice.
 func (c *Controller) adviceFor(ts *taskSet) *stepAdvice {
-	q := c.state.QueueNamed(ts.job.Queue)
+	q := c.state.QueueNamed(ts.job.QueueName)
 	if q == nil || q.Advice == nil {
 		return nil
 	}
@@ -97,7 +97,7 @@
 			continue
 		}
 		c.adviceInFlight = true
-		q := c.state.QueueNamed(ts.job.Queue)
+		q := c.state.QueueNamed(ts.job.QueueName)
 		c.out.Calls = append(c.out.Calls, Call{
 			Kind: CallAdvise, IssuedAt: now, Token: c.term, Workers: workers,
 			Task:    ts.key.task(0),
@@ -141,7 +141,7 @@
 	if a == nil || j == nil {
 		return
 	}
-	q := c.state.QueueNamed(j.Queue)
+	q := c.state.QueueNamed(j.QueueName)
 	if response.Verdict != VerdictAccepted || q == nil || q.Advice == nil {
 		c.nextAdviceAt = now + adviceRetryDelay
 		c.log.Info("advice request failed", "job", key.job, "step", key.step, "verdict", response.Verdict.String(), "reason", response.Reason)
--- a/scheduler/fleet/decisions_test.go
+++ b/scheduler/fleet/decisions_test.go
@@ -111,7 +111,7 @@
 func (h *harness) submit(id string, priority int, step workload.Step) {
 	step.Estimate = max(step.Estimate, 10*time.Second)
 	h.apply(&workload.Command{At: h.now, Submit: &workload.Job{
-		ID: id, Queue: "q", Service: "s", Customer: "a", Priority: priority, MaxAttempts: 3, Stretch: 1.5, Target: 600 * time.Millisecond,
+		ID: id, QueueName: "q", Service: "s", Customer: "a", Priority: priority, MaxAttempts: 3, Stretch: 1.5, Target: 600 * time.Millisecond,
 		Spec: workload.Spec{Steps: []workload.Step{step}},
 	}})
 }
--- a/scheduler/fleet/departure_test.go
+++ b/scheduler/fleet/departure_test.go
@@ -178,7 +178,7 @@
 	It("is stopped, not started again, if its start got no response", func() {
 		h.dropOrders = true
 		h.apply(&workload.Command{At: h.now, Submit: &workload.Job{
-			ID: "b", Queue: "q", Service: "s", Customer: "a", MaxAttempts: 3, Stretch: 1.5, Target: time.Second,
+			ID: "b", QueueName: "q", Service: "s", Customer: "a", MaxAttempts: 3, Stretch: 1.5, Target: time.Second,
 			Spec: workload.Spec{Steps: []workload.Step{{Count: 3, Demand: needGPUs(8), Estimate: 100 * time.Millisecond}}},
 		}})
 		h.advance(40*time.Millisecond, 4)
--- a/scheduler/fleet/model_test.go
+++ b/scheduler/fleet/model_test.go
@@ -766,7 +766,7 @@
 func (cl *cluster) submit(n int) string {
 	id := fmt.Sprintf("%016x", n)
 	steps := 1 + cl.rng.IntN(2)
-	j := &workload.Job{ID: id, Queue: "q", Service: "s", Customer: "a", Priority: cl.rng.IntN(3), MaxAttempts: 12, Stretch: 2, Target: time.Second}
+	j := &workload.Job{ID: id, QueueName: "q", Service: "s", Customer: "a", Priority: cl.rng.IntN(3), MaxAttempts: 12, Stretch: 2, Target: time.Second}
 	for i := range steps {
 		s := workload.Step{
 			Count: 1 + cl.rng.IntN(4), Estimate: time.Duration(500+cl.rng.IntN(4000)) * time.Millisecond,
@@ -789,7 +789,7 @@
 // whole simulation.
 func (cl *cluster) submitFiller(n int) {
 	cl.apply(&workload.Command{At: cl.now, Submit: &workload.Job{
-		ID: fmt.Sprintf("%016x", n), Queue: "q", Service: "s", Customer: "b", Priority: 2, MaxAttempts: 3, Stretch: 2, Target: time.Second,
+		ID: fmt.Sprintf("%016x", n), QueueName: "q", Service: "s", Customer: "b", Priority: 2, MaxAttempts: 3, Stretch: 2, Target: time.Second,
 		Spec: workload.Spec{Steps: []workload.Step{{Count: 8, Estimate: 10 * time.Minute, Demand: workload.Resources{CPU: 1000, MemoryMB: 1000, GPU: 1}}}},
 	}}, cl.leader.term)
 }
@@ -801,7 +801,7 @@
 	step := workload.Step{Count: int(cl.state.Guaranteed("a") / gpus), Estimate: time.Minute, Gang: gang,
 		Demand: workload.Resources{CPU: 1000, MemoryMB: 1000, GPU: gpus}}
 	cl.apply(&workload.Command{At: cl.now, Submit: &workload.Job{
-		ID: id, Queue: "q", Service: "s", Customer: "a", MaxAttempts: 3, Stretch: 2, Target: time.Second, Spec: workload.Spec{Steps: []workload.Step{step}},
+		ID: id, QueueName: "q", Service: "s", Customer: "a", MaxAttempts: 3, Stretch: 2, Target: time.Second, Spec: workload.Spec{Steps: []workload.Step{step}},
 	}}, cl.leader.term)
 	return cl.state.Job(id)
 }
--- a/scheduler/fleet/odd_jobs_test.go
+++ b/scheduler/fleet/odd_jobs_test.go
@@ -48,7 +48,7 @@
 	It("is placed in its turn", func() {
 		const long = math.MaxInt64 / 2
 		h.apply(&workload.Command{At: h.now, Submit: &workload.Job{
-			ID: "long", Queue: "q", Service: "s", Customer: "a", Priority: 1, MaxAttempts: 3, Stretch: 1.5, Target: time.Second,
+			ID: "long", QueueName: "q", Service: "s", Customer: "a", Priority: 1, MaxAttempts: 3, Stretch: 1.5, Target: time.Second,
 			Spec: workload.Spec{Steps: []workload.Step{
 				{Count: 1, Estimate: long, Demand: workload.Resources{GPU: 8}}, {Count: 1, Estimate: long, DependsOn: []int{0}}, {Count: 1, Estimate: long, DependsOn: []int{1}},
 			}},
--- a/scheduler/fleet/run_time_model.go
+++ b/scheduler/fleet/run_time_model.go
@@ -49,10 +49,10 @@
 	if took <= 0 || estimate <= 0 {
 		return
 	}
-	queue, key := t.queues[j.Queue], jobStep{job: j.ID, step: step}
+	queue, key := t.queues[j.QueueName], jobStep{job: j.ID, step: step}
 	if queue == nil {
 		queue = &regression{}
-		t.queues[j.Queue] = queue
+		t.queues[j.QueueName] = queue
 	}
 	x, s := logSeconds(estimate), t.steps[key]
 	if s == nil {
@@ -74,7 +74,7 @@
 		expected = fromLogSeconds(s.logMean())
 		return expected, time.Duration(siblingFactor * float64(expected))
 	}
-	if queue := t.queues[j.Queue]; queue != nil && queue.n >= minRunTimeSamples && estimate > 0 {
+	if queue := t.queues[j.QueueName]; queue != nil && queue.n >= minRunTimeSamples && estimate > 0 {
 		mean, deviation := queue.predict(logSeconds(estimate))
 		return fromLogSeconds(mean), fromLogSeconds(mean + runTimeBoundDeviations*deviation)
 	}
--- a/scheduler/fleet/run_time_model_test.go
+++ b/scheduler/fleet/run_time_model_test.go
@@ -37,7 +37,7 @@
 	p.took[id] = took
 	step.Estimate = estimate
 	p.apply(&workload.Command{At: p.now, Submit: &workload.Job{
-		ID: id, Queue: "q", Service: "s", Customer: "b", Priority: priority, MaxAttempts: 3, Stretch: 1.5, Target: 600 * time.Millisecond,
+		ID: id, QueueName: "q", Service: "s", Customer: "b", Priority: priority, MaxAttempts: 3, Stretch: 1.5, Target: 600 * time.Millisecond,
 		Spec: workload.Spec{Steps: []workload.Step{step}},
 	}})
 }
--- a/scheduler/structs/refusal.go
+++ b/scheduler/structs/refusal.go
@@ -47,6 +47,7 @@
 	CodeVersionConflict      Code = "version_conflict"
 	CodeRulesInvalid         Code = "rules_invalid"
 	CodeGuaranteeDoesNotFit  Code = "guarantee_does_not_fit"
+	CodeJobConflict          Code = "job_conflict"
 	CodeKeyHomesFixed        Code = "key_homes_fixed"
 	CodeTooLarge             Code = "too_large"
 	CodeMembershipChange     Code = "membership_change_refused"
--- a/scheduler/workload/apply.go
+++ b/scheduler/workload/apply.go
@@ -52,6 +52,7 @@
 	}
 	s.config = *c
 	s.index = newIndex(&s.config)
+	s.bindAll()
 	return ResultApplied
 }
 
@@ -69,6 +70,7 @@
 	j.Sequence = s.sequence
 	j.Submitted = at
 	j.initTasks()
+	s.bind(j)
 	s.jobs[j.ID] = j
 	return ResultApplied
 }
--- a/scheduler/workload/command.go
+++ b/scheduler/workload/command.go
@@ -141,6 +141,15 @@
 	ResultInvalid
 )
 
+// String returns the name used in logs.
+func (r Result) String() string {
+	names := [...]string{"unknown", "applied", "unchanged", "unknown_job", "invalid"}
+	if int(r) >= len(names) {
+		return names[0]
+	}
+	return names[r]
+}
+
 // DecodeResult decodes a result of Apply.
 func DecodeResult(data []byte) Result {
 	if len(data) != 1 {
--- a/scheduler/workload/job.go
+++ b/scheduler/workload/job.go
@@ -84,11 +84,16 @@
 
 // Job is an accepted job.
 type Job struct {
-	ID       string `msgpack:"i"`
-	Queue    string `msgpack:"q"`
-	Service  string `msgpack:"v"`
-	Customer string `msgpack:"c"`
-	Priority int    `msgpack:"p"`
+	ID string `msgpack:"i"`
+	// Host, in lower case, and Prefix are the place of the queue at which the job was
+	// accepted. The path of the job is Prefix followed by ID. QueueName is the name that
+	// the queue had then.
+	Host      string `msgpack:"H,omitempty"`
+	Prefix    string `msgpack:"P,omitempty"`
+	QueueName string `msgpack:"q"`
+	Service   string `msgpack:"v"`
+	Customer  string `msgpack:"c"`
+	Priority  int    `msgpack:"p"`
 	// MaxAttempts is the number of failed runs of a task, or of a gang, at which the
 	// job fails; 0 means no bound.
 	MaxAttempts int           `msgpack:"m"`
@@ -108,6 +113,10 @@
 	Remaining int `msgpack:"r"`
 	// Sequence numbers the jobs in the order of their acceptance.
 	Sequence uint64 `msgpack:"n"`
+
+	// queue is the queue that the path of the job leads to, or nil. It is derived from the
+	// configuration.
+	queue *Queue
 }
 
 // initTasks allocates the occurrences, steps and tasks of an accepted job.
--- a/scheduler/workload/state.go
+++ b/scheduler/workload/state.go
@@ -106,18 +106,6 @@
 	}
 }
 
-// Pending returns the number of jobs of a queue that have not ended and of which no
-// task has started.
-func (s *State) Pending(queue string) int {
-	n := 0
-	for _, j := range s.jobs {
-		if j.Queue == queue && !j.Started && !j.Phase.Ended() {
-			n++
-		}
-	}
-	return n
-}
-
 // TaskOf returns a task and its job, each nil if it does not exist.
 func (s *State) TaskOf(key TaskKey) (*Job, *Task) {
 	j := s.jobs[key.Job]
@@ -167,6 +155,7 @@
 func (s *State) rebuild() {
 	s.changes++
 	s.index = newIndex(&s.config)
+	s.bindAll()
 	s.runs = map[ExecutorKey]map[TaskKey]*Run{}
 	for _, j := range s.jobs {
 		for k := range j.Occurrences {
--- a/scheduler/workload/workload_test.go
+++ b/scheduler/workload/workload_test.go
@@ -34,7 +34,7 @@
 }
 
 func job(id string, attempts int, steps ...workload.Step) *workload.Job {
-	return &workload.Job{ID: id, Queue: "q", MaxAttempts: attempts, Spec: workload.Spec{Steps: steps}}
+	return &workload.Job{ID: id, QueueName: "q", MaxAttempts: attempts, Spec: workload.Spec{Steps: steps}}
 }
 
 func key(id string, step, index int) workload.TaskKey {
