The key of one customer no longer reads or cancels the jobs of another

The users' protocol: "A call carries a key of the job's tenant". Any known key was enough, since the customer of the job was not looked at. Reading and cancelling are refused now (403, forbidden), and a submission under an identifier that another customer's job has is a conflict (409) instead of being answered as stored.

A job whose customer is no longer configured stays open to known keys, because a version may have renamed the customer; public queues stay open to everybody. Test: 'a job of one customer' (admission), one of its three specs failed before.

--- a/scheduler/admission/admission.go
+++ b/scheduler/admission/admission.go
@@ -33,6 +33,9 @@
 		return &Reply{IsQueue: true, Pending: s.Pending(queue)}, nil, nil
 	}
 	if j := s.JobAt(r.Host, r.Path); j != nil {
+		if !queue.Public && belongsToOther(s, j, customer) {
+			return nil, nil, refuseForeign(r.Operation)
+		}
 		return decideKnown(r, j, unix)
 	}
 	id := strings.TrimPrefix(r.Path, queue.Prefix)
@@ -45,6 +48,20 @@
 	return &Reply{Unknown: true}, nil, nil
 }
 
+// belongsToOther reports whether a job is that of another customer. A job whose customer is
+// no longer configured belongs to nobody: a version may have given the customer another name.
+func belongsToOther(s *workload.State, j *workload.Job, customer string) bool {
+	return j.Customer != customer && s.HasCustomer(j.Customer)
+}
+
+// refuseForeign returns the refusal of a request for a job of another customer.
+func refuseForeign(operation Operation) *structs.Refusal {
+	if operation == OpSubmit {
+		return structs.RefuseNotRun(structs.CodeJobConflict, "a job of another customer has this identifier")
+	}
+	return structs.RefuseNotRun(structs.CodeForbidden, "the job belongs to another customer")
+}
+
 // decideKnown decides a request for a stored job. A repeated submission is answered like a
 // read.
 func decideKnown(r *Request, j *workload.Job, unix time.Duration) (*Reply, *workload.Command, error) {
--- a/scheduler/admission/place_test.go
+++ b/scheduler/admission/place_test.go
@@ -180,6 +180,42 @@
 	})
 })
 
+var _ = Describe("a job of one customer", func() {
+	// Guards against a customer that reads and cancels the jobs of another one.
+	It("is neither read nor cancelled nor submitted with the key of another", func() {
+		s := newService(queue("q", "/a/"))
+		s.submit("/a/" + jobID)
+		for operation, refusal := range map[admission.Operation]structs.Code{
+			admission.OpRead: structs.CodeForbidden, admission.OpCancel: structs.CodeForbidden, admission.OpSubmit: structs.CodeJobConflict,
+		} {
+			_, code := s.do(operation, "key-b", "/a/"+jobID)
+			Expect(code).To(Equal(refusal))
+		}
+		Expect(s.state.Job(jobID).Phase).To(Equal(workload.Queued))
+	})
+
+	// Guards against callers without a key who are refused although their queue needs none.
+	It("is open to every caller of a public queue", func() {
+		public := queue("q", "/a/")
+		public.Public = true
+		s := newService(public)
+		s.submit("/a/" + jobID)
+		_, code := s.do(admission.OpCancel, "", "/a/"+jobID)
+		Expect(code).To(BeEmpty())
+	})
+
+	// Guards against jobs that nobody can cancel any more, because their customer has got
+	// another name.
+	It("is open to a customer with a known key once its own is not configured", func() {
+		s := newService(queue("q", "/a/"))
+		s.submit("/a/" + jobID)
+		c := *s.state.Config()
+		c.Version, c.Customers = 2, []workload.Customer{{Name: "c", Keys: []string{"key-a"}}}
+		Expect(s.apply(&workload.Command{Configure: &c})).To(Equal(workload.ResultApplied))
+		s.expectKnown("/a/" + jobID)
+	})
+})
+
 var _ = Describe("a job that an earlier version accepted", func() {
 	// Guards against jobs that are lost with the upgrade: they store the name of their
 	// queue and no place.
--- a/scheduler/workload/state.go
+++ b/scheduler/workload/state.go
@@ -57,6 +57,9 @@
 	return name, found
 }
 
+// HasCustomer reports whether the current configuration lists a customer.
+func (s *State) HasCustomer(name string) bool { return s.index.customers[name] != nil }
+
 // Guaranteed returns the number of accelerators guaranteed to a customer.
 func (s *State) Guaranteed(customer string) int64 {
 	if c := s.index.customers[customer]; c != nil {
