--- a/scheduler/fleet/decisions_test.go
+++ b/scheduler/fleet/decisions_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -27,6 +28,8 @@
 	// answered holds the incarnations that have answered their first hold. Those of changed
 	// reports do not.
 	answered map[workload.ExecutorKey]bool
+	// services holds the services of the executors whose service is not "s".
+	services map[int]string
 }
 
 func newHarness() *harness {
@@ -52,7 +55,7 @@
 func (h *harness) report(n int, change func(*fleet.Report)) {
 	h.sequence++
 	r := fleet.Report{
-		Executor: workload.ExecutorKey{ID: fmt.Sprintf("i-%d", n), Incarnation: 1}, Sequence: h.sequence, Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", n),
+		Executor: workload.ExecutorKey{ID: fmt.Sprintf("i-%d", n), Incarnation: 1}, Sequence: h.sequence, Service: cmp.Or(h.services[n], "s"), Address: fmt.Sprintf("10.0.0.%d:80", n),
 		Capacity: workload.Resources{CPU: 64000, MemoryMB: 64000, GPU: 8}, Labels: []string{"a", fmt.Sprintf("r1-%d", n/2)}, Clock: h.now,
 	}
 	if change != nil {
--- a/scheduler/fleet/gang_reservation.go
+++ b/scheduler/fleet/gang_reservation.go
@@ -46,6 +46,10 @@
 		case res.taskSet == nil:
 			delete(c.reservations, key)
 			continue
+		case !res.taskSet.matchesAll(res.targets):
+			// The service of its queue has changed.
+			delete(c.reservations, key)
+			continue
 		case rs.anyUnavailable(res.targets):
 			c.countOutdated(rs, key, res, DropUnavailable)
 			res.targets = slices.DeleteFunc(res.targets, func(e *executor) bool { _, listed := rs.free[e]; return !listed })
--- a/scheduler/fleet/placement.go
+++ b/scheduler/fleet/placement.go
@@ -32,7 +32,7 @@
 			return nil, false
 		}
 	}
-	if ts.step.DataRack != "" && !mayLeave && len(rs.racks[ts.step.DataRack]) > 0 {
+	if ts.step.DataRack != "" && !mayLeave && slices.ContainsFunc(rs.racks[ts.step.DataRack], ts.matches) {
 		return rs.findPlacesOn(ts, rs.racks[ts.step.DataRack], avoided)
 	}
 	return rs.findPlacesOn(ts, rs.executors, avoided)
@@ -109,7 +109,9 @@
 	for _, members := range rs.racks {
 		n := 0
 		for _, e := range members {
-			n += fitCount(e.capacity, ts.step.Allocation())
+			if ts.matches(e) {
+				n += fitCount(e.capacity, ts.step.Allocation())
+			}
 		}
 		if n >= len(ts.tasks) {
 			return true
--- a/scheduler/fleet/preemption.go
+++ b/scheduler/fleet/preemption.go
@@ -44,11 +44,11 @@
 	pre.expiresAt = now + cfg.StopTime + preemptionMargin
 }
 
-// expirePreemptions drops preemptions whose task set no longer waits, whose
-// time is up, or whose executors accept no runs.
+// expirePreemptions drops preemptions whose task set no longer waits or has another
+// service, whose time is up, or whose executors accept no runs.
 func (c *Controller) expirePreemptions(now time.Duration, rs *roundState, waiting map[stepKey]*taskSet) {
 	for key, pre := range c.preemptions {
-		if waiting[key] == nil || rs.anyUnavailable(pre.targets) || now >= pre.expiresAt {
+		if ts := waiting[key]; ts == nil || !ts.matchesAll(pre.targets) || rs.anyUnavailable(pre.targets) || now >= pre.expiresAt {
 			delete(c.preemptions, key)
 		}
 	}
--- a/scheduler/fleet/round_state.go
+++ b/scheduler/fleet/round_state.go
@@ -181,6 +181,11 @@
 	return e.service == ts.job.Service && (ts.step.Requires == "" || e.hasLabel(ts.step.Requires))
 }
 
+// matchesAll reports whether a task set matches all of the executors.
+func (ts *taskSet) matchesAll(executors []*executor) bool {
+	return !slices.ContainsFunc(executors, func(e *executor) bool { return !ts.matches(e) })
+}
+
 // satisfiesConstraints reports whether the constraints of a step let it run on
 // an executor.
 func (rs *roundState) satisfiesConstraints(ts *taskSet, e *executor) bool {
--- a/scheduler/workload/place.go
+++ b/scheduler/workload/place.go
@@ -53,14 +53,17 @@
 	return strings.ToLower(host) == j.Host && path == j.path()
 }
 
-// bind assigns a job to the queue that its path leads to under the current configuration, or
-// to none.
+// bind assigns a job to the queue that its path leads to under the current configuration, and
+// to the service of that queue. Without such a queue the job keeps the last service.
 func (s *State) bind(j *Job) {
 	if j.hasNoPlace() {
 		j.queue = s.index.queues[j.QueueName]
-		return
+	} else {
+		j.queue = s.index.match(j.Host, j.path())
+	}
+	if j.queue != nil {
+		j.Service = j.queue.Service
 	}
-	j.queue = s.index.match(j.Host, j.path())
 }
 
 func (s *State) bindAll() {
