Reports of executors in use count while their service is not configured

While no configuration named a service, the reports of its executors were acknowledged and ignored: a drain was not stored, a restart not seen, and executors without runs counted as silent, although what had started there went on.

A report counts now if its service is configured, or if it comes from an executor that was in use, from its next incarnation or from the next one at its address, under the same service. Others under an unknown service name no executor to use, as before.

--- a/daemon/control/calls.go
+++ b/daemon/control/calls.go
@@ -222,9 +222,9 @@
 	executors := 0
 	var entry *workload.Executor
 	err := n.runAsLeader(func(now time.Duration) {
-		// A report for a service that is not configured belongs to no executor
-		// pool and is ignored.
-		if n.state.Service(r.Service) != nil {
+		// A report for a service that is not configured names no executor to use, unless
+		// the executor was in use before the service was dropped.
+		if n.state.Service(r.Service) != nil || n.owner.controller.IsMember(&r) {
 			current, entry = n.owner.controller.Report(now, r)
 			executors = n.owner.controller.ExecutorCount()
 		}
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -153,6 +153,21 @@
 // ExecutorCount returns the number of known executors.
 func (c *Controller) ExecutorCount() int { return len(c.executors) }
 
+// IsMember reports whether a report comes from an executor of a pool that is in use, or from
+// the next incarnation at its ID or address. Its service may be dropped from the
+// configuration while it has runs.
+func (c *Controller) IsMember(r *Report) bool {
+	if c.lost[r.Executor] != nil {
+		return true
+	}
+	for _, e := range []*executor{c.executors[r.Executor.ID], c.byAddress[r.Address]} {
+		if e != nil && e.service == r.Service {
+			return true
+		}
+	}
+	return false
+}
+
 // Report processes an executor's report and returns whether it came from the
 // current incarnation. If registration is not nil, it must be stored in the directory
 // before the report is acknowledged.
