--- a/scheduler/fleet/advice.go
+++ b/scheduler/fleet/advice.go
@@ -42,8 +42,7 @@
 // adviceFor returns the advice held for a task set, creating an empty record if
 // necessary. It returns nil if the queue does not require advice.
 func (c *Controller) adviceFor(ts *taskSet) *stepAdvice {
-	q := c.state.QueueNamed(ts.job.QueueName)
-	if q == nil || q.Advice == nil {
+	if ts.job.Advice == nil {
 		return nil
 	}
 	a := c.advices[ts.key]
@@ -97,11 +96,11 @@
 			continue
 		}
 		c.adviceInFlight = true
-		q := c.state.QueueNamed(ts.job.QueueName)
+		needed := ts.job.Advice
 		c.out.Calls = append(c.out.Calls, Call{
 			Kind: CallAdvise, IssuedAt: now, Token: c.term, Workers: workers,
 			Task:    ts.key.task(0),
-			Timeout: adviceTimeoutMargin + q.Advice.BaseLatency + time.Duration(len(workers))*q.Advice.LatencyPerExecutor,
+			Timeout: adviceTimeoutMargin + needed.BaseLatency + time.Duration(len(workers))*needed.LatencyPerExecutor,
 		})
 		return
 	}
@@ -141,8 +140,7 @@
 	if a == nil || j == nil {
 		return
 	}
-	q := c.state.QueueNamed(j.QueueName)
-	if response.Verdict != VerdictAccepted || q == nil || q.Advice == nil {
+	if response.Verdict != VerdictAccepted || j.Advice == nil {
 		c.nextAdviceAt = now + adviceRetryDelay
 		c.log.Info("advice request failed", "job", key.job, "step", key.step, "verdict", response.Verdict.String(), "reason", response.Reason)
 		return
@@ -154,7 +152,7 @@
 	}
 	for _, t := range response.Tickets {
 		if e := c.executors[t.Executor]; e != nil {
-			a.tickets[e.key] = issuedTicket{value: t.Value, expiresAt: call.IssuedAt + q.Advice.TicketTTL}
+			a.tickets[e.key] = issuedTicket{value: t.Value, expiresAt: call.IssuedAt + j.Advice.TicketTTL}
 		}
 	}
 	c.log.Info("advice received", "job", key.job, "step", key.step, "asked", len(call.Workers), "good", len(response.Tickets), "took_ms", (now - call.IssuedAt).Milliseconds())
--- a/scheduler/workload/job.go
+++ b/scheduler/workload/job.go
@@ -91,11 +91,12 @@
 	Host      string `msgpack:"H,omitempty"`
 	Prefix    string `msgpack:"P,omitempty"`
 	QueueName string `msgpack:"q"`
-	// Service is that of the queue at the place of the job, or the last one while there is
-	// none.
-	Service  string `msgpack:"v"`
-	Customer string `msgpack:"c"`
-	Priority int    `msgpack:"p"`
+	// Service and Advice are those of the queue at the place of the job, or the last ones
+	// while there is none.
+	Service  string  `msgpack:"v"`
+	Advice   *Advice `msgpack:"A,omitempty"`
+	Customer string  `msgpack:"c"`
+	Priority int     `msgpack:"p"`
 	// MaxAttempts is the number of failed runs of a task, or of a gang, at which the
 	// job fails; 0 means no bound.
 	MaxAttempts int           `msgpack:"m"`
--- a/scheduler/workload/place.go
+++ b/scheduler/workload/place.go
@@ -54,7 +54,8 @@
 }
 
 // bind assigns a job to the queue that its path leads to under the current configuration, and
-// to the service of that queue. Without such a queue the job keeps the last service.
+// to the service and the advice of that queue. Without such a queue the job keeps the last
+// ones.
 func (s *State) bind(j *Job) {
 	if j.hasNoPlace() {
 		j.queue = s.index.queues[j.QueueName]
@@ -62,7 +63,7 @@
 		j.queue = s.index.match(j.Host, j.path())
 	}
 	if j.queue != nil {
-		j.Service = j.queue.Service
+		j.Service, j.Advice = j.queue.Service, j.queue.Advice
 	}
 }
 
--- a/scheduler/workload/state.go
+++ b/scheduler/workload/state.go
@@ -48,9 +48,6 @@
 // Match returns the queue for a host and a path, or nil.
 func (s *State) Match(host, path string) *Queue { return s.index.match(host, path) }
 
-// QueueNamed returns a queue of the current configuration, or nil.
-func (s *State) QueueNamed(name string) *Queue { return s.index.queues[name] }
-
 // CustomerOf returns the customer that holds a key.
 func (s *State) CustomerOf(key string) (string, bool) {
 	name, found := s.index.keys[key]
