Run times and work are measured for the place of a queue

Once a version had given a queue another name, its measured run times and the mean work of its jobs no longer counted: rough estimates were trusted again. Both are kept by the place at which the jobs were accepted now. Test: 'are corrected by what was measured at the same place under another name' failed with the name as the key.

--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -53,7 +53,7 @@
 	// workAverages holds the average work per job of each queue. lastCounted is
 	// the sequence number of the last job counted in earlier rounds, lastSeen
 	// that of the last job counted in this round.
-	workAverages          map[string]workAverage
+	workAverages          map[workload.Place]workAverage
 	lastCounted, lastSeen uint64
 	// demands tracks the demand for urgent capacity of each service.
 	demands map[string]*demand
@@ -86,7 +86,7 @@
 		runTimes:      newRunTimes(),
 		advices:       map[stepKey]*stepAdvice{},
 		demands:       map[string]*demand{},
-		workAverages:  map[string]workAverage{},
+		workAverages:  map[workload.Place]workAverage{},
 		pendingStarts: map[workload.TaskKey]workload.Start{},
 		runnableSince: map[stepKey]time.Duration{},
 		failedOn:      map[workload.TaskKey][]string{},
--- a/scheduler/fleet/job_value.go
+++ b/scheduler/fleet/job_value.go
@@ -60,7 +60,7 @@
 // value returns the value of a job relative to an average job of its queue. One
 // part is the same for all jobs, the rest is proportional to the work.
 func (c *Controller) value(j *workload.Job) float64 {
-	mean := c.workAverages[j.QueueName]
+	mean := c.workAverages[j.Place()]
 	if mean.jobs == 0 {
 		return 1
 	}
@@ -83,10 +83,10 @@
 	if j.Sequence <= c.lastCounted {
 		return
 	}
-	mean := c.workAverages[j.QueueName]
+	mean := c.workAverages[j.Place()]
 	mean.jobs++
 	mean.work += work(&j.Spec)
-	c.workAverages[j.QueueName] = mean
+	c.workAverages[j.Place()] = mean
 	c.lastSeen = max(c.lastSeen, j.Sequence)
 }
 
--- a/scheduler/fleet/run_time_model.go
+++ b/scheduler/fleet/run_time_model.go
@@ -24,7 +24,7 @@
 // nearly equal.
 type runTimes struct {
 	steps  map[jobStep]*stepRunTime
-	queues map[string]*regression
+	queues map[workload.Place]*regression
 }
 
 // jobStep identifies a step in all occurrences of a job.
@@ -39,7 +39,7 @@
 func (s *stepRunTime) logMean() float64 { return s.logSum / s.count }
 
 func newRunTimes() *runTimes {
-	return &runTimes{steps: map[jobStep]*stepRunTime{}, queues: map[string]*regression{}}
+	return &runTimes{steps: map[jobStep]*stepRunTime{}, queues: map[workload.Place]*regression{}}
 }
 
 // record adds the measured run time of one task. Each step is one sample of its
@@ -49,10 +49,10 @@
 	if took <= 0 || estimate <= 0 {
 		return
 	}
-	queue, key := t.queues[j.QueueName], jobStep{job: j.ID, step: step}
+	queue, key := t.queues[j.Place()], jobStep{job: j.ID, step: step}
 	if queue == nil {
 		queue = &regression{}
-		t.queues[j.QueueName] = queue
+		t.queues[j.Place()] = queue
 	}
 	x, s := logSeconds(estimate), t.steps[key]
 	if s == nil {
@@ -74,7 +74,7 @@
 		expected = fromLogSeconds(s.logMean())
 		return expected, time.Duration(siblingFactor * float64(expected))
 	}
-	if queue := t.queues[j.QueueName]; queue != nil && queue.n >= minRunTimeSamples && estimate > 0 {
+	if queue := t.queues[j.Place()]; queue != nil && queue.n >= minRunTimeSamples && estimate > 0 {
 		mean, deviation := queue.predict(logSeconds(estimate))
 		return fromLogSeconds(mean), fromLogSeconds(mean + runTimeBoundDeviations*deviation)
 	}
--- a/scheduler/fleet/run_time_model_test.go
+++ b/scheduler/fleet/run_time_model_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"time"
@@ -23,6 +24,9 @@
 	answered map[int]time.Duration
 	ends     int64
 	lines    []string
+	// place and queueName are those of the jobs' queue.
+	place     workload.Place
+	queueName string
 }
 
 func newPool(executors int) *pool {
@@ -37,7 +41,7 @@
 	p.took[id] = took
 	step.Estimate = estimate
 	p.apply(&workload.Command{At: p.now, Submit: &workload.Job{
-		ID: id, QueueName: "q", Service: "s", Customer: "b", Priority: priority, MaxAttempts: 3, Stretch: 1.5, Target: 600 * time.Millisecond,
+		ID: id, Host: p.place.Host, Prefix: p.place.Prefix, QueueName: cmp.Or(p.queueName, "q"), Service: "s", Customer: "b", Priority: priority, MaxAttempts: 3, Stretch: 1.5, Target: 600 * time.Millisecond,
 		Spec: workload.Spec{Steps: []workload.Step{step}},
 	}})
 }
@@ -145,4 +149,17 @@
 		Expect(p.logged(`"msg":"gang waits","job":"gang"`)).To(BeTrue())
 		Expect(p.logged(`"msg":"gang waits","job":"gang"`, `"reason":"no_value"`)).To(BeFalse())
 	})
+
+	// Guards against rough estimates that are trusted again once a version has given the
+	// queue another name.
+	It("are corrected by what was measured at the same place under another name", func() {
+		p := newPool(2)
+		p.place = workload.Place{Host: "h", Prefix: "/a/"}
+		p.measure(time.Second, 4*time.Second)
+		p.queueName = "other"
+		p.add("late", 2, time.Second, 4*time.Second, workload.Step{Count: 1, Demand: needGPUs(1)})
+		p.apply(&workload.Command{At: p.now, Cancel: "late"})
+		p.run(time.Second)
+		Expect(p.logged(`"msg":"job ended","job":"late"`, `"chain_ms":4`)).To(BeTrue())
+	})
 })
