--- a/cmd/cranberrydrumd/platform.go
+++ b/cmd/cranberrydrumd/platform.go
@@ -99,7 +99,10 @@
 	cfg := control.Config{
 		Host: s.Host, PeerPort: s.PeerPort, ReportAddress: s.ControlListen, AcceptLimit: budget.AcceptLimit, DataDir: s.DataDir, Bootstrap: s.Bootstrap,
 		Seeds: seedReader(s, log), MaxFaults: s.MaxFaults, ReplaceWithin: s.ReplaceWithin, LowPriority: s.HasLargerRemoteRegion(), Fleet: s.Fleet,
-		Executors: platform.NewExecutorClient(s.AdviceAddress, budget, log), Admission: admission.Policy{HasAdviceService: s.AdviceAddress != ""}, Logger: log, Observer: observer,
+		Executors: platform.NewExecutorClient(s.AdviceAddress, budget, log), Logger: log, Observer: observer,
+		Admission: admission.Policy{
+			HasAdviceService: s.AdviceAddress != "", MaxTombstones: admission.TombstoneLimit(int64(s.MemoryMB) << 20), Retention: s.Fleet.JobRetention(),
+		},
 	}
 	for {
 		err := serveControl(&cfg, s, budget, stop)
--- a/daemon/control/calls.go
+++ b/daemon/control/calls.go
@@ -164,7 +164,7 @@
 		n.log.Info("request stored", "operation", r.Operation.String(), "path", r.Path, "result", result.String())
 		switch result {
 		case workload.ResultApplied:
-			return &admission.Reply{}, nil
+			return reply, nil
 		case workload.ResultInvalid:
 			return nil, structs.RefuseNotRun(structs.CodeInvalid, "the log refused the command")
 		}
@@ -172,12 +172,13 @@
 	return nil, structs.RefuseUnknown(structs.CodeOutcomeUnknown, "other requests for the job were stored meanwhile")
 }
 
-// decide answers a customer request, or returns the command that must be committed first.
+// decide answers a customer request. The reply holds once the command, if there is one, is
+// committed.
 func (n *Node) decide(r *admission.Request) (reply *admission.Reply, command *workload.Command, err error) {
 	leaderErr := n.readAsLeader(func() {
 		reply, command, err = n.cfg.Admission.Decide(n.state, r, clock.Unix())
 		if command != nil && command.Submit != nil {
-			n.logSubmission(command.Submit)
+			n.logProposedJob(command.Submit)
 		}
 	})
 	if leaderErr != nil {
@@ -186,8 +187,12 @@
 	return reply, command, err
 }
 
-// logSubmission logs a job that is about to be proposed.
-func (n *Node) logSubmission(j *workload.Job) {
+// logProposedJob logs a job or a tombstone that is about to be proposed.
+func (n *Node) logProposedJob(j *workload.Job) {
+	if j.Tombstone {
+		n.log.Info("cancel of an unknown job proposed", "job", j.ID, "customer", j.Customer, "config_version", n.state.Config().Version)
+		return
+	}
 	first := &j.Spec.Steps[0]
 	n.log.Info("job proposed", "job", j.ID, "customer", j.Customer, "priority", j.Priority, "steps", len(j.Spec.Steps), "tasks", first.Count,
 		"cpu", first.Demand.CPU, "gpu", first.Demand.GPU, "traits", first.Traits(), "repeats", j.Spec.Repeats,
--- a/scheduler/admission/admission.go
+++ b/scheduler/admission/admission.go
@@ -12,11 +12,33 @@
 type Policy struct {
 	// HasAdviceService is set if an advice service is configured.
 	HasAdviceService bool
+	// MaxTombstones bounds the tombstones, which record cancels of jobs that are not stored.
+	MaxTombstones int
+	// Retention is how long ended jobs and tombstones are kept after their last cancel.
+	Retention time.Duration
 }
 
-// Decide answers a request from the state, or returns the command that must be
-// committed before the request can be answered. unix is the Unix time at this host. The
-// error is a *structs.Refusal.
+// renewalShare is the share of the retention after which a repeated cancel is stored again, so
+// that its confirmation holds for the rest of it at least.
+const renewalShare = 0.2
+
+const (
+	// tombstoneBytes is more memory than a tombstone takes, with its copy in a snapshot that is
+	// being written.
+	tombstoneBytes = 1 << 10
+	// tombstoneShare is the share of the memory of a host that tombstones may take.
+	tombstoneShare = 1.0 / 32
+)
+
+// TombstoneLimit returns the number of tombstones for which a host with a given memory, in
+// bytes, has room.
+func TombstoneLimit(memory int64) int {
+	return int(tombstoneShare * float64(memory) / tombstoneBytes)
+}
+
+// Decide answers a request from the state. If it returns a command, the reply holds once that
+// was applied with ResultApplied; with any other result the request has to be decided again.
+// unix is the Unix time at this host. The error is a *structs.Refusal.
 func (p *Policy) Decide(s *workload.State, r *Request, unix time.Duration) (*Reply, *workload.Command, error) {
 	if !s.Configured() {
 		return nil, nil, structs.RefuseNotRun(structs.CodeNoConfig, "no configuration yet")
@@ -36,7 +58,7 @@
 		if !queue.Public && belongsToOther(s, j, customer) {
 			return nil, nil, refuseForeign(r.Operation)
 		}
-		return decideKnown(r, j, unix)
+		return p.decideKnown(r, j, unix)
 	}
 	id := strings.TrimPrefix(r.Path, queue.Prefix)
 	if !validJobID(id) {
@@ -45,6 +67,9 @@
 	if r.Operation == OpSubmit {
 		return p.decideSubmit(s, r, queue, customer, id, unix)
 	}
+	if r.Operation == OpCancel {
+		return p.decideUnknownCancel(s, queue.Place(), customer, id, unix)
+	}
 	return &Reply{Unknown: true}, nil, nil
 }
 
@@ -64,11 +89,57 @@
 
 // decideKnown decides a request for a stored job. A repeated submission is answered like a
 // read.
-func decideKnown(r *Request, j *workload.Job, unix time.Duration) (*Reply, *workload.Command, error) {
-	if r.Operation == OpCancel && !j.Phase.Ended() {
-		return nil, &workload.Command{At: unix, Cancel: j.ID}, nil
+func (p *Policy) decideKnown(r *Request, j *workload.Job, unix time.Duration) (*Reply, *workload.Command, error) {
+	reply := &Reply{Phase: j.Phase, Unknown: j.Tombstone}
+	switch {
+	case j.Tombstone && r.Operation == OpSubmit:
+		return nil, nil, structs.RefuseNotRun(structs.CodeCancelled, "the job was cancelled before it was submitted")
+	case r.Operation == OpCancel && (!j.Phase.Ended() || p.needsRenewal(j, unix)):
+		return reply, &workload.Command{At: unix, Cancel: j.ID}, nil
+	}
+	return reply, nil, nil
+}
+
+// needsRenewal reports whether the cancel of an ended job has to be stored again.
+func (p *Policy) needsRenewal(j *workload.Job, unix time.Duration) bool {
+	return unix-j.RetainedSince() > time.Duration(renewalShare*float64(p.Retention))
+}
+
+// decideUnknownCancel decides the cancel of a job that is not stored. While a job at another
+// place has its identifier, no submission of it is accepted.
+func (p *Policy) decideUnknownCancel(s *workload.State, place workload.Place, customer, id string, unix time.Duration) (*Reply, *workload.Command, error) {
+	other := s.Job(id)
+	switch {
+	case other == nil:
+		return p.recordCancel(s, place, customer, id, unix)
+	case other.Phase.Ended() && p.needsRenewal(other, unix):
+		return &Reply{Unknown: true}, &workload.Command{At: unix, Cancel: id}, nil
 	}
-	return &Reply{Phase: j.Phase}, nil, nil
+	return &Reply{Unknown: true}, nil, nil
+}
+
+// recordCancel returns the command that records the cancel of a job that is not stored. Its
+// submission may still be on its way, and must not be accepted once the cancel is confirmed.
+// A customer gets at most as many records as are left free, so that one cannot take the room
+// of all.
+func (p *Policy) recordCancel(s *workload.State, place workload.Place, customer, id string, unix time.Duration) (*Reply, *workload.Command, error) {
+	if own, all := s.Tombstones(customer); own >= p.MaxTombstones-all {
+		refusal := structs.RefuseNotRun(structs.CodeCancelCapacity, "too many cancels of unknown jobs are recorded")
+		refusal.RetryAfter = p.untilExpiry(s, unix)
+		return nil, nil, refusal
+	}
+	return &Reply{Unknown: true}, &workload.Command{At: unix, Submit: workload.NewTombstone(id, place, customer, unix)}, nil
+}
+
+// untilExpiry returns the time until the oldest tombstone expires.
+func (p *Policy) untilExpiry(s *workload.State, unix time.Duration) time.Duration {
+	oldest := unix
+	s.Jobs(func(j *workload.Job) {
+		if j.Tombstone {
+			oldest = min(oldest, j.RetainedSince())
+		}
+	})
+	return max(0, oldest+p.Retention-unix)
 }
 
 // decideSubmit validates the submission of a job that is not stored and returns the command
@@ -89,7 +160,7 @@
 		return nil, nil, structs.RefuseNotRun(structs.CodeNeverRunnable, "the queue needs advice, and no advice service is set")
 	}
 	place := queue.Place()
-	return nil, &workload.Command{At: unix, Submit: &workload.Job{
+	return &Reply{Phase: workload.Queued}, &workload.Command{At: unix, Submit: &workload.Job{
 		ID: id, Host: place.Host, Prefix: place.Prefix, QueueName: queue.Name, Service: queue.Service, Customer: customer, Priority: queue.Priority,
 		MaxAttempts: queue.MaxAttempts, Stretch: queue.Stretch, Target: queue.Target, Spec: *r.Spec,
 	}}, nil
--- a/scheduler/admission/place_test.go
+++ b/scheduler/admission/place_test.go
@@ -26,7 +26,7 @@
 }
 
 func newService(queues ...workload.Queue) *service {
-	s := &service{state: workload.New(), now: time.Hour}
+	s := &service{state: workload.New(), now: time.Hour, policy: admission.Policy{MaxTombstones: 100, Retention: time.Minute}}
 	s.configure(1, queues...)
 	return s
 }
@@ -73,7 +73,7 @@
 		return reply, ""
 	}
 	Expect(s.apply(command)).To(Equal(workload.ResultApplied))
-	return &admission.Reply{}, ""
+	return reply, ""
 }
 
 func (s *service) submit(path string) {
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -419,7 +419,7 @@
 	c.nextCleanup = now + cleanupInterval
 	var ids []string
 	c.state.Jobs(func(j *workload.Job) {
-		if j.Phase.Ended() && unix-j.EndedAt > c.cfg.Retention+c.cfg.Retention/4 {
+		if j.Phase.Ended() && unix-j.RetainedSince() > c.cfg.JobRetention() {
 			ids = append(ids, j.ID)
 		}
 	})
--- a/scheduler/fleet/job_value.go
+++ b/scheduler/fleet/job_value.go
@@ -80,7 +80,7 @@
 // countWork adds a job to the average of its queue if it was accepted since the
 // last round.
 func (c *Controller) countWork(j *workload.Job) {
-	if j.Sequence <= c.lastCounted {
+	if j.Sequence <= c.lastCounted || j.Tombstone {
 		return
 	}
 	mean := c.workAverages[j.Place()]
--- a/scheduler/fleet/types.go
+++ b/scheduler/fleet/types.go
@@ -19,7 +19,7 @@
 	ReclaimTime time.Duration
 	// ReportInterval is the time between two reports of an executor.
 	ReportInterval time.Duration
-	// Retention is how long the state of an ended job can be read.
+	// Retention is how long the state of an ended job can be read at least.
 	Retention time.Duration
 	// SpreadFactor is the factor by which tasks take longer away from their
 	// preferred rack.
@@ -29,6 +29,21 @@
 	MaxLongPolls int
 }
 
+const (
+	// retentionMargin multiplies the time for which the state of an ended job can be read,
+	// which customers count from when they see the end.
+	retentionMargin = 1.25
+	// minJobRetention covers requests that a suspended host or a cut link holds back. A
+	// submission that arrives after the record of its job was removed would run the job
+	// again, or in spite of its cancel.
+	minJobRetention = 2 * time.Minute
+)
+
+// JobRetention returns how long ended jobs are kept.
+func (s *Settings) JobRetention() time.Duration {
+	return time.Duration(retentionMargin * float64(max(s.Retention, minJobRetention)))
+}
+
 // Report is an executor's report about itself.
 type Report struct {
 	Executor workload.ExecutorKey
--- a/scheduler/structs/refusal.go
+++ b/scheduler/structs/refusal.go
@@ -48,6 +48,7 @@
 	CodeRulesInvalid         Code = "rules_invalid"
 	CodeGuaranteeDoesNotFit  Code = "guarantee_does_not_fit"
 	CodeJobConflict          Code = "job_conflict"
+	CodeCancelCapacity       Code = "cancel_capacity"
 	CodeKeyHomesFixed        Code = "key_homes_fixed"
 	CodeTooLarge             Code = "too_large"
 	CodeMembershipChange     Code = "membership_change_refused"
--- a/scheduler/workload/apply.go
+++ b/scheduler/workload/apply.go
@@ -71,6 +71,7 @@
 	j.Submitted = at
 	j.initTasks()
 	s.bind(j)
+	s.countTombstone(j, 1)
 	s.jobs[j.ID] = j
 	return ResultApplied
 }
@@ -80,6 +81,8 @@
 	if j == nil {
 		return ResultUnknownJob
 	}
+	// No command depends on this time, which earlier versions do not store.
+	j.LastCancel = at
 	if !j.Phase.Ended() {
 		j.Phase, j.EndedAt = Cancelled, at
 		s.recordEnded(j)
@@ -91,6 +94,7 @@
 func (s *State) purge(ids []string) Result {
 	for _, id := range ids {
 		if j := s.jobs[id]; j != nil && j.Phase.Ended() && !j.HasRuns() {
+			s.countTombstone(j, -1)
 			delete(s.jobs, id)
 		}
 	}
--- a/scheduler/workload/job.go
+++ b/scheduler/workload/job.go
@@ -107,10 +107,14 @@
 	Spec      Spec          `msgpack:"s"`
 
 	Phase Phase `msgpack:"h"`
+	// Tombstone is set on the record of a cancel whose job was not submitted before.
+	Tombstone bool `msgpack:"T,omitempty"`
 	// Started is set once the job has had a run.
 	Started bool `msgpack:"b"`
-	// EndedAt is the Unix time of the command that ended the job.
+	// EndedAt is the Unix time of the command that ended the job, LastCancel that of the last
+	// cancel.
 	EndedAt     time.Duration `msgpack:"e,omitempty"`
+	LastCancel  time.Duration `msgpack:"C,omitempty"`
 	Occurrences []Occurrence  `msgpack:"o"`
 	// Remaining counts the occurrences that are not done.
 	Remaining int `msgpack:"r"`
@@ -136,6 +140,10 @@
 	}
 }
 
+// RetainedSince returns the Unix time from which an ended job is retained: its end, or a later
+// cancel, which promises that no submission of it runs.
+func (j *Job) RetainedSince() time.Duration { return max(j.EndedAt, j.LastCancel) }
+
 // Runnable reports whether a step has tasks that are not done and all steps that it
 // depends on are done.
 func (j *Job) Runnable(occurrence, step int) bool {
--- a/scheduler/workload/state.go
+++ b/scheduler/workload/state.go
@@ -22,6 +22,8 @@
 	// snapshot is restored.
 	index *index
 	runs  map[ExecutorKey]map[TaskKey]*Run
+	// tombstones counts the tombstones of each customer. It is derived like runs.
+	tombstones map[string]int
 	// changes counts the applied commands and restored snapshots.
 	changes uint64
 	// ended lists the jobs that ended since the last call of TakeEndedJobs.
@@ -157,7 +159,9 @@
 	s.index = newIndex(&s.config)
 	s.bindAll()
 	s.runs = map[ExecutorKey]map[TaskKey]*Run{}
+	s.tombstones = map[string]int{}
 	for _, j := range s.jobs {
+		s.countTombstone(j, 1)
 		for k := range j.Occurrences {
 			for step := range j.Occurrences[k].Steps {
 				tasks := j.Occurrences[k].Steps[step].Tasks
