fleet: the model changes the queue of its jobs

Versions rename, remove and add the queue, move it to another service and drop services, beside faults of executors and changes of the leader (TestQueueChanges). Oracles: ROUTE, a start at a service that the queue never had; CONFIG, a start at a former service longer than starts are repeated; LOST, a job that never ends, also if its queue is gone. CONFIG was seen to fail in the first check with jobs that keep the service of their submission, and with jobs that keep it when a version is stored.

--- a/scheduler/fleet/model_test.go
+++ b/scheduler/fleet/model_test.go
@@ -55,6 +55,7 @@
 type modelExecutor struct {
 	key       workload.ExecutorKey
 	address   string
+	service   string
 	capacity  workload.Resources
 	bornAt    time.Duration
 	clockRate float64
@@ -134,6 +135,8 @@
 	// foreign is the number per second of reports that are late or come from another
 	// sender, restart the probability that an executor keeps its ID in its next start.
 	foreign, restart float64
+	// requeue is the number per second of configurations that change the queue.
+	requeue float64
 }
 
 type cluster struct {
@@ -167,6 +170,8 @@
 	hasStarted map[workload.TaskKey]bool
 	// alwaysFails holds the jobs whose runs always fail.
 	alwaysFails map[string]bool
+	// queues records which service the queue at modelPlace has had.
+	queues queueHistory
 	// faultFree is set if the simulation never has faults.
 	faultFree bool
 	// pausedUntil is the end of the present pause of the leader.
@@ -185,7 +190,7 @@
 		rng: rand.New(rand.NewPCG(seed, 1)), state: workload.New(), faults: f, now: time.Minute,
 		doneAt: map[workload.TaskKey]time.Duration{}, doneAcknowledged: map[workload.TaskKey]bool{},
 		acknowledgedFailures: map[workload.TaskKey]map[int]bool{}, allFailures: map[workload.TaskKey]map[int]bool{}, cancelled: map[string]time.Duration{}, drained: map[workload.ExecutorKey]time.Duration{},
-		startDue: map[string]time.Duration{}, hasStarted: map[workload.TaskKey]bool{}, alwaysFails: map[string]bool{},
+		startDue: map[string]time.Duration{}, hasStarted: map[workload.TaskKey]bool{}, alwaysFails: map[string]bool{}, queues: queueHistory{current: "s"},
 	}
 	cl.apply(&workload.Command{Configure: modelConfig()}, 1)
 	cl.leader = &leader{term: 2}
@@ -199,7 +204,7 @@
 func modelConfig() *workload.Config {
 	return &workload.Config{
 		Version: 1, Document: []byte("{}"), Services: []workload.Service{{Name: "s"}},
-		Queues:    []workload.Queue{{Name: "q", Service: "s", Timeout: time.Second}},
+		Queues:    []workload.Queue{{Name: "q", Host: modelPlace.Host, Prefix: modelPlace.Prefix, Service: "s", Timeout: time.Second}},
 		Customers: []workload.Customer{{Name: "a", GuaranteedGPU: 8}},
 	}
 }
@@ -208,7 +213,7 @@
 	cl.incarnations++
 	return &modelExecutor{
 		key:     workload.ExecutorKey{ID: fmt.Sprintf("i-%d", cl.incarnations), Incarnation: cl.now.Milliseconds()},
-		address: address, capacity: workload.Resources{CPU: 16000, MemoryMB: 64000, GPU: 8}, bornAt: cl.now,
+		address: address, service: cl.queues.serviceOf(address), capacity: workload.Resources{CPU: 16000, MemoryMB: 64000, GPU: 8}, bornAt: cl.now,
 		clockRate: 1 - 0.02*cl.rng.Float64(), running: map[workload.TaskKey]*modelRun{}, closedRuns: map[workload.TaskKey]int{},
 		endedAt: map[int64]time.Duration{}, restartedAfter: map[int64]bool{}, up: true,
 	}
@@ -294,6 +299,9 @@
 func (cl *cluster) injectFaults() {
 	second := float64(modelTick) / float64(time.Second)
 	cl.injectForeignReports(second)
+	if cl.chance(cl.faults.requeue * second) {
+		cl.changeQueue()
+	}
 	for i, e := range cl.executors {
 		if e.leavesAt == 0 && cl.chance(cl.faults.drain*second) {
 			e.leavesAt, e.nextReportAt = cl.now+drainTime, cl.now
@@ -499,6 +507,7 @@
 	if !p.late {
 		cl.checkTimes(e, call)
 	}
+	cl.checkService(e, p)
 	_, task := cl.state.TaskOf(call.Task)
 	step := cl.step(call.Task)
 	r := &modelRun{task: call.Task, run: call.Run, started: cl.now, fails: cl.chance(cl.faults.fail) || cl.alwaysFails[call.Task.Job]}
@@ -740,10 +749,14 @@
 	}
 	e.nextReportAt = cl.now + modelReportInterval
 	e.sequence++
-	_, registration := cl.leader.controller.Report(cl.now, fleet.Report{
-		Executor: e.key, Sequence: e.sequence, Service: "s", Address: e.address, Zone: "z", Capacity: e.capacity,
+	r := fleet.Report{
+		Executor: e.key, Sequence: e.sequence, Service: e.service, Address: e.address, Zone: "z", Capacity: e.capacity,
 		Labels: []string{"a", cl.rackOf(e)}, Clock: e.clock(cl.now), Draining: e.leavesAt > 0, DrainRemaining: max(0, e.leavesAt-cl.now),
-	})
+	}
+	if cl.state.Service(e.service) == nil && !cl.leader.controller.IsMember(&r) {
+		return
+	}
+	_, registration := cl.leader.controller.Report(cl.now, r)
 	if entry := cl.state.Executor(e.key.ID); entry != nil && entry.Key == e.key && entry.Draining && cl.drained[e.key] == 0 {
 		cl.drained[e.key] = cl.now
 	}
@@ -766,7 +779,10 @@
 func (cl *cluster) submit(n int) string {
 	id := fmt.Sprintf("%016x", n)
 	steps := 1 + cl.rng.IntN(2)
-	j := &workload.Job{ID: id, QueueName: "q", Service: "s", Customer: "a", Priority: cl.rng.IntN(3), MaxAttempts: 12, Stretch: 2, Target: time.Second}
+	j := &workload.Job{
+		ID: id, Host: modelPlace.Host, Prefix: modelPlace.Prefix, QueueName: "q", Service: cl.queues.current, Customer: "a",
+		Priority: cl.rng.IntN(3), MaxAttempts: 12, Stretch: 2, Target: time.Second,
+	}
 	for i := range steps {
 		s := workload.Step{
 			Count: 1 + cl.rng.IntN(4), Estimate: time.Duration(500+cl.rng.IntN(4000)) * time.Millisecond,
