Reports count while a job that has not ended is bound to their service

An executor that starts after its service was dropped was ignored, so that the jobs of a removed queue waited for ever once their former executors had gone. Test: 'count if a job that has not ended is bound to it' failed before.

--- a/daemon/control/calls.go
+++ b/daemon/control/calls.go
@@ -227,9 +227,9 @@
 	executors := 0
 	var entry *workload.Executor
 	err := n.runAsLeader(func(now time.Duration) {
-		// A report for a service that is not configured names no executor to use, unless
-		// the executor was in use before the service was dropped.
-		if n.state.Service(r.Service) != nil || n.owner.controller.IsMember(&r) {
+		// A report for a service that is not in use names no executor to use, unless the
+		// executor was in use before the service was dropped.
+		if n.state.UsesService(r.Service) || n.owner.controller.IsMember(&r) {
 			current, entry = n.owner.controller.Report(now, r)
 			executors = n.owner.controller.ExecutorCount()
 		}
--- a/daemon/control/dropped_service_test.go
+++ b/daemon/control/dropped_service_test.go
@@ -54,6 +54,14 @@
 		Expect(entryOf("i-2").Key.ID).To(Equal("i-2"))
 	})
 
+	It("count if a job that has not ended is bound to it", func() {
+		job := &workload.Job{ID: "5c0e7a21d94b36f8", Host: "h", Prefix: "/a/", Service: "s", Spec: workload.Spec{Steps: []workload.Step{{Count: 1}}}}
+		_, err := node.propose(&workload.Command{At: time.Hour, Submit: job}, proposalTimeout)
+		Expect(err).NotTo(HaveOccurred())
+		report("i-2", 2, func(*fleet.Report) {})
+		Expect(entryOf("i-2").Key.ID).To(Equal("i-2"))
+	})
+
 	It("are ignored if they come from executors that were never in use", func() {
 		report("i-2", 2, func(*fleet.Report) {})
 		Expect(entryOf("i-2")).To(BeZero())
--- a/scheduler/fleet/model_test.go
+++ b/scheduler/fleet/model_test.go
@@ -753,7 +753,7 @@
 		Executor: e.key, Sequence: e.sequence, Service: e.service, Address: e.address, Zone: "z", Capacity: e.capacity,
 		Labels: []string{"a", cl.rackOf(e)}, Clock: e.clock(cl.now), Draining: e.leavesAt > 0, DrainRemaining: max(0, e.leavesAt-cl.now),
 	}
-	if cl.state.Service(e.service) == nil && !cl.leader.controller.IsMember(&r) {
+	if !cl.state.UsesService(e.service) && !cl.leader.controller.IsMember(&r) {
 		return
 	}
 	_, registration := cl.leader.controller.Report(cl.now, r)
--- a/scheduler/workload/place.go
+++ b/scheduler/workload/place.go
@@ -73,6 +73,19 @@
 	}
 }
 
+// UsesService reports whether a service is configured, or bound to a job that has not ended.
+func (s *State) UsesService(name string) bool {
+	if s.index.services[name] != nil {
+		return true
+	}
+	for _, j := range s.jobs {
+		if j.Service == name && !j.Phase.Ended() {
+			return true
+		}
+	}
+	return false
+}
+
 // Pending returns the number of jobs that have not ended and of which no task has
 // started, of those whose paths lead to a queue.
 func (s *State) Pending(queue *Queue) int {
--- a/scheduler/workload/state.go
+++ b/scheduler/workload/state.go
@@ -67,9 +67,6 @@
 	return 0
 }
 
-// Service returns a service of the current configuration, or nil.
-func (s *State) Service(name string) *Service { return s.index.services[name] }
-
 // Job returns an accepted job, or nil.
 func (s *State) Job(id string) *Job { return s.jobs[id] }
 
