--- a/daemon/api/refusal.go
+++ b/daemon/api/refusal.go
@@ -66,6 +66,8 @@
 	structs.CodeTooLarge:             http.StatusRequestEntityTooLarge,
 	structs.CodeMembershipChange:     http.StatusConflict,
 	structs.CodeQuorumUnavailable:    http.StatusServiceUnavailable,
+	structs.CodeJobConflict:          http.StatusConflict,
+	structs.CodeCancelCapacity:       http.StatusServiceUnavailable,
 }
 
 // HTTPStatus returns the HTTP status of a refusal code, or 500 for an unknown
--- a/daemon/metrics/labels.go
+++ b/daemon/metrics/labels.go
@@ -19,6 +19,7 @@
 	structs.CodeStopping, structs.CodeCancelled, structs.CodeNeverRunnable, structs.CodeQuotaExceeded,
 	structs.CodeVersionConflict, structs.CodeRulesInvalid, structs.CodeGuaranteeDoesNotFit, structs.CodeKeyHomesFixed,
 	structs.CodeTooLarge, structs.CodeMembershipChange, structs.CodeQuorumUnavailable, structs.CodeInternal,
+	structs.CodeJobConflict, structs.CodeCancelCapacity,
 }
 
 var outcomes = []structs.Outcome{structs.OutcomeNotRun, structs.OutcomeUnknown}
