--- a/scheduler/fleet/lasting_test.go
+++ b/scheduler/fleet/lasting_test.go
@@ -78,3 +78,55 @@
 		Expect(h.executorsOf("lasts")).To(ConsistOf("i-1", Or(Equal("i-2"), Equal("i-3"))))
 	})
 })
+
+var _ = Describe("a task that lasts", func() {
+	var h *harness
+
+	BeforeEach(func() { h = newHarnessWithExecutors() })
+
+	// Guards against a lasting task that waits for as long as urgent jobs come and other work
+	// fills the rest of the pool, beside executors that are free and kept for urgent jobs.
+	It("starts on an executor that is kept for urgent jobs if no other has room", func() {
+		h.submit("bulk", 2, workload.Step{Count: 2, Demand: needGPUs(8), Estimate: 10 * time.Minute})
+		h.submit("urgent", 0, workload.Step{Count: 2, Demand: needGPUs(8)})
+		h.advance(100*time.Millisecond, 4)
+		for _, id := range h.executorsOf("urgent") {
+			h.answerHold(int(id[2]-'0'), nil, fleet.EndedRun{Number: 1, Task: h.taskOn("urgent", id), Run: 1, Ending: workload.EndDone})
+		}
+		h.submit("lasts", 1, workload.Step{Count: 2, Demand: needGPUs(1), LongRunning: true})
+		h.advance(3*time.Second, 4)
+		Expect(h.executorsOf("lasts")).To(HaveLen(2))
+	})
+
+	// Guards against a lasting task that waits beside executors reserved for a gang, which may
+	// wait for long.
+	It("starts on an executor that is reserved for a gang if no other has room", func() {
+		h.submit("bulk", 2, workload.Step{Count: 3, Demand: needGPUs(8), Estimate: 10 * time.Minute})
+		h.submit("small", 2, workload.Step{Count: 1, Demand: needGPUs(1)})
+		h.advance(100*time.Millisecond, 4)
+		h.submit("gang", 1, workload.Step{Count: 2, Demand: needGPUs(4), Gang: true})
+		h.advance(time.Second, 4)
+		h.submit("lasts", 2, workload.Step{Count: 1, Demand: needGPUs(1), LongRunning: true})
+		h.advance(100*time.Millisecond, 4)
+		Expect(h.executorsOf("lasts")).To(BeEmpty())
+		h.advance(2500*time.Millisecond, 4)
+		Expect(h.executorsOf("lasts")).To(Equal(h.executorsOf("small")))
+	})
+
+	// Guards against a lasting task that takes kept capacity although other executors have room.
+	It("leaves an executor that is kept for urgent jobs free while another has room", func() {
+		h.submit("bulk", 2, workload.Step{Count: 1, Demand: needGPUs(8), Estimate: 10 * time.Minute, DataRack: "r1-1"})
+		h.submit("urgent", 0, workload.Step{Count: 2, Demand: needGPUs(8)})
+		h.advance(100*time.Millisecond, 4)
+		for _, id := range h.executorsOf("urgent") {
+			h.answerHold(int(id[2]-'0'), nil, fleet.EndedRun{Number: 1, Task: h.taskOn("urgent", id), Run: 1, Ending: workload.EndDone})
+		}
+		h.submit("lasts", 1, workload.Step{Count: 1, Demand: needGPUs(1), LongRunning: true})
+		h.advance(100*time.Millisecond, 4)
+		Expect(h.executorsOf("lasts")).To(ConsistOf("i-3"))
+		h.advance(3*time.Second, 4)
+		h.answerHold(3, nil, fleet.EndedRun{Number: 1, Task: workload.TaskKey{Job: "lasts"}, Run: 1, Ending: workload.EndStopped})
+		h.advance(100*time.Millisecond, 4)
+		Expect(h.executorsOf("lasts")).To(ConsistOf("i-3"))
+	})
+})
--- a/scheduler/fleet/placement.go
+++ b/scheduler/fleet/placement.go
@@ -177,9 +177,12 @@
 	return best
 }
 
-// isReservedForOther reports whether an executor is reserved for another task
-// set.
-func (rs *roundState) isReservedForOther(ts *taskSet, e *executor) bool {
+// isKeptForOthers reports whether an executor is reserved for another task set, or kept for
+// more urgent ones.
+func (rs *roundState) isKeptForOthers(ts *taskSet, e *executor) bool {
+	if rs.urgentOnly[e] && ts.job.Priority > 0 {
+		return true
+	}
 	res := rs.reservedFor[e]
 	return res != nil && res.taskSet.key != ts.key
 }
@@ -189,8 +192,8 @@
 	if dataRack := ts.step.DataRack; dataRack != "" && (a.rack == dataRack) != (b.rack == dataRack) {
 		return a.rack == dataRack
 	}
-	if aReserved, bReserved := rs.isReservedForOther(ts, a), rs.isReservedForOther(ts, b); aReserved != bReserved {
-		return bReserved
+	if aKept, bKept := rs.isKeptForOthers(ts, a), rs.isKeptForOthers(ts, b); aKept != bKept {
+		return bKept
 	}
 	if rs.free[a].GPU != rs.free[b].GPU {
 		return rs.free[a].GPU < rs.free[b].GPU
--- a/scheduler/fleet/urgent_capacity.go
+++ b/scheduler/fleet/urgent_capacity.go
@@ -78,8 +78,12 @@
 }
 
 // mustStartNow reports whether a task set must not wait any longer for a better
-// placement.
+// placement. A task that lasts is missed until it runs, however full its pool is and
+// whichever other tasks of its job run.
 func (rs *roundState) mustStartNow(now time.Duration, ts *taskSet) bool {
+	if ts.step.LongRunning {
+		return now-ts.waitingSince > idlePoolMaxWait
+	}
 	return rs.idlePools[ts.job.Service] && now-ts.waitingSince > idlePoolMaxWait && !ts.job.HasRuns()
 }
 
