--- a/scheduler/fleet/preemption.go
+++ b/scheduler/fleet/preemption.go
@@ -18,6 +18,7 @@
 
 // preemption keeps capacity for a task set while the runs that occupy it stop.
 type preemption struct {
+	step      *workload.Step
 	targets   []*executor
 	need      workload.Resources
 	expiresAt time.Duration
@@ -63,7 +64,7 @@
 	if ts.guaranteed {
 		margin = guaranteedPreemptionMargin
 	}
-	pre := &preemption{need: ts.step.Allocation(), expiresAt: now + c.cfg.StopTime + margin, awaitUntil: now + c.cfg.StopTime + endsSoonMargin}
+	pre := &preemption{step: ts.step, need: ts.step.Allocation(), expiresAt: now + c.cfg.StopTime + margin, awaitUntil: now + c.cfg.StopTime + endsSoonMargin}
 	stopped := 0
 	for _, p := range places {
 		pre.isSpread = pre.isSpread || p.executor.rack != places[0].executor.rack
--- a/scheduler/fleet/round.go
+++ b/scheduler/fleet/round.go
@@ -220,6 +220,9 @@
 func (c *Controller) placeTaskSet(now time.Duration, rs *roundState, ts *taskSet) []workload.Start {
 	rs.credit(c.preemptions[ts.key])
 	places, ok := c.findPlaces(now, rs, ts)
+	if !ok {
+		c.displaceBestEffort(now, rs, ts, unplacedTasks(ts, places))
+	}
 	if !ok && c.mayReclaim(now, ts) {
 		c.endOutdatedReservation(rs, ts)
 		return c.reclaim(now, rs, ts, places)
--- a/scheduler/fleet/round_state.go
+++ b/scheduler/fleet/round_state.go
@@ -67,6 +67,12 @@
 	}
 	for _, pre := range c.preemptions {
 		rs.deduct(pre)
+		if pre.step.TailLatencyTarget > 0 {
+			// Best-effort tasks must not take the places of those that were stopped.
+			for _, e := range pre.targets {
+				rs.proposedSteps[e] = append(rs.proposedSteps[e], pre.step)
+			}
+		}
 	}
 	return rs
 }
@@ -189,7 +195,12 @@
 // satisfiesConstraints reports whether the constraints of a step let it run on
 // an executor.
 func (rs *roundState) satisfiesConstraints(ts *taskSet, e *executor) bool {
-	if !ts.matches(e) || !e.isCompatible(ts.step) || rs.conflictsWithProposed(ts, e) {
+	return e.isCompatible(ts.step) && !rs.conflictsWithProposed(ts, e) && rs.isOpenTo(ts, e)
+}
+
+// isOpenTo reports whether a task set may use an executor as far as its runs do not matter.
+func (rs *roundState) isOpenTo(ts *taskSet, e *executor) bool {
+	if !ts.matches(e) {
 		return false
 	}
 	if rs.urgentOnly[e] && ts.job.Priority > 0 && rs.exempt != ts {
