--- a/scheduler/fleet/victim_search.go
+++ b/scheduler/fleet/victim_search.go
@@ -50,7 +50,7 @@
 }
 
 func (c *Controller) findVictimsOn(rs *roundState, ts *taskSet, tasks []int, executors []*executor, victims map[*executor][]*victim) []place {
-	search := &victimSearch{round: rs, allocated: map[*executor]workload.Resources{}, chosenRuns: map[*run]bool{}, costs: newCostTally()}
+	search := &victimSearch{round: rs, allocated: map[*executor]workload.Resources{}, chosenRuns: map[*run]bool{}, stops: map[stepKey]int{}, costs: newCostTally()}
 	counts := map[*executor]int{}
 	offRack := c.offRackWork(ts)
 	var found []place
@@ -91,6 +91,8 @@
 	// allocated is the capacity of placed tasks minus that of chosen victims.
 	allocated  map[*executor]workload.Resources
 	chosenRuns map[*run]bool
+	// stops counts the chosen runs of each step.
+	stops map[stepKey]int
 	// costs tallies the chosen victims.
 	costs *costTally
 }
@@ -101,13 +103,16 @@
 	free := s.round.free[e].Sub(s.allocated[e])
 	var chosen []*victim
 	cost := 0.0
+	stops := map[stepKey]int{}
 	for _, v := range victims {
 		if need.Fits(free) {
 			break
 		}
-		if s.chosenRuns[v.run] {
+		key := stepKeyOf(v.key)
+		if s.chosenRuns[v.run] || (v.isLimited && s.stops[key]+stops[key] >= v.mayStop) {
 			continue
 		}
+		stops[key]++
 		free = free.Add(v.resources)
 		cost += s.costs.costOf(v)
 		chosen = append(chosen, v)
@@ -119,6 +124,7 @@
 	sum := s.allocated[p.executor].Add(need)
 	for _, v := range p.victims {
 		s.chosenRuns[v.run] = true
+		s.stops[stepKeyOf(v.key)]++
 		s.costs.add(v)
 		sum = sum.Sub(v.resources)
 	}
--- a/scheduler/fleet/victims.go
+++ b/scheduler/fleet/victims.go
@@ -22,6 +22,9 @@
 	// objective.
 	latenessCost float64
 	gang         bool
+	// isLimited is set if only mayStop runs of the step may be stopped.
+	isLimited bool
+	mayStop   int
 	// endsAnyway is set if the run is already stopping, or is expected to end
 	// about as soon as a stop would take.
 	endsAnyway bool
@@ -85,10 +88,11 @@
 		case v.endsAnyway:
 			list = append(list, v)
 			continue
-		case step.LongRunning && !(ts.guaranteed && step.MaxUnavailable == 0), !isPreemptable(ts, j, inside[j.ID]):
-			// Long-running tasks are stopped only for guarantees, and not if
-			// the step limits how many may be absent.
+		case step.LongRunning && !ts.guaranteed, !isPreemptable(ts, j, inside[j.ID]):
+			// Long-running tasks are stopped only for guarantees.
 			continue
+		case step.LongRunning && step.MaxUnavailable > 0:
+			v.isLimited, v.mayStop = true, c.mayMiss(j, key)
 		}
 		// Earlier runs raise the cost, so that a task is not preempted forever.
 		v.cost = lostWork(now, step, r) * (1 + repeatedPreemptionSurcharge*float64(r.number-1))
