--- a/cmd/cranberrydrumd/platform.go
+++ b/cmd/cranberrydrumd/platform.go
@@ -96,12 +96,14 @@
 	observer := metrics.NewPlatform()
 	serveMetrics(s, observer, log)
 	budget := descriptors.NewBudget(s.UsableDescriptors, true, observer)
+	memory := int64(s.MemoryMB) << 20
 	cfg := control.Config{
 		Host: s.Host, PeerPort: s.PeerPort, ReportAddress: s.ControlListen, AcceptLimit: budget.AcceptLimit, DataDir: s.DataDir, Bootstrap: s.Bootstrap,
 		Seeds: seedReader(s, log), MaxFaults: s.MaxFaults, ReplaceWithin: s.ReplaceWithin, LowPriority: s.HasLargerRemoteRegion(), Fleet: s.Fleet,
 		Executors: platform.NewExecutorClient(s.AdviceAddress, budget, log), Logger: log, Observer: observer,
 		Admission: admission.Policy{
-			HasAdviceService: s.AdviceAddress != "", MaxTombstones: admission.TombstoneLimit(int64(s.MemoryMB) << 20), Retention: s.Fleet.JobRetention(),
+			HasAdviceService: s.AdviceAddress != "", Retention: s.Fleet.JobRetention(),
+			MaxTombstones: admission.TombstoneLimit(memory), MaxStateBytes: admission.StateLimit(memory),
 		},
 	}
 	for {
--- a/scheduler/admission/admission.go
+++ b/scheduler/admission/admission.go
@@ -14,6 +14,8 @@
 	HasAdviceService bool
 	// MaxTombstones bounds the tombstones, which record cancels of jobs that are not stored.
 	MaxTombstones int
+	// MaxStateBytes bounds the memory, in bytes, that the stored jobs may take.
+	MaxStateBytes int64
 	// Retention is how long ended jobs and tombstones are kept after their last cancel.
 	Retention time.Duration
 }
@@ -30,6 +32,14 @@
 	tombstoneShare = 1.0 / 32
 )
 
+// stateShare is the share of the memory of a host that the stored jobs may take. The garbage
+// collector needs as much again, and a snapshot that is written a part of that.
+const stateShare = 1.0 / 4
+
+// StateLimit returns the memory, in bytes, that the jobs may take on a host with a given
+// memory, in bytes.
+func StateLimit(memory int64) int64 { return int64(stateShare * float64(memory)) }
+
 // TombstoneLimit returns the number of tombstones for which a host with a given memory, in
 // bytes, has room.
 func TombstoneLimit(memory int64) int {
@@ -125,17 +135,33 @@
 func (p *Policy) recordCancel(s *workload.State, place workload.Place, customer, id string, unix time.Duration) (*Reply, *workload.Command, error) {
 	if own, all := s.Tombstones(customer); own >= p.MaxTombstones-all {
 		refusal := structs.RefuseNotRun(structs.CodeCancelCapacity, "too many cancels of unknown jobs are recorded")
-		refusal.RetryAfter = p.untilExpiry(s, unix)
+		refusal.RetryAfter = p.untilExpiry(s, unix, func(j *workload.Job) bool { return j.Tombstone })
 		return nil, nil, refusal
 	}
 	return &Reply{Unknown: true}, &workload.Command{At: unix, Submit: workload.NewTombstone(id, place, customer, unix)}, nil
 }
 
-// untilExpiry returns the time until the oldest tombstone expires.
-func (p *Policy) untilExpiry(s *workload.State, unix time.Duration) time.Duration {
+// checkMemory refuses a job for whose state the hosts have no room. Without a bound, accepted
+// jobs of many occurrences take all hosts over their memory, again after each restart.
+func (p *Policy) checkMemory(s *workload.State, spec *workload.Spec, unix time.Duration) *structs.Refusal {
+	need := spec.StateBytes()
+	if need <= p.MaxStateBytes-s.StateBytes() {
+		return nil
+	}
+	if need > p.MaxStateBytes {
+		return structs.RefuseNotRun(structs.CodeNeverRunnable, "the state of the job exceeds the memory of the hosts")
+	}
+	refusal := structs.RefuseNotRun(structs.CodeQueueFull, "the state of the accepted jobs takes the memory of the hosts")
+	refusal.RetryAfter = p.untilExpiry(s, unix, func(j *workload.Job) bool { return j.Phase.Ended() })
+	return refusal
+}
+
+// untilExpiry returns the time until the oldest of some ended jobs expires, or the retention
+// if there is none.
+func (p *Policy) untilExpiry(s *workload.State, unix time.Duration, counts func(*workload.Job) bool) time.Duration {
 	oldest := unix
 	s.Jobs(func(j *workload.Job) {
-		if j.Tombstone {
+		if counts(j) {
 			oldest = min(oldest, j.RetainedSince())
 		}
 	})
@@ -159,6 +185,9 @@
 	if queue.Advice != nil && !p.HasAdviceService {
 		return nil, nil, structs.RefuseNotRun(structs.CodeNeverRunnable, "the queue needs advice, and no advice service is set")
 	}
+	if refusal := p.checkMemory(s, r.Spec, unix); refusal != nil {
+		return nil, nil, refusal
+	}
 	place := queue.Place()
 	return &Reply{Phase: workload.Queued}, &workload.Command{At: unix, Submit: &workload.Job{
 		ID: id, Host: place.Host, Prefix: place.Prefix, QueueName: queue.Name, Service: queue.Service, Customer: customer, Priority: queue.Priority,
--- a/scheduler/admission/place_test.go
+++ b/scheduler/admission/place_test.go
@@ -26,7 +26,7 @@
 }
 
 func newService(queues ...workload.Queue) *service {
-	s := &service{state: workload.New(), now: time.Hour, policy: admission.Policy{MaxTombstones: 100, Retention: time.Minute}}
+	s := &service{state: workload.New(), now: time.Hour, policy: admission.Policy{MaxTombstones: 100, MaxStateBytes: 64 << 20, Retention: time.Minute}}
 	s.configure(1, queues...)
 	return s
 }
--- a/scheduler/workload/apply.go
+++ b/scheduler/workload/apply.go
@@ -72,6 +72,7 @@
 	j.initTasks()
 	s.bind(j)
 	s.countTombstone(j, 1)
+	s.jobBytes += j.Spec.StateBytes()
 	s.jobs[j.ID] = j
 	return ResultApplied
 }
@@ -95,6 +96,7 @@
 	for _, id := range ids {
 		if j := s.jobs[id]; j != nil && j.Phase.Ended() && !j.HasRuns() {
 			s.countTombstone(j, -1)
+			s.jobBytes -= j.Spec.StateBytes()
 			delete(s.jobs, id)
 		}
 	}
--- a/scheduler/workload/state.go
+++ b/scheduler/workload/state.go
@@ -24,6 +24,8 @@
 	runs  map[ExecutorKey]map[TaskKey]*Run
 	// tombstones counts the tombstones of each customer. It is derived like runs.
 	tombstones map[string]int
+	// jobBytes is the memory that the jobs take. It is derived like runs.
+	jobBytes int64
 	// changes counts the applied commands and restored snapshots.
 	changes uint64
 	// ended lists the jobs that ended since the last call of TakeEndedJobs.
@@ -156,9 +158,10 @@
 	s.index = newIndex(&s.config)
 	s.bindAll()
 	s.runs = map[ExecutorKey]map[TaskKey]*Run{}
-	s.tombstones = map[string]int{}
+	s.tombstones, s.jobBytes = map[string]int{}, 0
 	for _, j := range s.jobs {
 		s.countTombstone(j, 1)
+		s.jobBytes += j.Spec.StateBytes()
 		for k := range j.Occurrences {
 			for step := range j.Occurrences[k].Steps {
 				tasks := j.Occurrences[k].Steps[step].Tasks
