--- a/scheduler/admission/cancel_test.go
+++ b/scheduler/admission/cancel_test.go
@@ -86,6 +86,14 @@
 		Expect(refused.Code).To(Equal(structs.CodeCancelled))
 	})
 
+	// Guards against cancels that take the room of jobs.
+	It("takes no memory of jobs", func() {
+		cancel(path)
+		Expect(s.state.StateBytes()).To(BeZero())
+		s.restart()
+		Expect(s.state.StateBytes()).To(BeZero())
+	})
+
 	// Guards against records that anyone can make.
 	DescribeTable("leaves no record without a right to cancel",
 		func(key, path string, code structs.Code) {
--- a/scheduler/fleet/types.go
+++ b/scheduler/fleet/types.go
@@ -19,7 +19,7 @@
 	ReclaimTime time.Duration
 	// ReportInterval is the time between two reports of an executor.
 	ReportInterval time.Duration
-	// Retention is how long the state of an ended job can be read at least.
+	// Retention is how long at least the state of an ended job can be read.
 	Retention time.Duration
 	// SpreadFactor is the factor by which tasks take longer away from their
 	// preferred rack.
--- a/scheduler/workload/apply.go
+++ b/scheduler/workload/apply.go
@@ -71,8 +71,7 @@
 	j.Submitted = at
 	j.initTasks()
 	s.bind(j)
-	s.countTombstone(j, 1)
-	s.jobBytes += j.Spec.StateBytes()
+	s.count(j, 1)
 	s.jobs[j.ID] = j
 	return ResultApplied
 }
@@ -95,8 +94,7 @@
 func (s *State) purge(ids []string) Result {
 	for _, id := range ids {
 		if j := s.jobs[id]; j != nil && j.Phase.Ended() && !j.HasRuns() {
-			s.countTombstone(j, -1)
-			s.jobBytes -= j.Spec.StateBytes()
+			s.count(j, -1)
 			delete(s.jobs, id)
 		}
 	}
--- a/scheduler/workload/size.go
+++ b/scheduler/workload/size.go
@@ -25,5 +25,5 @@
 	return size + perOccurrence*int64(s.Occurrences())
 }
 
-// StateBytes returns the memory, in bytes, that the stored jobs take.
+// StateBytes returns the memory, in bytes, that the stored jobs take, without tombstones.
 func (s *State) StateBytes() int64 { return s.jobBytes }
--- a/scheduler/workload/state.go
+++ b/scheduler/workload/state.go
@@ -160,8 +160,7 @@
 	s.runs = map[ExecutorKey]map[TaskKey]*Run{}
 	s.tombstones, s.jobBytes = map[string]int{}, 0
 	for _, j := range s.jobs {
-		s.countTombstone(j, 1)
-		s.jobBytes += j.Spec.StateBytes()
+		s.count(j, 1)
 		for k := range j.Occurrences {
 			for step := range j.Occurrences[k].Steps {
 				tasks := j.Occurrences[k].Steps[step].Tasks
--- a/scheduler/workload/tombstone.go
+++ b/scheduler/workload/tombstone.go
@@ -22,9 +22,11 @@
 	return s.tombstones[customer], all
 }
 
-// countTombstone adds n to the number of tombstones of a customer if the job is one.
-func (s *State) countTombstone(j *Job, n int) {
+// count adds n times a job to the derived counts. Tombstones have a bound of their own and
+// do not count as memory of jobs.
+func (s *State) count(j *Job, n int) {
 	if !j.Tombstone {
+		s.jobBytes += int64(n) * j.Spec.StateBytes()
 		return
 	}
 	s.tombstones[j.Customer] += n
