--- a/cmd/e2e/cluster_test.go
+++ b/cmd/e2e/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"os"
 	"slices"
 	"time"
 
@@ -39,6 +40,9 @@
 // ordered pair of hosts has its own relay, so that a link can be cut in one
 // direction.
 type cluster struct {
+	// dir holds the data directories. It is removed after the processes have ended: clean-ups
+	// run in the reverse order of their registration.
+	dir string
 	// hosts are the hosts in use. all also includes hosts that a spec no longer
 	// uses.
 	hosts  []*process
@@ -60,6 +64,7 @@
 // additional daemon flags.
 func newClusterWith(hostSpecs []hostSpec, wait time.Duration, flags ...string) *cluster {
 	c := &cluster{
+		dir:    GinkgoT().TempDir(),
 		links:  map[string]*standin.Link{},
 		relays: map[string]*standin.Relay{},
 		client: &fasthttp.Client{ReadTimeout: clientTimeout, MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 2048},
@@ -87,7 +92,9 @@
 func (c *cluster) add(spec hostSpec) *process {
 	p := &process{hostSpec: spec, http: freeAddress(), peer: freeAddress(), log: &bytes.Buffer{}}
 	if !spec.diskless {
-		p.data = GinkgoT().TempDir()
+		var err error
+		p.data, err = os.MkdirTemp(c.dir, p.id+"-")
+		Expect(err).NotTo(HaveOccurred())
 	}
 	c.hosts = append(c.hosts, p)
 	c.all = append(c.all, p)
@@ -179,6 +186,9 @@
 		if p.cmd == nil {
 			continue
 		}
+		if violation := p.checkData(); violation != "" {
+			violations = append(violations, violation)
+		}
 		if violation := p.terminate(); violation != "" {
 			violations = append(violations, violation)
 		}
--- a/cmd/e2e/process_test.go
+++ b/cmd/e2e/process_test.go
@@ -114,6 +114,20 @@
 
 func (p *process) unfreeze() { p.signal(syscall.SIGCONT) }
 
+// checkData returns a description of a violation if the data directory of a running daemon is
+// gone. A clean-up that removes it too early fails only if the daemon writes meanwhile.
+func (p *process) checkData() (violation string) {
+	select {
+	case <-p.exited:
+		return ""
+	default:
+	}
+	if _, err := os.Stat(p.data); !p.diskless && err != nil {
+		return "data directory of " + p.id + " was removed while it runs"
+	}
+	return ""
+}
+
 // terminate ends the process at the end of a spec. It returns a description of a
 // violation: the daemon exited on its own or reported a data race.
 func (p *process) terminate() (violation string) {
