A job stays at its service while its path leads to another queue

With a longer or a shorter prefix, another queue became the one that the path of a job leads to, and the job was bound to that queue's service: a start at a service that no version had named for the queue of the job (ROUTE).

The queue of a job is the one at its place. Only without one, and if the last service is not configured any more, does the job follow the queue that its path leads to, as it would have nowhere to run. 'pending' counts a job at the queue at its place.

--- a/scheduler/workload/config.go
+++ b/scheduler/workload/config.go
@@ -104,6 +104,7 @@
 // index holds maps for look-ups in the configuration by host, key and name.
 type index struct {
 	byHost    map[string][]*Queue
+	places    map[Place]*Queue
 	queues    map[string]*Queue
 	customers map[string]*Customer
 	services  map[string]*Service
@@ -112,13 +113,14 @@
 
 func newIndex(c *Config) *index {
 	idx := &index{
-		byHost: map[string][]*Queue{}, queues: map[string]*Queue{}, keys: map[string]string{},
+		byHost: map[string][]*Queue{}, places: map[Place]*Queue{}, queues: map[string]*Queue{}, keys: map[string]string{},
 		customers: map[string]*Customer{}, services: map[string]*Service{},
 	}
 	for i := range c.Queues {
 		q := &c.Queues[i]
 		host := strings.ToLower(q.Host)
 		idx.byHost[host] = append(idx.byHost[host], q)
+		idx.places[q.Place()] = q
 		idx.queues[q.Name] = q
 	}
 	for i := range c.Services {
--- a/scheduler/workload/job.go
+++ b/scheduler/workload/job.go
@@ -121,8 +121,7 @@
 	// Sequence numbers the jobs in the order of their acceptance.
 	Sequence uint64 `msgpack:"n"`
 
-	// queue is the queue that the path of the job leads to, or nil. It is derived from the
-	// configuration.
+	// queue is the queue of the job under the current configuration, or nil. It is derived.
 	queue *Queue
 }
 
--- a/scheduler/workload/place.go
+++ b/scheduler/workload/place.go
@@ -53,18 +53,31 @@
 	return strings.ToLower(host) == j.Host && path == j.path()
 }
 
-// bind assigns a job to the queue that its path leads to under the current configuration, and
-// to the service and the advice of that queue. Without such a queue the job keeps the last
-// ones.
-func (s *State) bind(j *Job) {
+// queueOf returns the queue of a job under the current configuration: the one at its place or,
+// if there is none, the one that its path leads to now. It is nil if there is neither.
+func (s *State) queueOf(j *Job) *Queue {
 	if j.hasNoPlace() {
-		j.queue = s.index.queues[j.QueueName]
-	} else {
-		j.queue = s.index.match(j.Host, j.path())
+		return s.index.queues[j.QueueName]
+	}
+	if queue := s.index.places[j.Place()]; queue != nil {
+		return queue
+	}
+	return s.index.match(j.Host, j.path())
+}
+
+// bind assigns a job to its queue, and to the service and the advice of that queue. Without a
+// queue the job keeps the last ones. With one at another place it does, too, while that
+// service is configured: no version has sent the queue of the job to the other one.
+func (s *State) bind(j *Job) {
+	j.queue = s.queueOf(j)
+	if j.queue == nil {
+		return
 	}
-	if j.queue != nil {
-		j.Service, j.Advice = j.queue.Service, j.queue.Advice
+	isMoved := !j.hasNoPlace() && j.queue.Place() != j.Place()
+	if isMoved && s.index.services[j.Service] != nil {
+		return
 	}
+	j.Service, j.Advice = j.queue.Service, j.queue.Advice
 }
 
 func (s *State) bindAll() {
@@ -86,8 +99,8 @@
 	return false
 }
 
-// Pending returns the number of jobs that have not ended and of which no task has
-// started, of those whose paths lead to a queue.
+// Pending returns the number of jobs of a queue that have not ended and of which no task has
+// started.
 func (s *State) Pending(queue *Queue) int {
 	n := 0
 	for _, j := range s.jobs {
