--- a/scheduler/admission/cancel_test.go
+++ b/scheduler/admission/cancel_test.go
@@ -14,10 +14,10 @@
 )
 
 var _ = Describe("a cancel that comes before the submission of its job", func() {
-	var s *service
+	var s *host
 	path := "/a/" + jobID
 
-	BeforeEach(func() { s = newService(queue("q", "/a/"), queue("p", "/b/")) })
+	BeforeEach(func() { s = newHost(queue("q", "/a/"), queue("p", "/b/")) })
 
 	cancel := func(path string) {
 		GinkgoHelper()
--- a/scheduler/admission/memory_test.go
+++ b/scheduler/admission/memory_test.go
@@ -23,7 +23,7 @@
 // Guards against accepted jobs that take all hosts over their memory, again after each
 // restart, so that none of them is known any more.
 var _ = Describe("jobs whose state takes the memory of the hosts", func() {
-	var s *service
+	var s *host
 
 	submit := func(n int, spec *workload.Spec) *structs.Refusal {
 		GinkgoHelper()
@@ -40,7 +40,7 @@
 	}
 
 	BeforeEach(func() {
-		s = newService(queue("q", "/a/"))
+		s = newHost(queue("q", "/a/"))
 		s.policy.MaxStateBytes = 3 * yearly().StateBytes()
 	})
 
--- a/scheduler/admission/model_test.go
+++ b/scheduler/admission/model_test.go
@@ -64,7 +64,7 @@
 // the real state.
 type model struct {
 	t         *rapid.T
-	service   *service
+	host      *host
 	now       time.Duration
 	histories map[string]*history
 	messages  []*message
@@ -131,7 +131,7 @@
 	if r.operation == admission.OpSubmit {
 		request.Spec = &workload.Spec{Steps: []workload.Step{{Count: 1}}}
 	}
-	reply, command, err := m.service.policy.Decide(m.service.state, request, m.now)
+	reply, command, err := m.host.policy.Decide(m.host.state, request, m.now)
 	switch {
 	case err != nil:
 		m.refuse(r, err)
@@ -150,7 +150,7 @@
 	}
 	p := m.log[0]
 	m.log = m.log[1:]
-	result := m.service.apply(p.command)
+	result := m.host.apply(p.command)
 	switch {
 	case m.now-p.at > proposalTimeout:
 		m.repeat(p.message)
@@ -167,13 +167,13 @@
 	kept := rapid.IntRange(0, len(m.log)).Draw(m.t, "kept")
 	for i, p := range m.log {
 		if i < kept {
-			m.service.apply(p.command)
+			m.host.apply(p.command)
 		}
 		m.repeat(p.message)
 	}
 	m.log = nil
 	if rapid.Bool().Draw(m.t, "from a snapshot") {
-		m.service.restart()
+		m.host.restart()
 	}
 }
 
@@ -190,7 +190,7 @@
 	if !errors.As(err, &refused) || refused.Outcome != structs.OutcomeNotRun {
 		m.t.Fatalf("a decision ended with %v", err)
 	}
-	if m.isOwed(r.path) && m.service.state.Match("h.example", r.path) != nil {
+	if m.isOwed(r.path) && m.host.state.Match("h.example", r.path) != nil {
 		m.t.Fatalf("LOST: the accepted job at %s is refused with %v", r.path, err)
 	}
 }
@@ -199,7 +199,7 @@
 	h := m.historyOf(r.path)
 	switch r.operation {
 	case admission.OpSubmit:
-		if m.service.state.JobAt("h.example", r.path) == nil {
+		if m.host.state.JobAt("h.example", r.path) == nil {
 			m.t.Fatalf("LOST: the job at %s is accepted and not stored", r.path)
 		}
 		h.accepted = true
@@ -233,7 +233,7 @@
 		queues = append(queues, q)
 		m.name(&q)
 	}
-	m.service.configure(m.service.state.Config().Version+1, queues...)
+	m.host.configure(m.host.state.Config().Version+1, queues...)
 }
 
 // name records the service of a queue.
@@ -248,20 +248,20 @@
 func (m *model) pass() {
 	m.now += time.Duration(rapid.IntRange(1, 60).Draw(m.t, "seconds")) * time.Second
 	var expired []string
-	m.service.state.Jobs(func(j *workload.Job) {
+	m.host.state.Jobs(func(j *workload.Job) {
 		if j.Phase.Ended() && m.now-j.RetainedSince() > modelRetention {
 			expired = append(expired, j.ID)
 		}
 	})
 	if len(expired) > 0 {
-		m.service.apply(&workload.Command{At: m.now, Purge: expired})
+		m.host.apply(&workload.Command{At: m.now, Purge: expired})
 	}
 }
 
 // check compares the state with what the clients have sent and heard.
 func (m *model) check(t *rapid.T) {
 	m.t = t
-	m.service.state.Jobs(func(j *workload.Job) {
+	m.host.state.Jobs(func(j *workload.Job) {
 		path := j.Prefix + j.ID
 		h := m.historyOf(path)
 		if !j.Tombstone && !h.submitted {
@@ -270,7 +270,7 @@
 		if j.Tombstone && !h.cancelSent {
 			m.t.Fatalf("the cancel of the job at %s is stored and was never sent", path)
 		}
-		for _, q := range m.service.state.Config().Queues {
+		for _, q := range m.host.state.Config().Queues {
 			if q.Place() == j.Place() && j.Service != q.Service {
 				m.t.Fatalf("CONFIG: the job at %s is bound to %s, and its queue to %s", path, j.Service, q.Service)
 			}
@@ -280,7 +280,7 @@
 		}
 	})
 	for path, h := range m.histories {
-		j := m.service.state.JobAt("h.example", path)
+		j := m.host.state.JobAt("h.example", path)
 		if h.cancelledAt > 0 && m.now-h.cancelledAt <= modelPromise && j != nil && !j.Phase.Ended() {
 			m.t.Fatalf("UNASKED: the job at %s is %s after its cancel was confirmed", path, j.Phase)
 		}
@@ -302,11 +302,11 @@
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		RegisterTestingT(t)
-		m := &model{t: t, service: newService(queue("q", "/a/"), queue("p", "/b/")), now: time.Hour, histories: map[string]*history{}, named: map[workload.Place]map[string]bool{}}
-		for _, q := range m.service.state.Config().Queues {
+		m := &model{t: t, host: newHost(queue("q", "/a/"), queue("p", "/b/")), now: time.Hour, histories: map[string]*history{}, named: map[workload.Place]map[string]bool{}}
+		for _, q := range m.host.state.Config().Queues {
 			m.name(&q)
 		}
-		m.service.policy.Retention = modelRetention
+		m.host.policy.Retention = modelRetention
 		act := func(f func()) func(*rapid.T) {
 			return func(t *rapid.T) { m.t = t; f() }
 		}
@@ -316,7 +316,7 @@
 			"read":    act(func() { m.send(admission.OpRead) }),
 			"deliver": act(m.deliver), "deliver another": act(m.deliver), "deliver a third": act(m.deliver),
 			"commit": act(m.commit), "commit another": act(m.commit),
-			"change the leader": act(m.changeLeader), "restart": act(m.service.restart),
+			"change the leader": act(m.changeLeader), "restart": act(m.host.restart),
 			"configure": act(m.configure), "pass time": act(m.pass), "": m.check,
 		})
 	})
--- a/scheduler/admission/upgrade_test.go
+++ b/scheduler/admission/upgrade_test.go
@@ -15,7 +15,7 @@
 
 // restartFromOlderVersion replaces the state by one that an older version has restored and
 // written again: it drops the fields that it does not know.
-func (s *service) restartFromOlderVersion() {
+func (s *host) restartFromOlderVersion() {
 	GinkgoHelper()
 	data, err := s.state.Snapshot()
 	Expect(err).NotTo(HaveOccurred())
@@ -36,10 +36,10 @@
 // restart, hosts of an older version apply the same log, and a newer one may start from their
 // snapshots.
 var _ = Describe("a state that an older version has stored", func() {
-	var s *service
+	var s *host
 	path := "/a/" + jobID
 
-	BeforeEach(func() { s = newService(queue("q", "/a/"), queue("p", "/b/")) })
+	BeforeEach(func() { s = newHost(queue("q", "/a/"), queue("p", "/b/")) })
 
 	It("keeps accepted jobs at the queue of their name", func() {
 		s.submit(path)
@@ -75,8 +75,8 @@
 	})
 
 	It("reacts to the next commands like that of a newer version", func() {
-		older := newService(queue("q", "/a/"), queue("p", "/b/"))
-		for _, each := range []*service{s, older} {
+		older := newHost(queue("q", "/a/"), queue("p", "/b/"))
+		for _, each := range []*host{s, older} {
 			each.submit(path)
 			_, _ = each.do(admission.OpCancel, "key-a", "/a/"+otherID)
 		}
