node, upstream: a host that was suspended sends nothing to backend servers that left

Ruled out: the view of the dispatcher, a lost drain, the view of other hosts.

Change: the directory notices suspensions and adds the time to the age of announcements that may have waited; the pool asks again right before the first byte of a request; that answer does not count if the process was suspended while it was found.

--- a/coord/registry/doc.go
+++ b/coord/registry/doc.go
@@ -21,9 +21,9 @@
 // stays as a tombstone, which makes the registry ignore that version and all
 // earlier ones. A copy passes each host once, so Config.TombstoneRetention must
 // be longer than MaxTTL plus the number of hosts times the longest delay of a
-// message. A host that resumes after a long pause and reads messages from
-// before it can accept an old announcement for at most its time to live;
-// transports must therefore close connections that were silent.
+// message. A host that resumes after a long pause reads messages that have waited
+// for it; its caller must add that time to their age, or an old announcement
+// counts for up to its time to live again.
 //
 // # Cost
 //
--- a/daemon/node/backends.go
+++ b/daemon/node/backends.go
@@ -36,6 +36,7 @@
 	// acceptingSince is when the host began to accept announcements, and
 	// firstPeerSync when another host first sent entries; 0 until then.
 	acceptingSince, firstPeerSync time.Duration
+	suspensions                   suspensions
 }
 
 func newBackendDirectory(domain string, ttl time.Duration) *backendDirectory {
@@ -51,6 +52,15 @@
 	}
 }
 
+// lock locks the directory for a call at a time and returns the function that unlocks it.
+// The time is that at which the caller read what it passes on: if the process is suspended
+// after that, the time shows it.
+func (d *backendDirectory) lock(now time.Duration) (unlock func()) {
+	d.mu.Lock()
+	d.suspensions.observe(now)
+	return d.mu.Unlock
+}
+
 // announce merges an announcement of a backend server into the registry.
 func (d *backendDirectory) announce(now time.Duration, b structs.Backend, sequence uint64) *structs.Refusal {
 	if refusal := d.validate(b, sequence); refusal != nil {
@@ -68,9 +78,14 @@
 		TTL:         d.ttl,
 		Payload:     payload,
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.registry.Merge(now, []registry.Entry{entry}).Rejected > 0 {
+	defer d.lock(now)()
+	entries := withWait([]registry.Entry{entry}, d.suspensions.longestWait(now))
+	if len(entries) == 0 {
+		refusal := structs.RefuseNotRun(structs.CodeDeadlineExpired, "this host was suspended, and the announcement may have expired meanwhile")
+		refusal.RetryAfter = bufferedInputTime
+		return refusal
+	}
+	if d.registry.Merge(now, entries).Rejected > 0 {
 		return structs.RefuseNotRun(structs.CodeInvalid, "the announcement is too large or the directory is full")
 	}
 	return nil
@@ -92,8 +107,7 @@
 
 // live returns the backend servers that are up or draining.
 func (d *backendDirectory) live(now time.Duration) []structs.Backend {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.lock(now)()
 	d.registry.Expire(now)
 	entries := d.registry.Live(now)
 	backends := make([]structs.Backend, 0, len(entries))
@@ -107,8 +121,7 @@
 
 // isUp reports whether a backend server is known and in state up.
 func (d *backendDirectory) isUp(now time.Duration, id string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.lock(now)()
 	e, ok := d.registry.Get(now, id)
 	return ok && e.State == registry.Up
 }
@@ -116,22 +129,19 @@
 // delta returns the entries that a peer with the given digest lacks, as many as
 // fit into one message.
 func (d *backendDirectory) delta(now time.Duration, digest []registry.Version) []registry.Entry {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.lock(now)()
 	entries, _ := d.registry.Delta(now, digest, maxRegistryMessageBytes)
 	return entries
 }
 
-func (d *backendDirectory) digest() []registry.Version {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+func (d *backendDirectory) digest(now time.Duration) []registry.Version {
+	defer d.lock(now)()
 	return d.registry.Digest()
 }
 
 func (d *backendDirectory) merge(now time.Duration, entries []registry.Entry) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.registry.Merge(now, entries)
+	defer d.lock(now)()
+	d.registry.Merge(now, withWait(entries, d.suspensions.longestWait(now)))
 	if d.firstPeerSync == 0 && len(entries) > 0 {
 		d.firstPeerSync = now
 	}
@@ -139,17 +149,16 @@
 
 // startAccepting records that the host accepts announcements from now on.
 func (d *backendDirectory) startAccepting(now time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.lock(now)()
 	d.acceptingSince = now
+	d.suspensions.reset(now)
 }
 
 // isSynced reports whether the directory is complete after a start of the host:
 // another host has sent its entries, or a whole TTL has passed, within which
 // each live backend server has announced itself.
 func (d *backendDirectory) isSynced(now time.Duration) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.lock(now)()
 	// Dispatchers read the directory once per refresh interval.
 	fromPeer := d.firstPeerSync > 0 && now-d.firstPeerSync >= 2*backendRefreshInterval
 	return fromPeer || (d.acceptingSince > 0 && now-d.acceptingSince >= d.ttl)
@@ -187,8 +196,7 @@
 // entry returns the registry entry of one backend server, to be sent to other
 // hosts.
 func (d *backendDirectory) entry(now time.Duration, id string) []registry.Entry {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.lock(now)()
 	changes, _ := d.registry.Changes(now, 0)
 	for _, c := range changes {
 		if c.ID == id {
@@ -201,8 +209,7 @@
 // find returns a live backend server of a service and the sequence number for
 // its next change.
 func (d *backendDirectory) find(now time.Duration, service, id string) (structs.Backend, uint64, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.lock(now)()
 	e, ok := d.registry.Get(now, id)
 	if !ok {
 		return structs.Backend{}, 0, false
--- a/daemon/node/backends_test.go
+++ b/daemon/node/backends_test.go
@@ -11,8 +11,8 @@
 
 // exchange passes the entries that each directory lacks to the other.
 func exchange(now time.Duration, a, b *backendDirectory) {
-	b.merge(now, a.delta(now, b.digest()))
-	a.merge(now, b.delta(now, a.digest()))
+	b.merge(now, a.delta(now, b.digest(now)))
+	a.merge(now, b.delta(now, a.digest(now)))
 }
 
 // Guards against a backend server that left and is used again by a host that restarted
@@ -37,7 +37,7 @@
 			restarted.startAccepting(time.Second)
 			for now := time.Second; now < 6*ttl; now += 100 * time.Millisecond {
 				if now%time.Second == 500*time.Millisecond {
-					restarted.merge(now, b.delta(now, restarted.digest()))
+					restarted.merge(now, b.delta(now, restarted.digest(now)))
 					g.Expect(restarted.announce(now, backend, 5)).To(BeNil(), "a delayed announcement")
 				}
 				exchange(now, restarted, b)
--- a/daemon/node/service.go
+++ b/daemon/node/service.go
@@ -282,7 +282,8 @@
 // since the dispatcher chose it, which can happen if the process was paused in
 // between.
 func (s *service) sendAttempt(p *pendingRequest, e serving.Send, a upstream.Attempt) (*upstream.Response, error) {
-	if !s.node.backends.isUp(s.node.now(), e.Backend) {
+	a.MayStart = func() bool { return s.node.isBackendUp(e.Backend) }
+	if !a.MayStart() {
 		return nil, &upstream.AttemptError{Kind: upstream.KindNotSent, Detail: "the backend server is no longer up"}
 	}
 	if p.call.Request.NonIdempotent {
--- a/daemon/node/sync.go
+++ b/daemon/node/sync.go
@@ -76,7 +76,7 @@
 // syncBackends requests the announcements that this host lacks from the hosts of
 // its failure domain.
 func (n *Node) syncBackends() {
-	message := &registryMessage{RequestDelta: true, Digest: n.backends.digest()}
+	message := &registryMessage{RequestDelta: true, Digest: n.backends.digest(n.now())}
 	n.sendToDomain(message)
 }
 
@@ -125,6 +125,16 @@
 	return nil
 }
 
+// isBackendUp reports whether a backend server is known and in state up.
+func (n *Node) isBackendUp(id string) bool {
+	began := time.Now()
+	up := n.backends.isUp(n.now(), id)
+	// The process may have been suspended since it read the time, for example while it waited
+	// for the lock of the directory, and the announcement may have expired meanwhile. The
+	// clock of the runtime takes no system call, after which this goroutine could wait again.
+	return up && time.Since(began) <= suspensionBound
+}
+
 // SetBackendState changes the state of an announced backend server.
 func (n *Node) SetBackendState(service, id string, incarnation uint64, state structs.BackendState) error {
 	b, sequence, found := n.backends.find(n.now(), service, id)
--- a/daemon/upstream/limit.go
+++ b/daemon/upstream/limit.go
@@ -47,17 +47,37 @@
 	return l.open > 0
 }
 
-// countedConn releases its share of the limit when it is closed.
+// countedConn releases its share of the limit when it is closed. It starts no request that
+// the executor must not get any more.
 type countedConn struct {
 	net.Conn
-	limit *connLimit
-	once  sync.Once
+	clients *executorClients
+	once    sync.Once
+	// requestStarted is true from the first write of a request to the first read of its
+	// response. One goroutine at a time uses a connection.
+	requestStarted bool
+}
+
+// Write implements net.Conn. Only the first write of a request can be refused: an executor
+// that gets the beginning of a request must get the rest of it.
+func (c *countedConn) Write(p []byte) (int, error) {
+	if !c.requestStarted && !c.clients.takesRequests() {
+		return 0, &withdrawnError{address: c.RemoteAddr().String()}
+	}
+	c.requestStarted = true
+	return c.Conn.Write(p)
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	c.requestStarted = false
+	return c.Conn.Read(p)
 }
 
 // Close implements net.Conn.
 func (c *countedConn) Close() error {
 	err := c.Conn.Close()
-	c.once.Do(c.limit.release)
+	c.once.Do(c.clients.limit.release)
 	return err
 }
 
@@ -71,6 +91,13 @@
 	// removed is set by CloseExecutor and Close, so that the connections of the
 	// last attempts are closed afterwards.
 	removed atomic.Bool
+	// mayStart is that of the last attempt.
+	mayStart atomic.Pointer[func() bool]
+}
+
+func (c *executorClients) takesRequests() bool {
+	mayStart := c.mayStart.Load()
+	return mayStart == nil || *mayStart == nil || (*mayStart)()
 }
 
 func (p *Pool) newClients(address string, limit *connLimit) *executorClients {
@@ -118,5 +145,5 @@
 		c.limit.release()
 		return nil, &dialError{cause: err}
 	}
-	return &countedConn{Conn: conn, limit: c.limit}, nil
+	return &countedConn{Conn: conn, clients: c}, nil
 }
--- a/daemon/upstream/pool.go
+++ b/daemon/upstream/pool.go
@@ -53,6 +53,12 @@
 
 func (e *noConnectionError) Error() string { return "all connections to " + e.address + " are in use" }
 
+// withdrawnError reports that the executor must not get requests any more, so nothing was
+// sent.
+type withdrawnError struct{ address string }
+
+func (e *withdrawnError) Error() string { return e.address + " takes no new requests" }
+
 // Attempt is one request to an executor.
 type Attempt struct {
 	Address string
@@ -67,6 +73,11 @@
 	Headers [][2]string
 	Body    []byte
 	Timeout time.Duration
+	// MayStart reports whether the executor still takes new requests. It is read right
+	// before the first byte is written, because the process may be suspended after it has
+	// chosen the executor, and must not take long. Attempts for one address have the same
+	// condition. nil stands for true.
+	MayStart func() bool
 }
 
 // Response is the complete response of an executor.
@@ -189,6 +200,7 @@
 		clients = p.newClients(a.Address, limit)
 		p.clients[a.Address] = clients
 	}
+	clients.mayStart.Store(&a.MayStart)
 	if limit.resize(max(1, a.Connections)) {
 		clients.closeIdle()
 	}
@@ -262,7 +274,8 @@
 	}
 	var dialErr *dialError
 	var noConnection *noConnectionError
-	if errors.As(err, &dialErr) || errors.As(err, &noConnection) {
+	var withdrawn *withdrawnError
+	if errors.As(err, &dialErr) || errors.As(err, &noConnection) || errors.As(err, &withdrawn) {
 		return &AttemptError{Kind: KindNotSent, Detail: err.Error()}
 	}
 	if errors.Is(err, fasthttp.ErrTimeout) {
