--- a/daemon/node/backends.go
+++ b/daemon/node/backends.go
@@ -52,9 +52,9 @@
 	}
 }
 
-// lock locks the directory for a call at a time and returns the function that unlocks it.
-// The time is that at which the caller read what it passes on: if the process is suspended
-// after that, the time shows it.
+// lock locks the directory and returns the function that unlocks it. Callers that pass on a
+// message read now after they have read the message: the directory cannot tell otherwise
+// whether the message came before or after a suspension of the process.
 func (d *backendDirectory) lock(now time.Duration) (unlock func()) {
 	d.mu.Lock()
 	d.suspensions.observe(now)
--- a/daemon/upstream/pool.go
+++ b/daemon/upstream/pool.go
@@ -73,10 +73,10 @@
 	Headers [][2]string
 	Body    []byte
 	Timeout time.Duration
-	// MayStart reports whether the executor still takes new requests. It is read right
-	// before the first byte is written, because the process may be suspended after it has
-	// chosen the executor, and must not take long. Attempts for one address have the same
-	// condition. nil stands for true.
+	// MayStart reports whether the executor still takes new requests; nil stands for true.
+	// It is called right before the first byte is written, since the process may be
+	// suspended after it has chosen the executor. Attempts that run at the same time for
+	// one address must have the same condition.
 	MayStart func() bool
 }
 
