--- a/review/standin-3/executor.go
+++ b/review/standin-3/executor.go
@@ -18,6 +18,10 @@
 	maxLease          = 6 * time.Second
 	stopTime          = 100 * time.Millisecond
 	maxListedEnds     = 500
+	// lastingSpec begins the spec of a subtask that lasts. The number of runs that fail follows.
+	lastingSpec = "lasts "
+	// timeToFailure is how long a run works that fails.
+	timeToFailure = 300 * time.Millisecond
 )
 
 // executor runs subtasks as the pages describe it. A subtask works for the time that its
@@ -53,6 +57,7 @@
 	run    int
 	worked time.Duration
 	begin  time.Time
+	lasts  bool
 	timer  *time.Timer
 }
 
@@ -63,12 +68,14 @@
 	// starts counts the runs of each subtask.
 	starts map[string]int
 	active map[string]int
+	// idleSince is when the last run of a subtask ended.
+	idleSince map[string]time.Time
 	// broken lists the rules that were broken.
 	broken []string
 }
 
 func newObservations() *observations {
-	return &observations{done: map[string]int{}, starts: map[string]int{}, active: map[string]int{}}
+	return &observations{done: map[string]int{}, starts: map[string]int{}, active: map[string]int{}, idleSince: map[string]time.Time{}}
 }
 
 func (o *observations) violate(r *record, rule, text string) {
@@ -92,7 +99,9 @@
 func (o *observations) finished(task string, done bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.active[task]--
+	if o.active[task]--; o.active[task] == 0 {
+		o.idleSince[task] = time.Now()
+	}
 	if done {
 		o.done[task]++
 	}
@@ -110,6 +119,16 @@
 	return n
 }
 
+// idle returns how long a subtask has been without a run, or 0 if it runs or has never run.
+func (o *observations) idle(task string) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if since, ended := o.idleSince[task]; ended && o.active[task] == 0 {
+		return time.Since(since)
+	}
+	return 0
+}
+
 func (o *observations) allStarts() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -232,14 +251,23 @@
 	if err != nil {
 		work = time.Second
 	}
-	r := &running{run: o.Run, worked: work, begin: time.Now()}
+	how := "done"
+	if strings.HasPrefix(o.Spec, lastingSpec) {
+		// The first runs of such a subtask may fail, the others last.
+		failures, _ := strconv.Atoi(strings.TrimPrefix(o.Spec, lastingSpec))
+		work, how = time.Hour, "failed"
+		if o.Run <= failures {
+			work = timeToFailure
+		}
+	}
+	r := &running{run: o.Run, worked: work, begin: time.Now(), lasts: how == "failed"}
 	e.running[o.Task] = r
 	e.addRun(o.Task, o.Run, "started")
 	e.runs.started(e.record, o.Task, e.id)
 	r.timer = time.AfterFunc(work, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		e.end(o.Task, r, "done")
+		e.end(o.Task, r, how)
 	})
 	return http.StatusOK, map[string]any{}
 }
@@ -294,7 +322,11 @@
 	}
 	rows, ends := [][]any{}, [][]any{}
 	for task, r := range e.running {
-		rows = append(rows, []any{task, r.run, "", min(99, int(100*time.Since(r.begin)/max(r.worked, 1))), 1000})
+		percent := min(99, int(100*time.Since(r.begin)/max(r.worked, 1)))
+		if r.lasts {
+			percent = 100
+		}
+		rows = append(rows, []any{task, r.run, "", percent})
 	}
 	ends = append(ends, e.ended[:min(len(e.ended), maxListedEnds)]...)
 	return http.StatusOK, map[string]any{"running": rows, "ended_runs": ends}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -19,6 +19,7 @@
 type scenario func(r *record, binary string, trouble bool) (broken []string, err error)
 
 var scenarios = map[string]scenario{
+	"failing":      failing,
 	"long-names":   longNames,
 	"scheduled":    scheduled,
 	"wide":         wide,
