fleet: stop an awaited run whose executor is no target any more

The run has to stop and no stop is sent until something else changes on its executor, so that the urgent task waits longer than its guarantee allows.

Cause: a preemption waits for runs that are expected to end soon. If they have not ended in time, stopAwaited requests their stops and marks the executors in targets. keepPreempted takes an executor out of targets once a task was placed there, and cuts the rest.

Ruled out: a missed change of the log (the run is in the log, its stop is requested by the round).

Change: the awaited run is kept with its executor, which is marked.

--- a/scheduler/fleet/preemption.go
+++ b/scheduler/fleet/preemption.go
@@ -27,12 +27,19 @@
 	isSpread bool
 	// awaited are runs that are expected to end by themselves before
 	// awaitUntil.
-	awaited    []*run
+	awaited    []endingRun
 	awaitUntil time.Duration
 	// isCredited is set while its capacity counts as free, for its holder.
 	isCredited bool
 }
 
+// endingRun is a run that is expected to end soon. Its executor may not be a target any more when
+// it has to be stopped: a task of the holder may have been placed there.
+type endingRun struct {
+	run      *run
+	executor *executor
+}
+
 // keepPreempted keeps the capacity of a preemption for the tasks of its holder that were not
 // placed in this round. Otherwise less urgent task sets would take what has become free before
 // all victims have stopped.
@@ -56,14 +63,12 @@
 	if len(pre.awaited) == 0 || now < pre.awaitUntil {
 		return false
 	}
-	for _, r := range pre.awaited {
-		if r.stopCause == "" {
-			r.requestStop(now, stopPreempted)
+	for _, a := range pre.awaited {
+		if a.run.stopCause == "" {
+			a.run.requestStop(now, stopPreempted)
+			a.executor.hasOrders = true
 		}
 	}
-	for _, e := range pre.targets {
-		e.hasOrders = true
-	}
 	pre.awaited = nil
 	pre.expiresAt = now + cfg.StopTime + preemptionMargin
 	return true
@@ -97,7 +102,7 @@
 			switch {
 			case v.run.stopCause != "":
 			case v.endsAnyway:
-				pre.awaited = append(pre.awaited, v.run)
+				pre.awaited = append(pre.awaited, endingRun{run: v.run, executor: p.executor})
 			default:
 				v.run.requestStop(now, stopPreempted)
 				p.executor.hasOrders = true
