--- a/daemon/control/node.go
+++ b/daemon/control/node.go
@@ -32,6 +32,9 @@
 	// sync.
 	electionTimeout   = 700 * time.Millisecond
 	heartbeatInterval = 150 * time.Millisecond
+	// roundTime bounds a round of the scheduler, which runs on the goroutine of the log: a heartbeat
+	// that is due in a round is late by a part of the interval only.
+	roundTime = heartbeatInterval / 5
 	// clockError bounds the difference between the measurements of one election
 	// timeout by two hosts.
 	clockError = 100 * time.Millisecond
@@ -193,7 +196,9 @@
 		_ = store.Close()
 		return err
 	}
-	n.owner = &owner{cfg: n.cfg.Fleet, state: n.state, executors: n.cfg.Executors, log: n.log, panics: n.cfg.Observer, now: clock.Boot}
+	settings := n.cfg.Fleet
+	settings.RoundTime, settings.Elapsed = roundTime, clock.Boot
+	n.owner = &owner{cfg: settings, state: n.state, executors: n.cfg.Executors, log: n.log, panics: n.cfg.Observer, now: clock.Boot}
 	n.group = group.New(group.Config{
 		Name: groupName, Replica: r, Send: n.sendRaft, Owner: n.owner, Now: clock.Boot, Logger: n.log, Panics: n.cfg.Observer,
 		OnFailure: n.reportFailure,
--- a/daemon/control/owner.go
+++ b/daemon/control/owner.go
@@ -104,7 +104,9 @@
 		begin := o.now()
 		out := o.controller.Step(now, clock.Unix())
 		if out.Round != nil {
-			o.observeRound(*out.Round, o.now()-begin)
+			end := o.now()
+			o.controller.RecordRound(end, end-begin)
+			o.observeRound(*out.Round, end-begin)
 		}
 		o.execute(out)
 		o.nextStep = now + min(maxStepDelay, stepCostFactor*(o.now()-now))
--- a/daemon/metrics/platform.go
+++ b/daemon/metrics/platform.go
@@ -36,9 +36,15 @@
 
 	rounds    prometheus.Histogram
 	roundWait prometheus.Histogram
-	taskSets  *prometheus.CounterVec
-	delayed   prometheus.Counter
-	searches  *prometheus.CounterVec
+	// roundParts is the time of each part of the rounds, roundWork their work, roundsCut the
+	// number of those that reached their bound, stepsLeft the steps that the last one did not try.
+	roundParts *prometheus.CounterVec
+	roundWork  prometheus.Counter
+	roundsCut  prometheus.Counter
+	stepsLeft  prometheus.Gauge
+	taskSets   *prometheus.CounterVec
+	delayed    prometheus.Counter
+	searches   *prometheus.CounterVec
 
 	intake        *prometheus.CounterVec
 	evacuated     prometheus.Gauge
@@ -94,6 +100,18 @@
 		roundWait: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "cranberrydrum_round_wait_seconds", Help: "Time for which a round was due before it began.", Buckets: roundBuckets,
 		}),
+		roundParts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cranberrydrum_round_part_seconds_total", Help: "Time of the parts of rounds of the scheduler, on the leader.",
+		}, []string{"part"}),
+		roundWork: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cranberrydrum_round_comparisons_total", Help: "Comparisons of waiting work with executors by rounds of the scheduler.",
+		}),
+		roundsCut: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cranberrydrum_rounds_cut_total", Help: "Rounds of the scheduler that reached the bound on their work and left the rest to the next one.",
+		}),
+		stepsLeft: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "cranberrydrum_waiting_steps_left", Help: "Due steps that the last round did not try: equal ones have no room, or the round reached its bound.",
+		}),
 		taskSets: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cranberrydrum_task_sets_tried_total", Help: "Task sets that a round tried to place, by result.",
 		}, []string{"result"}),
@@ -133,7 +151,7 @@
 		}, []string{"queue", "result"}),
 	}
 	p.registry.MustRegister(p.calls, p.refused, p.attempts, p.shed, p.panics, p.members, p.losses, p.changes, p.waiting, p.dropped, p.ended,
-		p.rounds, p.roundWait, p.taskSets, p.delayed, p.searches, p.admissions, p.becameAvailable, p.valueless, p.predictions,
+		p.rounds, p.roundWait, p.roundParts, p.roundWork, p.roundsCut, p.stepsLeft, p.taskSets, p.delayed, p.searches, p.admissions, p.becameAvailable, p.valueless, p.predictions,
 		p.suspected, p.atFault, p.intake, p.evacuated, p.evacuationAge, p.evacuations)
 	return p
 }
@@ -189,6 +207,12 @@
 // ObserveRound implements control.Observer.
 func (p *Platform) ObserveRound(c fleet.RoundCounts, took time.Duration) {
 	p.rounds.Observe(took.Seconds())
+	c.EachPart(func(part string, took time.Duration) { p.roundParts.WithLabelValues(part).Add(took.Seconds()) })
+	p.roundWork.Add(float64(c.Work))
+	p.stepsLeft.Set(float64(c.Left))
+	if c.HasLeft {
+		p.roundsCut.Inc()
+	}
 	p.taskSets.WithLabelValues("placed").Add(float64(c.TaskSets - c.Unplaced))
 	p.taskSets.WithLabelValues("unplaced").Add(float64(c.Unplaced))
 	p.searches.WithLabelValues("made").Add(float64(c.Searches))
--- a/scheduler/fleet/admit_forecast.go
+++ b/scheduler/fleet/admit_forecast.go
@@ -61,7 +61,7 @@
 		placed[stepKeyOf(start.Task)]++
 	}
 	for _, ts := range sets {
-		if waiting := len(ts.tasks) - placed[ts.key]; waiting > 0 {
+		if waiting := ts.waiting - placed[ts.key]; waiting > 0 {
 			c.queueWork(unix, rs, ts, waiting)
 		}
 	}
--- a/scheduler/fleet/advice.go
+++ b/scheduler/fleet/advice.go
@@ -39,18 +39,16 @@
 	expiresAt time.Duration
 }
 
-// adviceFor returns the advice held for a task set, creating an empty record if
-// necessary. It returns nil if the queue does not require advice.
+// adviceFor returns the advice held for a task set, which is empty before the first call for it.
+// It returns nil if the queue does not require advice.
 func (c *Controller) adviceFor(ts *taskSet) *stepAdvice {
 	if ts.job.Advice == nil {
 		return nil
 	}
-	a := c.advices[ts.key]
-	if a == nil {
-		a = &stepAdvice{asked: map[workload.ExecutorKey]bool{}, tickets: map[workload.ExecutorKey]issuedTicket{}}
-		c.advices[ts.key] = a
+	if a := c.advices[ts.key]; a != nil {
+		return a
 	}
-	return a
+	return &stepAdvice{}
 }
 
 // ticket returns the ticket for an executor and reports whether it is still
@@ -87,6 +85,9 @@
 		return
 	}
 	for _, ts := range unplaced {
+		if rs.isUsedUp() {
+			return
+		}
 		a := c.adviceFor(ts)
 		if a == nil {
 			continue
@@ -96,6 +97,9 @@
 			continue
 		}
 		c.adviceInFlight = true
+		if c.advices[ts.key] == nil {
+			c.advices[ts.key] = &stepAdvice{asked: map[workload.ExecutorKey]bool{}, tickets: map[workload.ExecutorKey]issuedTicket{}}
+		}
 		needed := ts.job.Advice
 		c.out.Calls = append(c.out.Calls, Call{
 			Kind: CallAdvise, IssuedAt: now, Token: c.term, Workers: workers,
@@ -112,6 +116,7 @@
 // capacity come first.
 func (c *Controller) adviceCandidates(now time.Duration, rs *roundState, ts *taskSet, a *stepAdvice) []string {
 	var candidates []*executor
+	rs.work += len(rs.executors)
 	for _, e := range rs.executors {
 		_, granted := a.tickets[e.key]
 		_, valid := a.ticket(now, e.key)
--- a/scheduler/fleet/audit_test.go
+++ b/scheduler/fleet/audit_test.go
@@ -164,7 +164,9 @@
 	c.state.Jobs(func(j *workload.Job) {
 		mustEqual("active job "+j.ID, active[j.ID], !j.Phase.Ended())
 		checkIdle(j)
+		checkWaiting(j)
 	})
+	checkBacklog(c)
 	for _, e := range incarnations {
 		kept := *e
 		full := *e
@@ -183,7 +185,7 @@
 			if e.hasOrders || r.end != nil {
 				continue
 			}
-			mustEqual("orders for "+key.Job, r.needsOrders(), false)
+			mustEqual(fmt.Sprintf("orders for %v on %s, stop %q", key, e.key.ID, r.stopCause), r.needsOrders(), false)
 			mustEqual("reason to stop "+key.Job, c.stopReason(now, e, c.state.Job(key.Job), key, r), "")
 		}
 	}
@@ -261,3 +263,46 @@
 	}
 	return places, len(places) == len(ts.tasks)
 }
+
+// checkWaiting guards against due steps that a round does not see, and against runs that a cancel
+// does not stop.
+func checkWaiting(j *workload.Job) {
+	runs := 0
+	for i := range j.Spec.Steps {
+		var waiting, seen []int
+		for k := range j.Occurrences {
+			step := &j.Occurrences[k].Steps[i]
+			if step.Idle() > 0 && j.Runnable(k, i) {
+				waiting = append(waiting, k)
+			}
+			for n := range step.Tasks {
+				if step.Tasks[n].Run != nil {
+					runs++
+				}
+			}
+		}
+		for k := j.NextWaiting(i, 0, len(j.Occurrences)); k < len(j.Occurrences); k = j.NextWaiting(i, k+1, len(j.Occurrences)) {
+			seen = append(seen, k)
+		}
+		mustEqual(fmt.Sprintf("waiting occurrences of %s, step %d", j.ID, i), seen, waiting)
+		mustEqual(fmt.Sprintf("number of waiting occurrences of %s, step %d", j.ID, i), j.WaitingSteps(i, len(j.Occurrences)), len(waiting))
+	}
+	counted := 0
+	j.EachRun(func(*workload.Run) { counted++ })
+	mustEqual("runs of "+j.ID, counted, runs)
+	mustEqual("whether there are runs of "+j.ID, j.HasRuns(), runs > 0)
+}
+
+// checkBacklog guards against jobs that no round visits, and against a pool whose capacity is out of
+// date, so that a step stays set aside.
+func checkBacklog(c *Controller) {
+	visited := map[*workload.Job]bool{}
+	last := uint64(0)
+	for _, a := range c.backlog.jobs {
+		visited[a.job] = true
+		mustEqual("order of "+a.job.ID, a.job.Sequence > last, true)
+		last = a.job.Sequence
+	}
+	c.state.ActiveJobs(func(j *workload.Job) { mustEqual("visit of "+j.ID, visited[j], true) })
+	mustEqual("capacity of the pools", c.currentPools().byKey, newPoolCapacities(c.orderedExecutors()).byKey)
+}
--- a/scheduler/fleet/best_effort.go
+++ b/scheduler/fleet/best_effort.go
@@ -9,7 +9,7 @@
 // displaceBestEffort stops best-effort runs for tasks of a user-facing step that no executor
 // can take because of them. Best-effort tasks get what others leave unused, so they give way
 // whatever their priority; without that they would keep a task away from its users for good.
-func (c *Controller) displaceBestEffort(now time.Duration, rs *roundState, ts *taskSet, unplaced []int) {
+func (c *Controller) displaceBestEffort(now time.Duration, rs *roundState, ts *taskSet, placed []place) {
 	if ts.step.TailLatencyTarget == 0 || ts.step.Gang || c.preemptions[ts.key] != nil {
 		return
 	}
@@ -18,7 +18,7 @@
 		allocated: map[*executor]workload.Resources{}, tasks: map[*executor]int{}, stops: map[stepKey]int{},
 	}
 	var places []place
-	for _, n := range unplaced {
+	for _, n := range unplacedTasks(ts, placed) {
 		p, found := d.placeFor(n)
 		if !found {
 			break
--- a/scheduler/fleet/controller.go
+++ b/scheduler/fleet/controller.go
@@ -28,6 +28,8 @@
 	executors map[string]*executor
 	// ordered holds the executors by ID, or is nil if they have changed.
 	ordered []*executor
+	// pools holds the capacity of the pools. currentPools returns it.
+	pools *poolCapacities
 	// lost holds the incarnations that are not in executors but have runs in the log or
 	// may be reinstated: they are over or superseded, or they are not in the directory
 	// and have not reported to this leader.
@@ -56,12 +58,14 @@
 	searchPending   bool
 	// dueSince is since when the next round waits for the end of roundInterval, or 0.
 	dueSince time.Duration
+	backlog  *backlog
+	budget   roundBudget
 	runTimes *runTimes
 	// facts holds what is known of jobs during a round. It is nil otherwise.
 	facts map[*workload.Job]*jobFacts
 	// pendingStarts holds the starts that are proposed but not yet applied.
 	pendingStarts map[workload.TaskKey]workload.Start
-	// runnableSince is when the tasks of a step became runnable.
+	// runnableSince is when the tasks of a step that depends on others became runnable.
 	runnableSince map[stepKey]time.Duration
 	// insideGuarantee holds the IDs of urgent jobs (those with priority 0) that
 	// lie within the guarantees.
@@ -104,6 +108,8 @@
 		reservations:   map[stepKey]*reservation{},
 		gangWaits:      map[stepKey]gangWait{},
 		failedSearches: map[searchKey]failedSearch{},
+		backlog:        newBacklog(),
+		budget:         roundBudget{workTime: firstWorkTime},
 		runTimes:       loadRunTimes(state, now),
 		advices:        map[stepKey]*stepAdvice{},
 		demands:        map[string]*demand{},
@@ -156,22 +162,14 @@
 	if now < c.nextRound {
 		return false
 	}
-	return c.dirty || c.searchPending && now >= c.nextSearchRound || now >= c.nextRound+idleRoundInterval
+	return c.dirty || c.budget.hasLeft || c.searchPending && now >= c.nextSearchRound || now >= c.nextRound+idleRoundInterval
 }
 
 func (c *Controller) logEnded() {
 	for _, j := range c.state.TakeEndedJobs() {
-		runs := 0
-		for k := range j.Occurrences {
-			for i := range j.Occurrences[k].Steps {
-				for n := range j.Occurrences[k].Steps[i].Tasks {
-					runs += j.Occurrences[k].Steps[i].Tasks[n].LastRun
-				}
-			}
-		}
 		c.log.Info("job ended", "job", j.ID, "customer", j.Customer, "priority", j.Priority, "phase", j.Phase.String(),
 			"took_ms", (j.EndedAt - j.Submitted).Milliseconds(), "objective_ms", c.objective(j).Milliseconds(), "chain_ms", c.criticalPath(j).Milliseconds(),
-			"tasks", len(j.Occurrences)*taskCount(&j.Spec), "runs", runs)
+			"tasks", len(j.Occurrences)*taskCount(&j.Spec), "runs", j.Attempts())
 	}
 }
 
@@ -394,20 +392,48 @@
 			delete(c.failedOn, key)
 		}
 	}
+	c.forgetWaits(now)
+	for id, e := range c.executors {
+		sinceHeard := now - e.lastHeard
+		if len(e.runs) == 0 && sinceHeard > 2*maxMissedReports*c.cfg.ReportInterval+c.cfg.Lease {
+			c.log.Info("executor removed after missing reports", "executor", id, "silent_ms", sinceHeard.Milliseconds())
+			c.removeExecutor(now, e, "silent")
+		}
+	}
+}
+
+// forgetWaits drops what is known of steps that are done, and of waits that were not tried for
+// some time: a job may have very many of them.
+func (c *Controller) forgetWaits(now time.Duration) {
+	for _, j := range c.backlog.takeEnded() {
+		for i := range j.Spec.Steps {
+			c.runTimes.forget(jobStep{job: j.ID, step: i})
+		}
+	}
 	for key := range c.runnableSince {
-		if j := c.state.Job(key.job); j == nil || j.Phase.Ended() {
+		if c.isStepOver(key) {
 			delete(c.runnableSince, key)
+		}
+	}
+	for key := range c.advices {
+		if c.isStepOver(key) {
 			delete(c.advices, key)
+		}
+	}
+	for key, wait := range c.gangWaits {
+		if now >= wait.triedAt+cleanupInterval || c.isStepOver(key) {
 			delete(c.gangWaits, key)
-			c.forgetSearches(key)
-			c.runTimes.forget(jobStep{job: key.job, step: key.step})
 		}
 	}
-	for id, e := range c.executors {
-		sinceHeard := now - e.lastHeard
-		if len(e.runs) == 0 && sinceHeard > 2*maxMissedReports*c.cfg.ReportInterval+c.cfg.Lease {
-			c.log.Info("executor removed after missing reports", "executor", id, "silent_ms", sinceHeard.Milliseconds())
-			c.removeExecutor(now, e, "silent")
+	for key, search := range c.failedSearches {
+		if now >= search.triedAt+cleanupInterval || c.isStepOver(key.step) {
+			delete(c.failedSearches, key)
 		}
 	}
 }
+
+// isStepOver reports whether a step is done or its job has ended.
+func (c *Controller) isStepOver(key stepKey) bool {
+	j := c.state.Job(key.job)
+	return j == nil || j.Phase.Ended() || j.Occurrences[key.occurrence].Steps[key.step].Remaining == 0
+}
--- a/scheduler/fleet/cost_bench_test.go
+++ b/scheduler/fleet/cost_bench_test.go
@@ -58,6 +58,11 @@
 }
 
 func newBenchFleet(b *testing.B, executors, waiting int) *benchFleet {
+	return newBenchFleetOf(b, executors, benchRunningTasks, waiting)
+}
+
+// newBenchFleetOf returns a fleet with a number of running tasks.
+func newBenchFleetOf(b *testing.B, executors, running, waiting int) *benchFleet {
 	f := &benchFleet{b: b, now: time.Hour, state: workload.New(), byID: map[string]*benchExecutor{}}
 	f.apply(&workload.Command{Configure: benchConfig()})
 	for n := range executors {
@@ -69,8 +74,8 @@
 		e.report = fleet.Report{Executor: e.key, Service: "s", Address: fmt.Sprintf("10.0.%d.%d:80", n/250, n%250), Domain: fmt.Sprint("d", n%6), Capacity: benchCapacity, Labels: labels}
 		f.executors, f.byID[e.key.ID] = append(f.executors, e), e
 	}
-	f.fill()
-	f.controller = fleet.New(modelSettings, f.state, benchTerm, f.now, logr.Discard())
+	f.fill(running)
+	f.controller = fleet.New(f.settings(), f.state, benchTerm, f.now, logr.Discard())
 	for range waiting {
 		f.submit(f.waitingJob())
 	}
@@ -87,10 +92,10 @@
 }
 
 // fill stores jobs whose tasks run on the executors and hold all their accelerators.
-func (f *benchFleet) fill() {
+func (f *benchFleet) fill(running int) {
 	var starts []workload.Start
 	used := make([]int64, len(f.executors))
-	for task := 0; task < benchRunningTasks; {
+	for task := 0; task < running; {
 		demand := workload.Resources{CPU: 1000, MemoryMB: 1000}
 		if used[task%len(used)] < benchCapacity.GPU {
 			demand.GPU = 1
@@ -166,10 +171,21 @@
 // step takes a step of the controller and stores what it proposes. It returns the calls.
 func (f *benchFleet) step() []fleet.Call {
 	var out fleet.Output
+	before := f.spent
 	f.measure(func() { out = f.controller.Step(f.now, f.now) })
+	if out.Round != nil && f.measuring {
+		f.controller.RecordRound(f.now, f.spent-before)
+	}
 	return f.commit(out)
 }
 
+// settings bound the rounds like those of a control host.
+func (f *benchFleet) settings() fleet.Settings {
+	settings := modelSettings
+	settings.RoundTime = 30 * time.Millisecond
+	return settings
+}
+
 func (f *benchFleet) commit(out fleet.Output) []fleet.Call {
 	for _, c := range out.Commands {
 		f.apply(c)
--- a/scheduler/fleet/executor.go
+++ b/scheduler/fleet/executor.go
@@ -87,7 +87,9 @@
 	rack          string
 	labels        []string
 	capacity      workload.Resources
-	sequence      int64
+	// descriptions counts the changes of the service, the labels and the capacity.
+	descriptions int
+	sequence     int64
 	// reported is set once the executor has answered a hold of this leader.
 	reported  bool
 	lastHeard time.Duration
@@ -242,6 +244,9 @@
 
 // setDescription stores the address, failure domain, labels and capacity of an executor.
 func (e *executor) setDescription(service, address, domain string, labels []string, capacity workload.Resources) {
+	if e.service != service || e.capacity != capacity || !slices.Equal(e.labels, labels) {
+		e.descriptions++
+	}
 	e.service, e.address, e.domain = service, address, domain
 	e.labels, e.rack = labels, rackOf(labels)
 	e.capacity = capacity
--- a/scheduler/fleet/fleet_test.go
+++ b/scheduler/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"testing"
 	"time"
@@ -35,44 +36,60 @@
 // starts after a cancel, after a departure notice, in an evacuated failure domain or beyond the maximum
 // attempts of a task, and jobs that never end.
 func TestModel(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		share := func(most float64, label string) float64 {
-			return most * float64(rapid.IntRange(0, 4).Draw(t, label)) / 4
-		}
-		f := faults{
-			loseResponse: share(0.2, "loseResponse"), delayCall: share(0.15, "delayCall"), fail: share(0.1, "fail"),
-			crash: share(0.05, "crash"), partition: share(0.1, "partition"), newLeader: share(0.3, "newLeader"),
-			drain: share(0.05, "drain"), pause: share(0.05, "pause"), leave: share(0.05, "leave"), notSend: share(0.1, "notSend"),
-			refuse: share(0.5, "refuse"), foreign: share(0.4, "foreign"), restart: share(1, "restart"),
-			evacuate: share(0.3, "evacuate"),
-		}
-		cl := newCluster(rapid.Uint64().Draw(t, "seed"), 4, f)
-		cl.run(3 * time.Second)
-		var ids []string
-		for n := range 14 {
-			ids = append(ids, cl.submit(n+1))
-			cl.run(time.Duration(cl.rng.IntN(2000)) * time.Millisecond)
-			if cl.chance(0.15) {
-				cl.cancel(ids[cl.rng.IntN(len(ids))])
-			}
-		}
-		cl.run(10 * time.Second)
-		cl.faults = faults{}
-		for _, e := range cl.executors {
-			e.partitioned = false
+	rapid.Check(t, func(t *rapid.T) { checkModel(t, false, false) })
+}
+
+// checkModel runs the jobs and faults of TestModel. If littleWork is set, a round tries few task
+// sets. If repeated is set, there are jobs of many occurrences, too.
+func checkModel(t *rapid.T, littleWork, repeated bool) {
+	share := func(most float64, label string) float64 {
+		return most * float64(rapid.IntRange(0, 4).Draw(t, label)) / 4
+	}
+	f := faults{
+		loseResponse: share(0.2, "loseResponse"), delayCall: share(0.15, "delayCall"), fail: share(0.1, "fail"),
+		crash: share(0.05, "crash"), partition: share(0.1, "partition"), newLeader: share(0.3, "newLeader"),
+		drain: share(0.05, "drain"), pause: share(0.05, "pause"), leave: share(0.05, "leave"), notSend: share(0.1, "notSend"),
+		refuse: share(0.5, "refuse"), foreign: share(0.4, "foreign"), restart: share(1, "restart"),
+		evacuate: share(0.3, "evacuate"),
+	}
+	seed := rapid.Uint64().Draw(t, "seed")
+	cl := newCluster(seed, 4, f)
+	if littleWork {
+		cl.limitWork()
+	}
+	if repeated {
+		cl.listedEnds = platformListedEnds
+	}
+	repeatedRNG := rand.New(rand.NewPCG(seed, 2))
+	cl.run(3 * time.Second)
+	var ids []string
+	for n := range 14 {
+		ids = append(ids, cl.submit(n+1))
+		if repeated && n%3 == 0 {
+			ids = append(ids, cl.submitRepeated(repeatedRNG, firstRepeated+n))
 		}
-		cl.pausedUntil = 0
-		cl.finishEvacuations()
-		cl.run(settleTime)
-		if cl.violation != "" {
-			t.Fatal(cl.violation)
+		cl.run(time.Duration(cl.rng.IntN(2000)) * time.Millisecond)
+		if cl.chance(0.15) {
+			cl.cancel(ids[cl.rng.IntN(len(ids))])
 		}
-		for _, id := range ids {
-			if j := cl.state.Job(id); !cl.endedCorrectly(j) {
-				t.Fatal(fmt.Sprintf("job %s is %s at the end: %+v", id, j.Phase, j.Occurrences))
-			}
+	}
+	cl.run(10 * time.Second)
+	cl.faults = faults{}
+	for _, e := range cl.executors {
+		e.partitioned = false
+	}
+	cl.pausedUntil = 0
+	cl.hasAwaitedLabel = true
+	cl.finishEvacuations()
+	cl.run(settleTime)
+	if cl.violation != "" {
+		t.Fatal(cl.violation)
+	}
+	for _, id := range ids {
+		if j := cl.state.Job(id); !cl.endedCorrectly(j) {
+			t.Fatal(fmt.Sprintf("job %s is %s at the end: %+v", id, j.Phase, j.Occurrences))
 		}
-	})
+	}
 }
 
 // TestGuarantees runs random load without faults. It guards against urgent jobs
--- a/scheduler/fleet/gang_reservation.go
+++ b/scheduler/fleet/gang_reservation.go
@@ -97,7 +97,7 @@
 	}
 	reason := c.findReservation(now, rs, ts)
 	if reason != WaitReserved {
-		c.failedSearches[search] = failedSearch{at: now, tasks: len(ts.tasks), unplaced: len(ts.tasks), reason: reason}
+		c.failedSearches[search] = failedSearch{at: now, triedAt: now, tasks: len(ts.tasks), unplaced: len(ts.tasks), reason: reason}
 	}
 	return reason
 }
--- a/scheduler/fleet/gang_wait.go
+++ b/scheduler/fleet/gang_wait.go
@@ -50,6 +50,8 @@
 type gangWait struct {
 	reason   WaitReason
 	loggedAt time.Duration
+	// triedAt is when the gang was tried last.
+	triedAt time.Duration
 }
 
 // GangCounts describes the waiting gangs of one round.
@@ -79,9 +81,13 @@
 	c.out.Gangs.Waiting[reason]++
 	last, known := c.gangWaits[ts.key]
 	if reason == WaitNotDue || known && (last.reason == reason || now-last.loggedAt < gangWaitLogInterval) {
+		if known {
+			last.triedAt = now
+			c.gangWaits[ts.key] = last
+		}
 		return
 	}
-	c.gangWaits[ts.key] = gangWait{reason: reason, loggedAt: now}
+	c.gangWaits[ts.key] = gangWait{reason: reason, loggedAt: now, triedAt: now}
 	free := rs.countFreeSlots(ts)
 	c.log.Info("gang waits", "job", ts.key.job, "occurrence", ts.key.occurrence, "step", ts.key.step, "tasks", len(ts.tasks), "gpu", ts.step.Demand.GPU,
 		"reason", reason.String(), "waited_ms", (now - ts.waitingSince).Milliseconds(),
--- a/scheduler/fleet/model_test.go
+++ b/scheduler/fleet/model_test.go
@@ -178,6 +178,12 @@
 	queues queueHistory
 	// faultFree is set if the simulation never has faults.
 	faultFree bool
+	// listedEnds is how many ended runs an executor lists at a time.
+	listedEnds int
+	// settings are those of each leader.
+	settings fleet.Settings
+	// hasAwaitedLabel is set once the executors carry awaitedLabel.
+	hasAwaitedLabel bool
 	// pausedUntil is the end of the present pause of the leader.
 	pausedUntil  time.Duration
 	violation    string
@@ -195,10 +201,11 @@
 		doneAt: map[workload.TaskKey]time.Duration{}, doneAcknowledged: map[workload.TaskKey]bool{},
 		acknowledgedFailures: map[workload.TaskKey]map[int]bool{}, allFailures: map[workload.TaskKey]map[int]bool{}, cancelled: map[string]time.Duration{}, drained: map[workload.ExecutorKey]time.Duration{},
 		startDue: map[string]time.Duration{}, hasStarted: map[workload.TaskKey]bool{}, alwaysFails: map[string]bool{}, evacuated: map[string]time.Duration{}, queues: queueHistory{current: "s"},
+		settings: modelSettings, listedEnds: modelListedEnds,
 	}
 	cl.apply(&workload.Command{Configure: modelConfig()}, 1)
 	cl.leader = &leader{term: 2}
-	cl.leader.controller = fleet.New(modelSettings, cl.state, 2, cl.now, logr.Discard())
+	cl.leader.controller = fleet.New(cl.settings, cl.state, 2, cl.now, logr.Discard())
 	for range executors {
 		cl.executors = append(cl.executors, cl.newExecutor(fmt.Sprintf("10.0.0.%d:80", len(cl.executors))))
 	}
@@ -377,7 +384,7 @@
 	cl.observeEvacuations()
 	cl.pausedUntil = 0
 	cl.leader = &leader{term: cl.leader.term + 1}
-	cl.leader.controller = fleet.New(modelSettings, cl.state, cl.leader.term, cl.now, logr.Discard())
+	cl.leader.controller = fleet.New(cl.settings, cl.state, cl.leader.term, cl.now, logr.Discard())
 }
 
 // restoreFromSnapshot replaces the state by one that was written and read again.
@@ -513,6 +520,7 @@
 		return fleet.Response{Verdict: fleet.VerdictRefused, Reason: "late"}
 	}
 	cl.checkStart(e, call)
+	cl.checkDue(call.Task)
 	if !p.late {
 		cl.checkTimes(e, call)
 	}
@@ -717,7 +725,7 @@
 	present := 0
 	for _, e := range cl.executors {
 		for _, other := range e.running {
-			if other.task.Job == r.task.Job && other.task.Step == r.task.Step && other.run == r.run {
+			if other.task.Job == r.task.Job && other.task.Occurrence == r.task.Occurrence && other.task.Step == r.task.Step && other.run == r.run {
 				present++
 			}
 		}
@@ -738,8 +746,8 @@
 		if len(e.ended) == 0 && cl.now < p.until {
 			return false
 		}
-		a := fleet.Response{Verdict: fleet.VerdictAccepted, Complete: true, Ended: slices.Clone(e.ended[:min(len(e.ended), modelListedEnds)])}
-		a.EndsTruncated = len(a.Ended) == modelListedEnds
+		a := fleet.Response{Verdict: fleet.VerdictAccepted, Complete: true, Ended: slices.Clone(e.ended[:min(len(e.ended), cl.listedEnds)])}
+		a.EndsTruncated = len(a.Ended) == cl.listedEnds
 		for _, r := range e.running {
 			a.Running = append(a.Running, fleet.RunningTask{Task: r.task, Run: r.run, Checkpoint: r.checkpoint, Percent: cl.percent(r)})
 		}
@@ -761,7 +769,7 @@
 	e.sequence++
 	r := fleet.Report{
 		Executor: e.key, Sequence: e.sequence, Service: e.service, Address: e.address, Domain: cl.domainOf(e), Capacity: e.capacity,
-		Labels: []string{"a", cl.rackOf(e)}, Clock: e.clock(cl.now), Draining: e.leavesAt > 0, DrainRemaining: max(0, e.leavesAt-cl.now),
+		Labels: cl.labelsOf(e), Clock: e.clock(cl.now), Draining: e.leavesAt > 0, DrainRemaining: max(0, e.leavesAt-cl.now),
 	}
 	if !cl.state.UsesService(e.service) && !cl.leader.controller.IsMember(&r) {
 		return
--- a/scheduler/fleet/placement.go
+++ b/scheduler/fleet/placement.go
@@ -27,7 +27,7 @@
 
 func (c *Controller) findPlacesNow(now time.Duration, rs *roundState, ts *taskSet, mustStart bool) ([]place, bool) {
 	freedOnSeveralRacks := c.preemptions[ts.key] != nil && c.preemptions[ts.key].isSpread
-	if !ts.step.Allocation().Fits(rs.mostFree) {
+	if !ts.step.Allocation().Fits(rs.mostFree) || rs.hasNoRoom(ts) {
 		return nil, false
 	}
 	mayLeave := mustStart || freedOnSeveralRacks || c.mayLeaveRack(now, ts)
@@ -99,6 +99,7 @@
 		free int64
 	}
 	racks := make([]rack, 0, len(rs.racks))
+	rs.work += len(rs.executors)
 	for name, members := range rs.racks {
 		r := rack{name: name}
 		for _, e := range members {
@@ -122,15 +123,20 @@
 	return names
 }
 
-// mayHold reports whether the free capacity of executors is enough for all tasks of a task set,
-// whatever else keeps them away.
+// mayHold reports whether the free capacity of the matching executors is enough for all tasks of a
+// task set, whatever else keeps them away.
 func (rs *roundState) mayHold(ts *taskSet, executors []*executor) bool {
 	need, n := ts.step.Allocation(), 0
+	rs.work += len(executors)
 	for _, e := range executors {
-		if free := rs.slot(e).free; need.Fits(free) {
+		if free := rs.slot(e).free; need.Fits(free) && ts.matches(e) {
 			fit := fitCount(free, need)
+			isCapped := fit == maxTasksPerExecutor
+			if ts.step.PerExecutor > 0 {
+				fit, isCapped = min(fit, ts.step.PerExecutor), false
+			}
 			n += fit
-			if n >= len(ts.tasks) || fit == maxTasksPerExecutor {
+			if n >= len(ts.tasks) || isCapped {
 				return true
 			}
 		}
@@ -140,6 +146,7 @@
 
 // fitsOnOneRack reports whether an empty rack could hold the task set.
 func (rs *roundState) fitsOnOneRack(ts *taskSet) bool {
+	rs.work += len(rs.executors)
 	for _, members := range rs.racks {
 		n := 0
 		for _, e := range members {
@@ -203,15 +210,24 @@
 // bestFit returns the executor that suits a task best now, or nil if none has room.
 func (rs *roundState) bestFit(ts *taskSet, executors []*executor, avoided []string) *executor {
 	need := ts.step.Allocation()
+	rs.work += len(executors)
 	var best *executor
+	hasRoom := false
 	for _, e := range executors {
-		if !need.Fits(rs.slot(e).free) || !rs.allows(ts, e) || slices.Contains(avoided, e.key.ID) {
+		if !need.Fits(rs.slot(e).free) || !ts.matches(e) {
+			continue
+		}
+		hasRoom = true
+		if !rs.allows(ts, e) || slices.Contains(avoided, e.key.ID) {
 			continue
 		}
 		if best == nil || isBetterFit(ts, rs, e, best) {
 			best = e
 		}
 	}
+	if !hasRoom && len(executors) == len(rs.executors) {
+		rs.full[shapeOf(ts)] = rs.releases
+	}
 	return best
 }
 
@@ -249,6 +265,10 @@
 // It returns nil if the task set cannot run without them, so that the job does
 // not wait forever. Capacity that tasks use which last may never become free.
 func (c *Controller) executorsToAvoid(rs *roundState, ts *taskSet) map[int][]string {
+	if len(c.failedOn) == 0 {
+		return nil
+	}
+	rs.work += len(ts.tasks)
 	avoided := map[int][]string{}
 	avoidedIDs := map[string]bool{}
 	for _, n := range ts.tasks {
--- a/scheduler/fleet/reclaim.go
+++ b/scheduler/fleet/reclaim.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"cranberrydrum.dev/scheduler/workload"
@@ -64,19 +63,22 @@
 	}
 	found := c.clear(now, rs, ts, unplaced, limit)
 	if found.isTooCostly || len(found.places) == 0 || (len(found.places) < len(unplaced) && ts.step.Gang) {
-		c.failedSearches[search] = failedSearch{at: now, tasks: len(ts.tasks), unplaced: len(unplaced)}
+		c.failedSearches[search] = failedSearch{at: now, triedAt: now, tasks: len(ts.tasks), unplaced: len(unplaced)}
 		return c.start(ts, places)
 	}
 	c.preempt(now, rs, ts, found.places)
 	return c.start(ts, places)
 }
 
+// unplacedTasks returns the tasks without a place. Places are in the order of the tasks.
 func unplacedTasks(ts *taskSet, places []place) []int {
 	var unplaced []int
 	for _, n := range ts.tasks {
-		if !slices.ContainsFunc(places, func(p place) bool { return p.task == n }) {
-			unplaced = append(unplaced, n)
+		if len(places) > 0 && places[0].task == n {
+			places = places[1:]
+			continue
 		}
+		unplaced = append(unplaced, n)
 	}
 	return unplaced
 }
--- a/scheduler/fleet/reconcile.go
+++ b/scheduler/fleet/reconcile.go
@@ -12,11 +12,15 @@
 func (c *Controller) reconcile(now time.Duration) {
 	changed := map[workload.ExecutorKey]bool{}
 	jobs := map[string]bool{}
+	steps := map[stepKey]bool{}
 	known := c.state.EachChangeSince(c.changePosition, func(change workload.Change) {
-		if change.Job != "" {
-			jobs[change.Job] = true
-		} else {
+		if change.Job == "" {
 			changed[change.Executor] = true
+			return
+		}
+		jobs[change.Job] = true
+		if change.Occurrence != workload.NoOccurrence {
+			steps[stepKey{job: change.Job, occurrence: change.Occurrence, step: change.Step}] = true
 		}
 	})
 	if !known {
@@ -38,12 +42,23 @@
 	for key := range changed {
 		c.addLost(now, key)
 	}
+	var active []*workload.Job
 	for id := range jobs {
-		if j := c.state.Job(id); j != nil {
-			c.countWork(j)
-			c.recheckOrders(j)
+		j := c.state.Job(id)
+		if j == nil {
+			continue
+		}
+		c.countWork(j)
+		if j.Phase.Ended() {
+			j.EachRun(func(r *workload.Run) { c.markOrders(r.Executor) })
+		} else {
+			active = append(active, j)
 		}
 	}
+	c.backlog.add(now, active)
+	for key := range steps {
+		c.recheckGang(key)
+	}
 	c.lastCounted = c.lastSeen
 	if auditReconcile != nil {
 		auditReconcile(c, now)
@@ -63,6 +78,7 @@
 	c.forgetAllLost(now)
 	c.state.Jobs(c.countWork)
 	c.lastCounted = c.lastSeen
+	c.backlog.rebuild(now, c.state)
 	c.state.EachExecutorWithRuns(func(key workload.ExecutorKey) { c.addLost(now, key) })
 }
 
@@ -116,20 +132,20 @@
 	return len(e.strays) > 0 || len(e.lateFailures) > 0 || e.lastSeenEnd > e.cursor
 }
 
-// recheckOrders has the orders for the runs of a changed job checked if they may have to stop:
-// the job has ended, or a gang is incomplete.
-func (c *Controller) recheckOrders(j *workload.Job) {
-	for k := range j.Occurrences {
-		for i := range j.Occurrences[k].Steps {
-			step := &j.Occurrences[k].Steps[i]
-			if !j.Phase.Ended() && (!j.Spec.Steps[i].Gang || step.LastIncompleteRun == 0) {
-				continue
-			}
-			for n := range step.Tasks {
-				if r := step.Tasks[n].Run; r != nil {
-					c.markOrders(r.Executor)
-				}
-			}
+// recheckGang has the orders for the runs of a gang checked if it is incomplete, so that they may
+// have to stop.
+func (c *Controller) recheckGang(key stepKey) {
+	j := c.state.Job(key.job)
+	if j == nil || !j.Spec.Steps[key.step].Gang {
+		return
+	}
+	step := &j.Occurrences[key.occurrence].Steps[key.step]
+	if step.LastIncompleteRun == 0 {
+		return
+	}
+	for n := range step.Tasks {
+		if r := step.Tasks[n].Run; r != nil {
+			c.markOrders(r.Executor)
 		}
 	}
 }
--- a/scheduler/fleet/round.go
+++ b/scheduler/fleet/round.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	"cranberrydrum.dev/scheduler/workload"
@@ -40,6 +39,8 @@
 	job   *workload.Job
 	step  *workload.Step
 	tasks []int
+	// waiting counts the waiting tasks, of which tasks may be the first ones.
+	waiting int
 	// waitingSince is when the tasks became runnable.
 	waitingSince time.Duration
 	// advice is set for queues that require it.
@@ -65,98 +66,103 @@
 	c.nextRound = now + roundInterval
 	c.facts = map[*workload.Job]*jobFacts{}
 	defer func() { c.facts = nil }()
+	lap := c.startLaps()
 	c.stopStalledRuns(now)
-	sets := c.waitingTaskSets(now, unix)
+	c.backlog.removeEnded()
+	c.insideGuarantee = c.findGuaranteedJobs()
 	rs := c.newRoundState(now)
-	waiting := indexByKey(sets)
-	c.out.Gangs, c.out.Round = &GangCounts{}, &RoundCounts{TaskSets: len(sets)}
+	held := c.heldTaskSets(now, unix, rs)
+	c.out.Gangs, c.out.Round = &GangCounts{}, &RoundCounts{}
 	c.out.Overload.HasRound, c.out.Overload.SuspectedExecutors = true, len(rs.suspected)
 	if c.dueSince > 0 {
 		c.out.Round.Waited, c.dueSince = now-c.dueSince, 0
 	}
-	c.refreshReservations(rs, waiting)
-	c.updateUrgentOnly(now, rs)
-	c.expirePreemptions(now, rs, waiting)
-	var starts []workload.Start
-	var unplaced []*taskSet
-	for _, ts := range sets {
-		ts.advice = c.adviceFor(ts)
-		ts.mayYield = c.mayYield(now, ts)
-		placed := c.placeTaskSet(now, rs, ts)
-		starts = append(starts, placed...)
-		if len(placed) < len(ts.tasks) {
-			c.out.Round.Unplaced++
-		}
-		if ts.advice != nil && len(placed) < len(ts.tasks) {
-			unplaced = append(unplaced, ts)
-		}
-	}
-	c.out.Round.Starts, c.out.Round.Searches = len(starts), rs.searches
+	c.refreshReservations(rs, held)
+	c.updateUrgentOnly(now, unix, rs)
+	c.expirePreemptions(now, rs, held)
+	t := c.newTurns(now, unix, rs, held)
+	lap(partSelect)
+	t.run()
+	c.requestAdvice(now, rs, t.unadvised)
+	lap(partPlace)
+	counts := c.out.Round
+	counts.TaskSets, counts.Unplaced, counts.Starts, counts.Searches = len(t.visited), t.unplaced, len(t.starts), rs.searches
 	if rs.searches > 0 {
 		c.nextSearchRound = now + rs.searchPause(searchRoundInterval)
 	}
-	c.requestAdvice(now, rs, unplaced)
-	c.updateForecast(now, unix, rs, sets, starts)
-	if len(starts) > 0 {
-		c.out.Commands = append(c.out.Commands, &workload.Command{At: unix, Starts: starts})
+	c.updateForecast(now, unix, rs, append(t.visited, t.left...), t.starts)
+	lap(partForecast)
+	counts.Left = rs.leftSteps
+	c.recordWork(now, rs, counts)
+	if len(t.starts) > 0 {
+		c.out.Commands = append(c.out.Commands, &workload.Command{At: unix, Starts: t.starts})
 	}
 }
 
-// indexByKey returns the task sets by key.
-func indexByKey(sets []*taskSet) map[stepKey]*taskSet {
-	byKey := map[stepKey]*taskSet{}
-	for _, ts := range sets {
-		byKey[ts.key] = ts
+// heldTaskSets returns the waiting task sets that hold a preemption or a reservation.
+func (c *Controller) heldTaskSets(now, unix time.Duration, rs *roundState) map[stepKey]*taskSet {
+	held := map[stepKey]*taskSet{}
+	hold := func(key stepKey) {
+		a := c.backlog.known[key.job]
+		if a == nil || key.occurrence >= a.job.Spec.DueOccurrences(unix) || a.job.NextWaiting(key.step, key.occurrence, key.occurrence+1) != key.occurrence {
+			return
+		}
+		if ts := c.newTaskSet(now, unix, rs, a, key.occurrence, key.step); ts != nil {
+			held[key] = ts
+		}
 	}
-	return byKey
+	for key := range c.preemptions {
+		hold(key)
+	}
+	for key := range c.reservations {
+		if held[key] == nil {
+			hold(key)
+		}
+	}
+	return held
 }
 
-// waitingTaskSets returns the task sets that wait for placement, the most
-// urgent first.
-func (c *Controller) waitingTaskSets(now, unix time.Duration) []*taskSet {
-	var sets []*taskSet
-	c.insideGuarantee = c.findGuaranteedJobs()
-	c.state.ActiveJobs(func(j *workload.Job) {
-		for k := range j.Occurrences {
-			if j.Occurrences[k].Remaining == 0 || unix < j.Spec.DueAt(k) {
-				continue
-			}
-			sets = c.appendTaskSets(now, unix, sets, j, k)
+// newTaskSet returns the task set of a step that waits, or nil if its tasks have proposed starts.
+func (c *Controller) newTaskSet(now, unix time.Duration, rs *roundState, a *activeJob, k, i int) *taskSet {
+	tasks, isCut := c.waitingTasks(rs, a.job, k, i)
+	if len(tasks) == 0 {
+		return nil
+	}
+	ts := c.describe(now, unix, a, k, i)
+	ts.tasks, ts.waiting = tasks, len(tasks)
+	if isCut {
+		ts.waiting = a.job.Occurrences[k].Steps[i].Idle()
+	}
+	if len(a.job.Spec.Steps[i].DependsOn) > 0 {
+		if _, known := c.runnableSince[ts.key]; !known {
+			c.runnableSince[ts.key] = now
 		}
-	})
-	slices.SortFunc(sets, compareTaskSets)
-	return sets
+		ts.waitingSince = c.runnableSince[ts.key]
+	}
+	return ts
 }
 
-func (c *Controller) appendTaskSets(now, unix time.Duration, sets []*taskSet, j *workload.Job, k int) []*taskSet {
-	for i := range j.Spec.Steps {
-		if j.Occurrences[k].Steps[i].Idle() == 0 || !j.Runnable(k, i) {
-			continue
-		}
-		tasks := c.waitingTasks(j, k, i)
-		if len(tasks) == 0 {
-			continue
-		}
-		key := stepKey{job: j.ID, occurrence: k, step: i}
-		if _, known := c.runnableSince[key]; !known {
-			c.runnableSince[key] = now
-		}
-		expected, bound := c.runTime(j, i)
-		sets = append(sets, &taskSet{
-			expectedRunTime: expected, runTimeBound: bound,
-			key: key, job: j, step: &j.Spec.Steps[i], tasks: tasks, waitingSince: c.runnableSince[key],
-			tier: c.tierOf(j, k, unix), guaranteed: c.insideGuarantee[j.ID],
-		})
+// describe returns the task set of a step without its tasks.
+func (c *Controller) describe(now, unix time.Duration, a *activeJob, k, i int) *taskSet {
+	expected, bound := c.runTime(a.job, i)
+	return &taskSet{
+		expectedRunTime: expected, runTimeBound: bound,
+		key: stepKey{job: a.job.ID, occurrence: k, step: i}, job: a.job, step: &a.job.Spec.Steps[i], waitingSince: a.waitingSince(now, c.unixOffset, k),
+		tier: c.tierOf(a.job, k, unix), guaranteed: c.insideGuarantee[a.job.ID],
 	}
-	return sets
 }
 
-// waitingTasks returns the tasks of a step that have no run. A gang is returned
-// as a whole, once the last run of every member is over.
-func (c *Controller) waitingTasks(j *workload.Job, k, i int) []int {
+// waitingTasks returns the tasks of a step that have no run. A gang is returned as a whole, once the
+// last run of every member is over. Of other steps there are at most as many as the round could
+// compare with every executor; isCut reports whether there may be more.
+func (c *Controller) waitingTasks(rs *roundState, j *workload.Job, k, i int) (tasks []int, isCut bool) {
 	step := &j.Occurrences[k].Steps[i]
-	var tasks []int
+	isGang, limit := j.Spec.Steps[i].Gang, rs.maxTasks()
 	for n := range step.Tasks {
+		if !isGang && len(tasks) >= limit {
+			return tasks, true
+		}
+		rs.work++
 		t := &step.Tasks[n]
 		if t.Done || t.Run != nil {
 			continue
@@ -165,10 +171,10 @@
 			tasks = append(tasks, n)
 		}
 	}
-	if j.Spec.Steps[i].Gang && len(tasks) < len(step.Tasks) {
-		return nil
+	if isGang && len(tasks) < len(step.Tasks) {
+		return nil, false
 	}
-	return tasks
+	return tasks, false
 }
 
 func compareTaskSets(a, b *taskSet) int {
@@ -193,19 +199,15 @@
 // findGuaranteedJobs returns the IDs of the urgent jobs that lie within the
 // guarantees. Jobs that were accepted earlier take precedence.
 func (c *Controller) findGuaranteedJobs() map[string]bool {
-	var urgent []*workload.Job
-	c.state.ActiveJobs(func(j *workload.Job) {
-		if j.Priority == 0 && c.state.Guaranteed(j.Customer) > 0 {
-			urgent = append(urgent, j)
-		}
-	})
-	slices.SortFunc(urgent, func(a, b *workload.Job) int { return cmp.Compare(a.Sequence, b.Sequence) })
 	guaranteed := map[string]bool{}
 	used := map[string]int64{}
-	for _, j := range urgent {
-		need := widestGPU(j)
-		if need <= c.state.Guaranteed(j.Customer)-used[j.Customer] {
-			used[j.Customer] += need
+	for _, a := range c.backlog.jobs {
+		j := a.job
+		if j.Priority != 0 {
+			continue
+		}
+		if limit := c.state.Guaranteed(j.Customer); limit > 0 && a.gpus <= limit-used[j.Customer] {
+			used[j.Customer] += a.gpus
 			guaranteed[j.ID] = true
 		}
 	}
@@ -232,7 +234,7 @@
 	rs.credit(c.preemptions[ts.key])
 	places, ok := c.findReliablePlaces(now, rs, ts)
 	if !ok {
-		c.displaceBestEffort(now, rs, ts, unplacedTasks(ts, places))
+		c.displaceBestEffort(now, rs, ts, places)
 	}
 	if !ok && c.mayReclaim(now, ts) {
 		c.endOutdatedReservation(rs, ts)
@@ -242,7 +244,9 @@
 		rs.deallocate(ts, places)
 		rs.deduct(c.preemptions[ts.key])
 		c.recordWait(now, rs, ts, c.reserveForGang(now, rs, ts))
-		rs.yieldToGang(ts)
+		if rs.pools.mayHold(ts.job.Service, ts.step) {
+			rs.yieldToGang(ts)
+		}
 		return nil
 	}
 	c.keepPreempted(rs, ts, places)
@@ -259,7 +263,7 @@
 
 // start turns places into proposed starts.
 func (c *Controller) start(ts *taskSet, places []place) []workload.Start {
-	if len(places) == len(ts.tasks) {
+	if len(places) == ts.waiting {
 		delete(c.preemptions, ts.key)
 		delete(c.gangWaits, ts.key)
 		c.forgetSearches(ts.key)
--- a/scheduler/fleet/round_state.go
+++ b/scheduler/fleet/round_state.go
@@ -17,6 +17,8 @@
 	// urgentOnlyCount and reservedCount are the numbers of executors kept for urgent tasks and
 	// for waiting gangs.
 	urgentOnlyCount, reservedCount int
+	// pools holds the capacity of the pools.
+	pools *poolCapacities
 	// mostFree is at least what any executor has free, of each resource.
 	mostFree workload.Resources
 	// racks groups the executors by rack.
@@ -37,6 +39,17 @@
 	runs int
 	// searches counts the searches over all runs.
 	searches int
+	// work counts the work of the round, of which maxWork is the most.
+	work, maxWork int
+	// leftJobs counts the waiting jobs that have no turn in this round, leftSteps the due steps of
+	// the others that wait and are not tried.
+	leftJobs, leftSteps int
+	// releases counts the increases of free capacity. full holds the shapes for which no executor
+	// had room after so many of them.
+	releases int
+	full     map[taskShape]int
+	// proposed holds the proposed starts of steps that bound their tasks on one executor.
+	proposed map[stepKey][]workload.Start
 	// victims holds the possible victims on each executor found so far in this round.
 	victims map[victimKind]map[*executor][]*victim
 }
@@ -71,10 +84,9 @@
 }
 
 func (rs *roundState) setFree(e *executor, free workload.Resources) {
+	rs.releases++
 	rs.slot(e).free = free
-	rs.mostFree = workload.Resources{
-		CPU: max(rs.mostFree.CPU, free.CPU), MemoryMB: max(rs.mostFree.MemoryMB, free.MemoryMB), GPU: max(rs.mostFree.GPU, free.GPU),
-	}
+	rs.mostFree = rs.mostFree.Max(free)
 }
 
 func (rs *roundState) keepForUrgent(e *executor) {
@@ -98,6 +110,7 @@
 	rs := &roundState{
 		now: now, pendingStarts: c.pendingStarts, byID: c.executors, racks: map[string][]*executor{},
 		tasksPerExecutor: map[stepKey]map[*executor]int{}, idlePools: map[string]bool{},
+		maxWork: c.budget.workWithin(c.cfg.RoundTime, len(c.executors)), full: map[taskShape]int{}, pools: c.currentPools(),
 		gangNeeds: map[string][]workload.Resources{}, victims: map[victimKind]map[*executor][]*victim{},
 		executors: make([]*executor, 0, len(c.executors)), slots: make([]slot, 0, len(c.executors)), suspected: c.suspectedExecutors(now),
 	}
@@ -199,6 +212,7 @@
 	}
 	counts := map[*executor]int{}
 	rs.tasksPerExecutor[ts.key] = counts
+	rs.work += len(ts.job.Occurrences[ts.key.occurrence].Steps[ts.key.step].Tasks)
 	for i := range ts.job.Occurrences[ts.key.occurrence].Steps[ts.key.step].Tasks {
 		t := &ts.job.Occurrences[ts.key.occurrence].Steps[ts.key.step].Tasks[i]
 		if t.Run == nil {
@@ -208,14 +222,47 @@
 			counts[e]++
 		}
 	}
-	for key, start := range rs.pendingStarts {
-		if e := rs.listed(rs.byID[start.Executor.ID], start.Executor); e != nil && stepKeyOf(key) == ts.key {
+	for _, start := range rs.proposedStarts(ts.key) {
+		if e := rs.listed(rs.byID[start.Executor.ID], start.Executor); e != nil {
 			counts[e]++
 		}
 	}
 	return counts
 }
 
+// proposedStarts returns the starts of a step that are proposed and not yet applied. Those of this
+// round are in tasksPerExecutor.
+func (rs *roundState) proposedStarts(key stepKey) []workload.Start {
+	if rs.proposed == nil {
+		rs.proposed = map[stepKey][]workload.Start{}
+		for task, start := range rs.pendingStarts {
+			rs.proposed[stepKeyOf(task)] = append(rs.proposed[stepKeyOf(task)], start)
+		}
+	}
+	return rs.proposed[key]
+}
+
+// taskShape is what decides on which executors a task could run if nothing else did.
+type taskShape struct {
+	service, label string
+	need           workload.Resources
+}
+
+func shapeOf(ts *taskSet) taskShape {
+	return taskShape{service: ts.job.Service, label: ts.step.Requires, need: ts.step.Allocation()}
+}
+
+// hasNoRoom reports whether no executor is known to have room for a task of a task set.
+func (rs *roundState) hasNoRoom(ts *taskSet) bool {
+	releases, known := rs.full[shapeOf(ts)]
+	return known && releases == rs.releases
+}
+
+// maxTasks is the number of tasks of a task set that the round could compare with all executors.
+func (rs *roundState) maxTasks() int {
+	return max(1, (rs.maxWork-rs.work)/max(1, len(rs.executors)))
+}
+
 // conflictsWithProposed reports whether a proposed run on the executor must not
 // run beside the task set, because one is user-facing and the other
 // best-effort.
--- a/scheduler/fleet/run_time_model.go
+++ b/scheduler/fleet/run_time_model.go
@@ -40,11 +40,7 @@
 // load adds the measured steps of a job.
 func (t *runTimes) load(j *workload.Job, now time.Duration) {
 	for i := range j.Spec.Steps {
-		finished, sum := 0, time.Duration(0)
-		for k := range j.Occurrences {
-			finished += j.Occurrences[k].Steps[i].Measured
-			sum += j.Occurrences[k].Steps[i].RunTimes
-		}
+		finished, sum := j.MeasuredRuns(i)
 		if finished == 0 {
 			continue
 		}
--- a/scheduler/fleet/search_retry.go
+++ b/scheduler/fleet/search_retry.go
@@ -51,6 +51,8 @@
 // failedSearch is when a search failed, and what would make another one differ at once.
 type failedSearch struct {
 	at time.Duration
+	// triedAt is when the task set would have searched last.
+	triedAt time.Duration
 	// tasks is the number of tasks, unplaced that of those to find executors for.
 	tasks, unplaced int
 	reason          WaitReason
@@ -60,6 +62,10 @@
 // that has to wait for the budget makes the next round with searches due.
 func (c *Controller) mayRetry(rs *roundState, key searchKey, tasks, unplaced int) (failedSearch, bool) {
 	last, failed := c.failedSearches[key]
+	if failed {
+		last.triedAt = rs.now
+		c.failedSearches[key] = last
+	}
 	if failed && rs.now < last.at+c.searchInterval(rs) && last.tasks == tasks && last.unplaced == unplaced {
 		return last, false
 	}
@@ -80,6 +86,10 @@
 		return may
 	}
 	last, failed := c.failedSearches[key]
+	if failed {
+		last.triedAt = rs.now
+		c.failedSearches[key] = last
+	}
 	return !failed || rs.now >= last.at+rs.searchPause(searchRoundInterval) || last.tasks != len(ts.tasks) || last.unplaced != unplaced
 }
 
--- a/scheduler/fleet/types.go
+++ b/scheduler/fleet/types.go
@@ -27,6 +27,12 @@
 	// MaxLongPolls is the number of executors whose holds may wait for an end at
 	// the same time, because each of them occupies a connection; 0 means no bound.
 	MaxLongPolls int
+	// RoundTime is the time that the placement of waiting tasks may take at once; what is left
+	// goes on in the next round. 0 means no bound.
+	RoundTime time.Duration
+	// Elapsed reads a clock with which the parts of a round are measured, for metrics. No decision
+	// depends on it; nil means that nothing is measured.
+	Elapsed func() time.Duration
 }
 
 const (
@@ -211,7 +217,50 @@
 	// Searches counts the searches over all runs, DelayedSearches those that have to wait for
 	// a later round.
 	Searches, DelayedSearches int
+	// Left counts the due steps that wait and were not tried: another one of the same job showed
+	// that they have no room, or the work of the round was used up.
+	Left int
+	// HasLeft is set if the work of the round was used up.
+	HasLeft bool
+	// Work is the number of comparisons between task sets and executors.
+	Work int
+	// Parts holds the time of each part of the round, as far as it was measured.
+	Parts [roundParts]time.Duration
 	// Waited is how long the round was due before it began, because the one before it was too
 	// recent.
 	Waited time.Duration
 }
+
+// roundPart is a part of a round.
+type roundPart uint8
+
+// Parts of rounds.
+const (
+	// partSelect chooses the steps that have a turn, and updates reservations and preemptions.
+	partSelect roundPart = iota
+	// partPlace searches places for them.
+	partPlace
+	// partForecast updates the forecasts of the waits.
+	partForecast
+	roundParts
+)
+
+// EachPart calls f for each part of the round.
+func (r *RoundCounts) EachPart(f func(part string, took time.Duration)) {
+	for p, took := range r.Parts {
+		f([...]string{"select", "place", "forecast"}[p], took)
+	}
+}
+
+// startLaps returns a function that adds the time since its last call to a part of the round.
+func (c *Controller) startLaps() func(roundPart) {
+	if c.cfg.Elapsed == nil {
+		return func(roundPart) {}
+	}
+	last := c.cfg.Elapsed()
+	return func(p roundPart) {
+		now := c.cfg.Elapsed()
+		c.out.Round.Parts[p] += now - last
+		last = now
+	}
+}
--- a/scheduler/fleet/urgent_capacity.go
+++ b/scheduler/fleet/urgent_capacity.go
@@ -37,8 +37,8 @@
 // started. Stopping work for urgent tasks costs more than letting it wait, so
 // capacity for the recent urgent demand is kept free of other tasks. It also
 // determines the idle pools.
-func (c *Controller) updateUrgentOnly(now time.Duration, rs *roundState) {
-	need := c.urgentNeed(rs)
+func (c *Controller) updateUrgentOnly(now, unix time.Duration, rs *roundState) {
+	need := c.urgentNeed(unix, rs)
 	for service, members := range rs.executorsByService() {
 		d := c.demands[service]
 		if d == nil {
@@ -87,26 +87,32 @@
 	return rs.idlePools[ts.job.Service] && now-ts.waitingSince > idlePoolMaxWait && !ts.job.HasRuns()
 }
 
-// urgentNeed returns the capacity, in executors, that running and waiting
-// urgent tasks need in each service.
-func (c *Controller) urgentNeed(rs *roundState) map[string]float64 {
+// urgentNeed returns the capacity, in executors, that running and waiting urgent tasks need in
+// each service. Steps that are not due, or that no executor can hold, need none yet.
+func (c *Controller) urgentNeed(unix time.Duration, rs *roundState) map[string]float64 {
 	capacity := map[string]workload.Resources{}
 	for _, e := range rs.executors {
 		capacity[e.service] = e.capacity
 	}
 	need := map[string]float64{}
-	c.state.ActiveJobs(func(j *workload.Job) {
+	for _, a := range c.backlog.jobs {
+		j := a.job
 		if j.Priority != 0 {
-			return
+			continue
 		}
-		for k := range j.Occurrences {
-			for i := range j.Spec.Steps {
-				if j.Runnable(k, i) {
-					need[j.Service] += float64(j.Occurrences[k].Steps[i].Remaining) * dominantShare(j.Spec.Steps[i].Allocation(), capacity[j.Service])
-				}
+		due := j.Spec.DueOccurrences(unix)
+		for i := range j.Spec.Steps {
+			remaining, idle := j.DueTasks(i, due)
+			if remaining == 0 {
+				continue
 			}
+			step := &j.Spec.Steps[i]
+			if idle == remaining && !rs.pools.mayHold(j.Service, step) {
+				continue
+			}
+			need[j.Service] += float64(remaining) * dominantShare(step.Allocation(), capacity[j.Service])
 		}
-	})
+	}
 	return need
 }
 
--- a/scheduler/fleet/victim_search.go
+++ b/scheduler/fleet/victim_search.go
@@ -93,10 +93,8 @@
 	for _, n := range tasks {
 		best := search.bestCandidate(ts, candidates, victims)
 		if best == nil {
-			if ts.step.Gang {
-				return found
-			}
-			continue
+			// No other task fits either.
+			return found
 		}
 		chosen, _, _ := search.selectVictims(best.executor, ts.step.Allocation(), victims[best.executor])
 		p := place{task: n, executor: best.executor, victims: append([]*victim(nil), chosen...)}
--- a/scheduler/workload/apply.go
+++ b/scheduler/workload/apply.go
@@ -117,8 +117,10 @@
 		return
 	}
 	t.Run = &Run{Number: start.Run, Executor: start.Executor, Term: term}
+	j.progress.attempts += start.Run - t.LastRun
 	t.LastRun = start.Run
-	j.Occurrences[start.Task.Occurrence].Steps[start.Task.Step].idle--
+	j.addIdle(start.Task.Occurrence, start.Task.Step, -1)
+	j.countRun(start.Task.Occurrence, 1)
 	s.addRun(start.Task, t.Run)
 	j.Started = true
 	j.Phase = Running
@@ -142,10 +144,11 @@
 	}
 	s.removeRun(e.Task, t.Run)
 	t.Run = nil
+	j.countRun(e.Task.Occurrence, -1)
 	j.saveCheckpoint(e)
 	step := &j.Occurrences[e.Task.Occurrence].Steps[e.Task.Step]
 	if !t.Done {
-		step.idle++
+		j.addIdle(e.Task.Occurrence, e.Task.Step, 1)
 	}
 	j.saveRunTime(e)
 	if e.Ending != EndDone {
@@ -169,6 +172,8 @@
 	if e.Ending == EndDone && e.Took > 0 && e.Took <= maxRunTime {
 		step.Measured++
 		step.RunTimes += e.Took
+		j.progress.steps[e.Task.Step].measured++
+		j.progress.steps[e.Task.Step].runTimes += e.Took
 	}
 }
 
@@ -203,6 +208,8 @@
 	if spec.Gang {
 		first, last = 0, len(step.Tasks)-1
 	}
+	hadRemaining := step.Remaining > 0
+	j.countStep(key.Occurrence, key.Step, -1)
 	for i := first; i <= last; i++ {
 		if !step.Tasks[i].Done {
 			step.Tasks[i].Done = true
@@ -212,31 +219,22 @@
 			step.Remaining--
 		}
 	}
-	if step.Remaining > 0 {
-		return
+	j.countStep(key.Occurrence, key.Step, 1)
+	if hadRemaining && step.Remaining == 0 {
+		j.finishStep(key.Occurrence, key.Step, at)
 	}
-	j.finishStep(key.Occurrence, at)
 }
 
-// finishStep counts the remaining steps and occurrences after a step was done, and
-// completes the job if none remains.
-func (j *Job) finishStep(occurrence int, at time.Duration) {
+// finishStep updates what remains after a step was done, and completes the job if nothing
+// does.
+func (j *Job) finishStep(occurrence, step int, at time.Duration) {
+	j.unblock(occurrence, step)
 	o := &j.Occurrences[occurrence]
-	o.Remaining = 0
-	for i := range o.Steps {
-		if o.Steps[i].Remaining > 0 {
-			o.Remaining++
-		}
-	}
+	o.Remaining--
 	if o.Remaining > 0 {
 		return
 	}
-	j.Remaining = 0
-	for k := range j.Occurrences {
-		if j.Occurrences[k].Remaining > 0 {
-			j.Remaining++
-		}
-	}
+	j.Remaining--
 	if j.Remaining == 0 {
 		j.Phase, j.EndedAt = Completed, at
 	}
--- a/scheduler/workload/change_list.go
+++ b/scheduler/workload/change_list.go
@@ -3,10 +3,16 @@
 // Change names a job or an incarnation of an executor that a command changed: the progress or
 // the phase of the job, or the runs or the departure of the executor. One of the two is set.
 type Change struct {
-	Job      string
-	Executor ExecutorKey
+	Job string
+	// Occurrence and Step identify the step of the job whose runs changed. Occurrence is
+	// NoOccurrence if the change concerns no single step.
+	Occurrence, Step int
+	Executor         ExecutorKey
 }
 
+// NoOccurrence is the occurrence of a change that concerns no single step.
+const NoOccurrence = -1
+
 // maxChanges is the number of changes that are kept. It covers what is applied between two
 // decisions, also after a burst; a reader that falls behind reads the whole state.
 const maxChanges = 4096
@@ -52,6 +58,10 @@
 	return true
 }
 
-func (s *State) jobChanged(id string) { s.changeList.add(Change{Job: id}) }
+func (s *State) jobChanged(id string) { s.changeList.add(Change{Job: id, Occurrence: NoOccurrence}) }
+
+func (s *State) stepChanged(key TaskKey) {
+	s.changeList.add(Change{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step})
+}
 
 func (s *State) executorChanged(key ExecutorKey) { s.changeList.add(Change{Executor: key}) }
--- a/scheduler/workload/job.go
+++ b/scheduler/workload/job.go
@@ -79,27 +79,22 @@
 	Measured int           `msgpack:"m,omitempty"`
 	RunTimes time.Duration `msgpack:"u,omitempty"`
 
-	// idle counts the tasks that are neither done nor have a run. It is derived.
-	idle int
+	// idle counts the tasks that are neither done nor have a run, blockers the dependencies
+	// that are not done. Both are derived.
+	idle, blockers int32
 }
 
 // Idle returns the number of tasks that are neither done nor have a run.
-func (s *StepState) Idle() int { return s.idle }
-
-func (s *StepState) countIdle() {
-	s.idle = 0
-	for i := range s.Tasks {
-		if !s.Tasks[i].Done && s.Tasks[i].Run == nil {
-			s.idle++
-		}
-	}
-}
+func (s *StepState) Idle() int { return int(s.idle) }
 
 // Occurrence is one repetition of the steps of a job.
 type Occurrence struct {
 	Steps []StepState `msgpack:"s"`
 	// Remaining counts the steps that are not done.
 	Remaining int `msgpack:"r"`
+
+	// runs counts the tasks with a run. It is derived.
+	runs int32
 }
 
 // Job is an accepted job.
@@ -143,20 +138,32 @@
 
 	// queue is the queue of the job under the current configuration, or nil. It is derived.
 	queue *Queue
+	// progress counts what is left. It is derived.
+	progress *progress
 }
 
-// initTasks allocates the occurrences, steps and tasks of an accepted job.
+// initTasks allocates the occurrences, steps and tasks of an accepted job. The steps and the tasks
+// of an occurrence are allocated together: one allocation for each step of each occurrence
+// takes most of the time in which a large job is stored.
 func (j *Job) initTasks() {
+	count := 0
+	for i := range j.Spec.Steps {
+		count += j.Spec.Steps[i].Count
+	}
 	j.Remaining = j.Spec.Occurrences()
 	j.Occurrences = make([]Occurrence, j.Remaining)
 	for k := range j.Occurrences {
 		o := &j.Occurrences[k]
 		o.Remaining = len(j.Spec.Steps)
 		o.Steps = make([]StepState, len(j.Spec.Steps))
-		for i, step := range j.Spec.Steps {
-			o.Steps[i] = StepState{Tasks: make([]Task, step.Count), Remaining: step.Count, idle: step.Count}
+		tasks := make([]Task, count)
+		for i := range j.Spec.Steps {
+			n := j.Spec.Steps[i].Count
+			o.Steps[i] = StepState{Tasks: tasks[:n:n], Remaining: n}
+			tasks = tasks[n:]
 		}
 	}
+	j.indexProgress()
 }
 
 // RetainedSince returns the Unix time from which an ended job is retained: its end, or a later
@@ -189,17 +196,3 @@
 	}
 	return &steps[key.Step].Tasks[key.Index]
 }
-
-// HasRuns reports whether the job has runs that hold resources of executors.
-func (j *Job) HasRuns() bool {
-	for k := range j.Occurrences {
-		for i := range j.Occurrences[k].Steps {
-			for _, t := range j.Occurrences[k].Steps[i].Tasks {
-				if t.Run != nil {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
--- a/scheduler/workload/spec.go
+++ b/scheduler/workload/spec.go
@@ -38,6 +38,16 @@
 	return Resources{CPU: r.CPU - o.CPU, MemoryMB: r.MemoryMB - o.MemoryMB, GPU: r.GPU - o.GPU}
 }
 
+// Times returns a multiple. The demands of a valid job stay in range for all of its tasks.
+func (r Resources) Times(n int64) Resources {
+	return Resources{CPU: r.CPU * n, MemoryMB: r.MemoryMB * n, GPU: r.GPU * n}
+}
+
+// Max returns the larger amount of each resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{CPU: max(r.CPU, o.CPU), MemoryMB: max(r.MemoryMB, o.MemoryMB), GPU: max(r.GPU, o.GPU)}
+}
+
 // Fits reports whether r is at most o in every resource.
 func (r Resources) Fits(o Resources) bool {
 	return r.CPU <= o.CPU && r.MemoryMB <= o.MemoryMB && r.GPU <= o.GPU
--- a/scheduler/workload/state.go
+++ b/scheduler/workload/state.go
@@ -187,9 +187,9 @@
 	for _, j := range s.jobs {
 		s.count(j, 1)
 		s.addActive(j)
+		j.indexProgress()
 		for k := range j.Occurrences {
 			for step := range j.Occurrences[k].Steps {
-				j.Occurrences[k].Steps[step].countIdle()
 				tasks := j.Occurrences[k].Steps[step].Tasks
 				for i := range tasks {
 					if tasks[i].Run != nil {
@@ -218,7 +218,7 @@
 	}
 	executorRuns[key] = run
 	s.executorChanged(run.Executor)
-	s.jobChanged(key.Job)
+	s.stepChanged(key)
 }
 
 // removeRun removes a run from the runs of its executor.
@@ -228,5 +228,5 @@
 		delete(s.runs, run.Executor)
 	}
 	s.executorChanged(run.Executor)
-	s.jobChanged(key.Job)
+	s.stepChanged(key)
 }
