fleet: limit the quarantine to a share of each pool

Cause: health.observe judges each executor by itself. Two jobs that fail wherever they run put all of them in quarantine, for 4 s and up to 30 s.

Ruled out: the attribution to the job, which needs executors on which only one job has failed.

Change: an executor is quarantined only while at most a quarter of its pool is suspended with it, and never the only one. Runs without progress use the same bound; theirs was over all pools together, so that a small pool could be in quarantine as a whole.

--- a/scheduler/fleet/health.go
+++ b/scheduler/fleet/health.go
@@ -29,8 +29,9 @@
 	quarantines    int
 }
 
-// observe records the end of a run and reports whether a quarantine began.
-func (h *health) observe(now time.Duration, job string, ending workload.Ending) bool {
+// observe records the end of a run and reports whether a quarantine began. Without room in the
+// quarantine of the pool, the next failure of another job is judged anew.
+func (h *health) observe(now time.Duration, job string, ending workload.Ending, room *quarantineRoom) bool {
 	switch ending {
 	case workload.EndDone:
 		*h = health{}
@@ -45,8 +46,8 @@
 		return false
 	}
 	h.lastFailedJob = job
-	h.failures++
-	if h.failures < failuresToQuarantine {
+	h.failures = min(h.failures+1, failuresToQuarantine)
+	if h.failures < failuresToQuarantine || !room.take() {
 		return false
 	}
 	h.quarantine(now)
@@ -66,3 +67,45 @@
 func (h *health) pause(now time.Duration) {
 	h.suspendedUntil = max(h.suspendedUntil, now+refusalPause)
 }
+
+// quarantineRoom is the number of executors of a pool that may be quarantined, and of those that are
+// suspended. A pool that is suspended as a whole keeps sound jobs waiting, whatever has failed there.
+type quarantineRoom struct{ members, suspended int }
+
+// take takes the room for an executor if there is some. One executor may be quarantined if it is not
+// the only one.
+func (r *quarantineRoom) take() bool {
+	if r.members < 2 || float64(r.suspended+1) > max(1, maxQuarantinedShare*float64(r.members)) {
+		return false
+	}
+	r.suspended++
+	return true
+}
+
+// quarantineRooms returns the room of each pool, by service.
+func (c *Controller) quarantineRooms(now time.Duration) map[string]*quarantineRoom {
+	rooms := map[string]*quarantineRoom{}
+	for _, e := range c.executors {
+		if e.draining {
+			continue
+		}
+		room := rooms[e.service]
+		if room == nil {
+			room = &quarantineRoom{}
+			rooms[e.service] = room
+		}
+		room.members++
+		if now < e.health.suspendedUntil {
+			room.suspended++
+		}
+	}
+	return rooms
+}
+
+// roomFor returns the room of the pool of an executor, which is none for a draining one alone.
+func (c *Controller) roomFor(now time.Duration, e *executor) *quarantineRoom {
+	if room := c.quarantineRooms(now)[e.service]; room != nil {
+		return room
+	}
+	return &quarantineRoom{}
+}
--- a/scheduler/fleet/reliability.go
+++ b/scheduler/fleet/reliability.go
@@ -157,7 +157,7 @@
 			return
 		}
 	}
-	if e.health.observe(now, key.Job, ending) {
+	if e.health.observe(now, key.Job, ending, c.roomFor(now, e)) {
 		c.log.Info("executor quarantined", "executor", e.key.ID, "for_ms", (e.health.suspendedUntil - now).Milliseconds(), "reason", "different jobs failed")
 	}
 }
--- a/scheduler/fleet/stall.go
+++ b/scheduler/fleet/stall.go
@@ -14,8 +14,7 @@
 	// it is longer, because one percent of a long task takes long away from its
 	// data.
 	stallShare = 0.2
-	// maxQuarantinedShare is the share of executors in quarantine from which no
-	// more are quarantined because of stalled runs.
+	// maxQuarantinedShare is the largest share of a pool that is in quarantine.
 	maxQuarantinedShare = 0.25
 )
 
@@ -31,12 +30,7 @@
 // checks the executors that have sent one. It quarantines their executor unless
 // another run there is not stalled.
 func (c *Controller) stopStalledRuns(now time.Duration) {
-	quarantined := 0
-	for _, e := range c.executors {
-		if now < e.health.suspendedUntil {
-			quarantined++
-		}
-	}
+	rooms := c.quarantineRooms(now)
 	for _, e := range c.orderedExecutors() {
 		if !e.uncheckedList {
 			continue
@@ -50,8 +44,7 @@
 			r.requestStop(now, "no_progress")
 			e.hasOrders = true
 		}
-		if len(stalled) == len(e.runs) && float64(quarantined) < maxQuarantinedShare*float64(len(c.executors)) {
-			quarantined++
+		if room := rooms[e.service]; len(stalled) == len(e.runs) && room != nil && room.take() {
 			e.health.quarantine(now)
 			c.log.Info("executor quarantined", "executor", e.key.ID, "for_ms", (e.health.suspendedUntil - now).Milliseconds(), "reason", "no progress", "runs", len(stalled))
 		}
