workload: bound the names in a job and count them as state

Cause: Spec.Validate bounds no length of Image, Requires and DataRack, and StateBytes does not count them. The log keeps up to 512 entries in memory beside the state.

Ruled out: counting alone. The state may take a quarter of the memory, and the entries of the log come on top.

Change: a name has at most 1,024 bytes, all names of a job 65,536; beyond that the submission is refused for good. StateBytes counts them.

--- a/scheduler/workload/size.go
+++ b/scheduler/workload/size.go
@@ -25,7 +25,7 @@
 	size, perOccurrence := progressBytes+int64(jobOverheadBytes+len(s.Payload)), occurrenceBytes
 	size += wordBytes * int64(wordsFor(s.Occurrences())*(len(s.Steps)+1))
 	for i := range s.Steps {
-		size += stepBytes + stepProgressBytes + (dependencyBytes+dependentBytes)*int64(len(s.Steps[i].DependsOn))
+		size += stepBytes + stepProgressBytes + int64(s.Steps[i].nameBytes()) + (dependencyBytes+dependentBytes)*int64(len(s.Steps[i].DependsOn))
 		perOccurrence += stepStateBytes + (taskBytes+snapshotTaskBytes)*int64(s.Steps[i].Count)
 	}
 	return size + perOccurrence*int64(s.Occurrences())
--- a/scheduler/workload/spec.go
+++ b/scheduler/workload/spec.go
@@ -10,6 +10,12 @@
 const (
 	// MaxPayloadBytes is the size of the largest payload.
 	MaxPayloadBytes = 4000
+	// MaxNameBytes is the size of the longest name of an image, a label or a rack. References of
+	// images with a registry, a tag and a digest are shorter.
+	MaxNameBytes = 1024
+	// MaxNamesBytes is the size of all these names of a job. The log keeps hundreds of entries in
+	// memory, and names of the steps of the largest job have 256 bytes each on average.
+	MaxNamesBytes = MaxSteps * 256
 	// MaxSteps is the largest number of steps of a job.
 	MaxSteps       = 256
 	maxTasks       = 10_000
@@ -159,7 +165,7 @@
 	case s.FirstDue < 0 || s.Interval < 0 || s.Interval > (math.MaxInt64-s.FirstDue)/time.Duration(s.Occurrences()):
 		return &SpecError{Field: "due times", Reason: "out of range"}
 	}
-	estimates := time.Duration(0)
+	estimates, names := time.Duration(0), 0
 	for i := range s.Steps {
 		if err := s.Steps[i].validate(i); err != nil {
 			return err
@@ -168,6 +174,9 @@
 			return &SpecError{Step: i, Field: "times", Reason: "out of range"}
 		}
 		estimates += s.Steps[i].Estimate
+		if names += s.Steps[i].nameBytes(); names > MaxNamesBytes {
+			return &SpecError{Step: i, Field: "names", Reason: "too long together"}
+		}
 	}
 	return nil
 }
@@ -206,8 +215,13 @@
 	return nil
 }
 
+// nameBytes is the size of the names in the step.
+func (s *Step) nameBytes() int { return len(s.Image) + len(s.Requires) + len(s.DataRack) }
+
 func (s *Step) validate(position int) error {
 	switch {
+	case len(s.Image) > MaxNameBytes || len(s.Requires) > MaxNameBytes || len(s.DataRack) > MaxNameBytes:
+		return &SpecError{Step: position, Field: "names", Reason: "too long"}
 	case s.Demand.CPU < 0 || s.Demand.MemoryMB < 0 || s.Demand.GPU < 0:
 		return &SpecError{Step: position, Field: "resources", Reason: "negative"}
 	case s.Demand.CPU > maxDemand || s.Demand.MemoryMB > maxDemand || s.Demand.GPU > maxDemand:
--- a/scheduler/workload/workload_test.go
+++ b/scheduler/workload/workload_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -232,6 +234,11 @@
 		{Count: 10, Demand: workload.Resources{MemoryMB: 1 << 58}}}}),
 	Entry("estimates whose sum overflows", workload.Spec{Steps: []workload.Step{{Count: 1, Estimate: 1 << 62}, {Count: 1, Estimate: 1 << 62}}}),
 	Entry("repeats without an interval", workload.Spec{Repeats: 2, Steps: []workload.Step{{Count: 1}}}),
+	// Names without a bound take all control hosts over their memory: the log keeps them as well.
+	Entry("a long image", workload.Spec{Steps: []workload.Step{{Count: 1, Image: strings.Repeat("a", workload.MaxNameBytes+1)}}}),
+	Entry("a long label", workload.Spec{Steps: []workload.Step{{Count: 1, Requires: strings.Repeat("a", workload.MaxNameBytes+1)}}}),
+	Entry("a long rack", workload.Spec{Steps: []workload.Step{{Count: 1, DataRack: strings.Repeat("a", workload.MaxNameBytes+1)}}}),
+	Entry("long names together", workload.Spec{Steps: slices.Repeat([]workload.Step{{Count: 1, Image: strings.Repeat("a", workload.MaxNameBytes)}}, workload.MaxNamesBytes/workload.MaxNameBytes+1)}),
 	Entry("too many tasks", workload.Spec{Repeats: 10_000, Interval: time.Second, Steps: []workload.Step{{Count: 10_000}}}),
 )
 
