fleet: give each job a turn while rounds are cut

Cause: the jobs that have a turn were chosen in turn only if there were more steps than visits of the least work. The tasks of all of them were listed before the first visit as well, so that jobs of 10,000 tasks used up the work of a round without a visit.

Change: tasks are listed at the visit. After a round that was cut the next one chooses half as many steps as that one visited, and twice as many after each round that was not, until all have a turn.

--- a/scheduler/fleet/backlog_test.go
+++ b/scheduler/fleet/backlog_test.go
@@ -219,6 +219,19 @@
 		Expect(h.runsOf("last")).To(Equal(1))
 	})
 
+	// Guards against a job that never has a turn behind a few of which each takes much of the work.
+	It("gives each job a turn behind expensive ones", func() {
+		for n := range jobs {
+			h.apply(&workload.Command{At: h.now, Cancel: fmt.Sprintf("%016x", n)})
+		}
+		for n := range 6 {
+			h.submit(fmt.Sprint("expensive-", n), 0, workload.Step{Count: 100, Gang: true, PerExecutor: 1, Demand: workload.Resources{CPU: 1000}})
+		}
+		h.submit("last", 2, workload.Step{Count: 1, Demand: needGPUs(1)})
+		h.advance(idleStartBound, 4)
+		Expect(h.runsOf("last")).To(Equal(1))
+	})
+
 	// Guards against a bound that is reported but not kept.
 	It("stays within its bound and reports what is left", func() {
 		rounds, cut := 0, 0
--- a/scheduler/fleet/round.go
+++ b/scheduler/fleet/round.go
@@ -124,22 +124,32 @@
 
 // newTaskSet returns the task set of a step that waits, or nil if its tasks have proposed starts.
 func (c *Controller) newTaskSet(now, unix time.Duration, rs *roundState, a *activeJob, k, i int) *taskSet {
-	tasks, isCut := c.waitingTasks(rs, a.job, k, i)
-	if len(tasks) == 0 {
+	ts := c.describe(now, unix, a, k, i)
+	if !c.listTasks(now, rs, ts) {
 		return nil
 	}
-	ts := c.describe(now, unix, a, k, i)
+	return ts
+}
+
+// listTasks lists the tasks of a task set. It reports false if there are none, because their starts
+// are proposed.
+func (c *Controller) listTasks(now time.Duration, rs *roundState, ts *taskSet) bool {
+	k, i := ts.key.occurrence, ts.key.step
+	tasks, isCut := c.waitingTasks(rs, ts.job, k, i)
+	if len(tasks) == 0 {
+		return false
+	}
 	ts.tasks, ts.waiting = tasks, len(tasks)
 	if isCut {
-		ts.waiting = a.job.Occurrences[k].Steps[i].Idle()
+		ts.waiting = ts.job.Occurrences[k].Steps[i].Idle()
 	}
-	if len(a.job.Spec.Steps[i].DependsOn) > 0 {
+	if len(ts.step.DependsOn) > 0 {
 		if _, known := c.runnableSince[ts.key]; !known {
 			c.runnableSince[ts.key] = now
 		}
 		ts.waitingSince = c.runnableSince[ts.key]
 	}
-	return ts
+	return true
 }
 
 // describe returns the task set of a step without its tasks.
--- a/scheduler/fleet/round_budget.go
+++ b/scheduler/fleet/round_budget.go
@@ -31,6 +31,9 @@
 	workTime time.Duration
 	// lastWork is the work of the last round, maxWork its bound.
 	lastWork, maxWork int
+	// stepLimit is the number of steps that may have a turn after a round was cut, 0 for no limit.
+	// waitingSteps is that of the steps that wait.
+	stepLimit, waitingSteps int
 	// hasLeft is set if the last round left work to the next one.
 	hasLeft  bool
 	loggedAt time.Duration
@@ -44,6 +47,28 @@
 	return max(int(limit/b.workTime), minWork*max(executors, 1))
 }
 
+// maxSteps returns the number of steps that may have a turn in a round. While rounds are cut it
+// follows the number that they got to, so that the jobs that have a turn are chosen in turn.
+func (b *roundBudget) maxSteps(rs *roundState) int {
+	limit := max(rs.maxWork/(2*visitWork), 1)
+	if b.stepLimit > 0 {
+		limit = min(limit, b.stepLimit)
+	}
+	return limit
+}
+
+// limitSteps updates the limit after a round that visited so many task sets.
+func (b *roundBudget) limitSteps(visited int, isUsedUp bool) {
+	switch {
+	case isUsedUp:
+		b.stepLimit = max(visited/2, 1)
+	case b.stepLimit >= b.waitingSteps:
+		b.stepLimit = 0
+	default:
+		b.stepLimit *= 2
+	}
+}
+
 // RecordRound tells the controller how long the last step with a round took until now. The bound
 // on the next rounds follows it, and after a long one the next one is later.
 func (c *Controller) RecordRound(now, took time.Duration) {
@@ -55,7 +80,7 @@
 		measured := min(took/time.Duration(b.lastWork), maxWorkTimeRise*b.workTime)
 		b.workTime = max(minWorkTime, b.workTime+time.Duration(workTimeWeight*float64(measured-b.workTime)))
 	}
-	if took > c.cfg.RoundTime/2 {
+	if b.hasLeft || took > c.cfg.RoundTime/2 {
 		c.nextRound = max(c.nextRound, now+min(roundRestFactor*took, idleRoundInterval))
 	}
 }
@@ -67,6 +92,7 @@
 func (c *Controller) recordWork(now time.Duration, rs *roundState, counts *RoundCounts) {
 	b := &c.budget
 	b.lastWork, b.maxWork, b.hasLeft = rs.work, rs.maxWork, rs.isUsedUp() || rs.leftJobs > 0
+	b.limitSteps(counts.TaskSets, rs.isUsedUp())
 	counts.Work, counts.HasLeft = rs.work, b.hasLeft
 	if b.hasLeft && now >= b.loggedAt+budgetLogInterval {
 		b.loggedAt = now
--- a/scheduler/fleet/turns.go
+++ b/scheduler/fleet/turns.go
@@ -134,10 +134,14 @@
 	}
 }
 
-// visit tries to place the next task set of a cursor. It reports whether all tasks were placed.
+// visit tries to place the next task set of a cursor. It reports whether none of its tasks is left
+// without a place.
 func (t *turns) visit(cu *cursor) bool {
 	c, ts := t.controller, cu.head
 	t.round.work += visitWork
+	if !cu.single && !c.listTasks(t.now, t.round, ts) {
+		return true
+	}
 	t.visited = append(t.visited, ts)
 	cu.visited++
 	cu.tasks += len(ts.tasks)
@@ -201,10 +205,8 @@
 		}
 		t.round.work++
 		k := cu.occurrenceAt(cu.position)
-		if t.held[stepKey{job: cu.job.job.ID, occurrence: k, step: cu.step}] != nil {
-			continue
-		}
-		if cu.head = t.controller.newTaskSet(t.now, t.unix, t.round, cu.job, k, cu.step); cu.head != nil {
+		if t.held[stepKey{job: cu.job.job.ID, occurrence: k, step: cu.step}] == nil {
+			cu.head = t.controller.describe(t.now, t.unix, cu.job, k, cu.step)
 			return true
 		}
 	}
@@ -277,7 +279,8 @@
 		jobs = append(jobs, a)
 		byCustomer[a.job.Customer] = append(byCustomer[a.job.Customer], a)
 	}
-	if limit := max(rs.maxWork/(2*visitWork), 1); steps > limit {
+	c.budget.waitingSteps = steps
+	if limit := c.budget.maxSteps(rs); steps > limit {
 		rs.leftJobs = len(jobs)
 		jobs = c.backlog.chooseJobs(byCustomer, limit)
 		rs.leftJobs -= len(jobs)
