fleet: choose among customers in a fixed order

Customers with equally many waiting jobs were chosen in the order of a map while rounds are cut, so that the same state gave different plans. Their names decide now.

--- a/scheduler/fleet/turns.go
+++ b/scheduler/fleet/turns.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"container/heap"
 	"math"
 	"slices"
@@ -323,7 +324,7 @@
 	for name := range byCustomer {
 		names = append(names, name)
 	}
-	slices.SortFunc(names, func(x, y string) int { return len(byCustomer[x]) - len(byCustomer[y]) })
+	slices.SortFunc(names, func(x, y string) int { return cmp.Or(len(byCustomer[x])-len(byCustomer[y]), cmp.Compare(x, y)) })
 	var chosen []*activeJob
 	for n, name := range names {
 		before := len(chosen)
