fleet: let the spec of the turns of occurrences need them

"gives each occurrence of a step a turn" placed all tasks of each occurrence, so that no occurrence was left for a later round and the spec passed without turns. Each occurrence has one task too many for the executors now.

--- a/scheduler/fleet/backlog_test.go
+++ b/scheduler/fleet/backlog_test.go
@@ -132,15 +132,13 @@
 	// Guards against the occurrences of a step that are left out for good because others of it that
 	// have waited longer can't start.
 	It("gives each occurrence of a step a turn", func() {
-		for n := range 4 {
-			h.report(n, func(r *fleet.Report) { r.Labels = append(r.Labels, "b") })
-		}
-		step := workload.Step{Count: 4, Demand: workload.Resources{CPU: 1000}, PerExecutor: 1, Estimate: time.Hour}
+		// One task of each occurrence has no executor left, so that none is placed as a whole.
+		step := workload.Step{Count: 5, Demand: workload.Resources{CPU: 1000}, PerExecutor: 1, Estimate: time.Hour}
 		h.apply(&workload.Command{At: h.now, Submit: &workload.Job{
 			ID: "spread", QueueName: "q", Service: "s", Customer: "a", Priority: 1, MaxAttempts: 100, Stretch: 1.5, Target: time.Hour,
 			Spec: workload.Spec{Steps: []workload.Step{step}, Repeats: 40, FirstDue: h.now - time.Minute, Interval: time.Millisecond},
 		}})
-		h.advance(200*time.Millisecond, 4)
+		h.advance(idleStartBound, 4)
 		Expect(h.runsOf("spread")).To(Equal(4 * 40))
 	})
 
